--- a/Makefile
+++ b/Makefile
@@ -12,14 +12,15 @@
 
 install: $(VENV)/.installed
 
-$(VENV)/.installed: requirements.lock packages/*/pyproject.toml
+$(VENV)/.installed: requirements.lock packages/*/pyproject.toml platform/pyproject.toml
 	python3 -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check \
 		--require-hashes -r requirements.lock
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check \
 		--no-deps --no-build-isolation \
 		-e packages/lovagemast-core -e packages/lovagemast-wire \
-		-e packages/lovagemast-node -e packages/lovagemast-cli
+		-e packages/lovagemast-node -e packages/lovagemast-cli \
+		-e platform
 	touch $@
 
 lock:
@@ -28,7 +29,8 @@
 		--group dev --group build \
 		--no-emit-package lovagemast-core \
 		--no-emit-package lovagemast-wire \
-		packages/*/pyproject.toml -o requirements.lock
+		--no-emit-package lovagemast-node \
+		packages/*/pyproject.toml platform/pyproject.toml -o requirements.lock
 
 run: install
 	@$(BIN)/python -m standins.fleet --port $(PORT) --vms $(VMS) \
@@ -41,7 +43,7 @@
 check: install
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 packages standins bench tests features
+	$(BIN)/flake8 packages platform standins bench tests features
 	$(BIN)/mypy
 
 format: install
--- a/packages/lovagemast-core/src/lovagemast_core/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/__init__.py
@@ -10,12 +10,15 @@
     Conflict,
     CrashNoted,
     FinishCall,
+    NameVersion,
     NoOp,
     Outcome,
+    PutConfig,
     RemoveVm,
     ReportCrash,
     SetRoster,
     SetVoters,
+    SetZoneOut,
     Unavailable,
 )
 from ._config import NodeConfig
@@ -87,7 +90,7 @@
     read,
     to_document,
 )
-from ._state import PublishedState, StateSnapshot
+from ._state import AdapterVersion, PublishedState, StateSnapshot
 from ._status import Status, TargetStatus, VmStatus
 from ._template import Expansion, expand
 from ._timeline import EventKind, TimelineEvent
@@ -96,6 +99,7 @@
 __all__ = [
     'DEFAULT_POLICY',
     'AdapterRef',
+    'AdapterVersion',
     'AlreadyClaimed',
     'AnswerChunk',
     'AnswerEnd',
@@ -132,6 +136,7 @@
     'HardState',
     'InvariantError',
     'LogSynced',
+    'NameVersion',
     'NoOp',
     'Node',
     'NodeConfig',
@@ -150,6 +155,7 @@
     'ProbeFailure',
     'ProbeTarget',
     'PublishedState',
+    'PutConfig',
     'RandomPlacement',
     'Reason',
     'Record',
@@ -164,6 +170,7 @@
     'SendPeer',
     'SetRoster',
     'SetVoters',
+    'SetZoneOut',
     'StateSnapshot',
     'Status',
     'StoredLog',
--- a/packages/lovagemast-core/src/lovagemast_core/_commands.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_commands.py
@@ -13,6 +13,28 @@
     document: str  # JSON text of a FleetConfig
 
 
+class PutConfig(NamedTuple):
+    """Replaces the configuration if its revision is the highest so far."""
+
+    revision: int
+    document: str  # as the operator sent it
+
+
+class SetZoneOut(NamedTuple):
+    """Takes an availability zone out of service, or back in."""
+
+    zone: str
+    out: bool
+
+
+class NameVersion(NamedTuple):
+    """Names a version of an adapter; the highest is the one to serve."""
+
+    model: str
+    adapter: str
+    version: int
+
+
 class SetRoster(NamedTuple):
     """Replaces the roster if the published version is as expected."""
 
@@ -72,6 +94,9 @@
 
 Command = (
     ApplyConfig
+    | PutConfig
+    | SetZoneOut
+    | NameVersion
     | SetRoster
     | RemoveVm
     | ClaimCall
--- a/packages/lovagemast-core/src/lovagemast_core/_election.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_election.py
@@ -30,7 +30,11 @@
         self._outbox = outbox
         self._on_won = on_won
         self._votes: set[str] = set()
-        self._leader_heard_at = now - ELECTION_TIMEOUT_S
+        # A replica that restarts may have confirmed a leader just before;
+        # it votes for nobody else until that leader's lease has run out.
+        self._leader_heard_at = now
+        if replica.log.is_empty:
+            self._leader_heard_at = now - ELECTION_TIMEOUT_S
         self._due_at = now
         self.postpone(now)
         outbox.call_at(self._due_at, self._on_timer)
--- a/packages/lovagemast-core/src/lovagemast_core/_follower.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_follower.py
@@ -30,6 +30,7 @@
             replica.identity,
             accepted,
             match_index,
+            message.sent_at,
         )
         replica.gate.send(vm_of(message.leader), reply)
 
@@ -51,6 +52,7 @@
             replica.identity,
             accepted=True,
             match_index=message.last_index,
+            asked_at=message.sent_at,
         )
         replica.gate.send(vm_of(message.leader), reply)
 
--- a/packages/lovagemast-core/src/lovagemast_core/_leadership.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_leadership.py
@@ -17,6 +17,7 @@
 from ._timeline import EventKind
 
 HEARTBEAT_S: Final = 0.15
+LOST_VOTER_S: Final = 6.0  # silence after which a surplus voter is removed
 
 
 class Leadership:
@@ -27,7 +28,9 @@
         replica: ReplicaState,
         outbox: Outbox,
         step_down: Callable[[int, float], None],
+        voters_wanted: int | None = None,
     ) -> None:
+        self._voters_wanted = voters_wanted
         self._replica = replica
         self._outbox = outbox
         self._step_down = step_down
@@ -75,6 +78,21 @@
         ]
         return quorum_time(times) if times else float('-inf')
 
+    def is_settled(self) -> bool:
+        """Return whether an entry of the own term is committed.
+
+        Before that, the applied state may lack what an earlier leader
+        acknowledged.
+        """
+        replica = self._replica
+        term = replica.log.term_at(replica.commit_index)
+        return replica.is_leader() and term == replica.term
+
+    def confirm(self, now: float) -> None:
+        """Ask all replicas whether they still follow this leader."""
+        self._replicate(now, heartbeat=True)
+        self._replica.flush()
+
     def on_reply(self, reply: AppendReply, now: float) -> None:
         """Note how far another replica's log matches."""
         replica = self._replica
@@ -86,10 +104,10 @@
         if reply.term < replica.term:
             return
         if reply.accepted:
-            progress.accept(reply.match_index, now)
+            progress.accept(reply.match_index, reply.asked_at)
             self.advance_commit(now)
         else:
-            progress.reject(reply.match_index, now)
+            progress.reject(reply.match_index, reply.asked_at)
         if progress.next_index <= replica.log.last_index:
             self._send_entries(reply.replica, progress, now)
 
@@ -118,7 +136,7 @@
             self._step_down(replica.term, now)
             replica.flush()
             return
-        self._change_voters_if_safe()
+        self._change_voters_if_safe(now)
         self._replicate(now, heartbeat=True)
         replica.flush()
         self._timer = self._outbox.call_at(
@@ -157,6 +175,7 @@
             prev_term,
             entries,
             replica.commit_index,
+            now,
         )
         replica.gate.send(vm_of(identity), message)
 
@@ -177,16 +196,17 @@
             snapshot.last_term,
             snapshot.voters,
             snapshot.state,
+            now,
         )
         replica.gate.send(vm_of(identity), message)
 
-    def _change_voters_if_safe(self) -> None:
+    def _change_voters_if_safe(self, now: float) -> None:
         replica = self._replica
         commit_index = replica.commit_index
         settled = replica.log.voters_index <= commit_index
         if not settled or replica.log.term_at(commit_index) != replica.term:
             return
-        stale = self._stale_voter()
+        stale = self._stale_voter() or self._lost_voter(now)
         joiner = self._ready_joiner()
         if stale:
             self._progress.pop(stale, None)
@@ -209,6 +229,18 @@
                 return voter
         return None
 
+    def _lost_voter(self, now: float) -> str | None:
+        """Return a silent voter if there are more than are wanted."""
+        voters = self._replica.voters
+        if self._voters_wanted is None or len(voters) <= self._voters_wanted:
+            return None
+        for voter in voters:
+            if voter == self._replica.identity:
+                continue
+            if now - self._heard_at(voter) > LOST_VOTER_S:
+                return voter
+        return None
+
     def _ready_joiner(self) -> str | None:
         """Return a learner that holds all that it joined behind."""
         for identity, progress in self._progress.items():
--- a/packages/lovagemast-core/src/lovagemast_core/_messages.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_messages.py
@@ -52,6 +52,7 @@
     prev_term: int
     entries: tuple[Entry, ...]
     commit: int
+    sent_at: float = 0.0  # s on the leader's clock; the reply returns it
 
 
 class AppendReply(NamedTuple):
@@ -61,6 +62,7 @@
     replica: str
     accepted: bool
     match_index: int  # last index known to match, or a hint on a mismatch
+    asked_at: float = 0.0  # s, when the leader sent what this answers
 
 
 class InstallSnapshot(NamedTuple):
@@ -72,6 +74,7 @@
     last_term: int
     voters: tuple[str, ...]
     state: StateSnapshot
+    sent_at: float = 0.0  # s on the leader's clock
 
 
 class ReplicaHello(NamedTuple):
--- a/packages/lovagemast-core/src/lovagemast_core/_progress.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_progress.py
@@ -16,15 +16,19 @@
         self.promote_at = last_index  # index to hold before it may vote
         self._snapshot_sent_at = float('-inf')
 
-    def accept(self, match_index: int, now: float) -> None:
-        """Note that the replica holds the log up to an index."""
-        self.heard_at = now
+    def accept(self, match_index: int, asked_at: float) -> None:
+        """Note that the replica holds the log up to an index.
+
+        ``asked_at`` is when the leader sent what the replica answers, so
+        that an answer delayed on its way proves nothing of the present.
+        """
+        self.heard_at = max(self.heard_at, asked_at)
         self.match_index = max(self.match_index, match_index)
         self.next_index = max(self.next_index, self.match_index + 1)
 
-    def reject(self, hint: int, now: float) -> None:
+    def reject(self, hint: int, asked_at: float) -> None:
         """Step back after a mismatch, at most to the hint."""
-        self.heard_at = now
+        self.heard_at = max(self.heard_at, asked_at)
         lower = min(self.next_index - 1, hint + 1)
         self.next_index = max(self.match_index + 1, lower)
 
--- a/packages/lovagemast-core/src/lovagemast_core/_replica.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_replica.py
@@ -45,8 +45,12 @@
         outbox: Outbox,
         on_applied: OnApplied,
         now: float,
+        *,
+        may_bootstrap: bool = True,
+        voters_wanted: int | None = None,
     ) -> None:
         self._outbox = outbox
+        self._may_bootstrap = may_bootstrap
         self._control_vms = control_vms
         self._empty_peers: dict[VmName, str] = {}
         self._state = ReplicaState(stored, outbox, on_applied)
@@ -55,6 +59,7 @@
             self._state,
             outbox,
             self._election.step_down,
+            voters_wanted,
         )
         self._follower = Follower(self._state, self._election)
         outbox.call_at(now, self._say_hello)
@@ -91,6 +96,20 @@
         """Return when a quorum last confirmed this leader."""
         return self._leadership.quorum_heard_at(now)
 
+    @property
+    def voter_vms(self) -> tuple[VmName, ...]:
+        """Return the VMs whose replicas vote."""
+        return tuple(vm_of(voter) for voter in self._state.voters)
+
+    def is_settled(self) -> bool:
+        """Return whether this leader has applied all that was decided."""
+        return self._leadership.is_settled()
+
+    def confirm(self, now: float) -> None:
+        """Ask the other replicas for a fresh confirmation of leadership."""
+        if self.is_leader():
+            self._leadership.confirm(now)
+
     def propose(self, command: Command, now: float) -> None:
         """Append a command, if this replica leads."""
         if self.is_leader():
@@ -142,12 +161,14 @@
         hello: ReplicaHello,
         now: float,
     ) -> None:
-        if hello.empty:
+        if hello.empty and vm_of(hello.replica) == sender:
             self._empty_peers[sender] = hello.replica
         else:
             self._empty_peers.pop(sender, None)
         if self.is_leader():
             self._leadership.add_learner(hello.replica, now)
+        elif self.leader_vm and vm_of(hello.replica) == sender:
+            self._outbox.send(self.leader_vm, hello)
 
     def _bootstrap_if_all_empty(self, now: float) -> None:
         """Start a new group once every control VM has said it is empty.
@@ -158,6 +179,8 @@
         is_first = self._outbox.vm == min(self._control_vms)
         if not self._state.log.is_empty or not is_first:
             return
+        if not self._may_bootstrap:
+            return
         if any(vm not in self._empty_peers for vm in others):
             return
         own = self._state.identity
--- a/packages/lovagemast-core/src/lovagemast_core/_state.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_state.py
@@ -13,10 +13,13 @@
     Conflict,
     CrashNoted,
     FinishCall,
+    NameVersion,
     Outcome,
+    PutConfig,
     RemoveVm,
     ReportCrash,
     SetRoster,
+    SetZoneOut,
 )
 from ._roster import Roster, find_entry, without_vm
 
@@ -56,6 +59,14 @@
     at: float  # s
 
 
+class AdapterVersion(NamedTuple):
+    """The newest version that was named of an adapter."""
+
+    model: str
+    adapter: str
+    version: int
+
+
 class PublishedState(NamedTuple):
     """The part of the replicated state that every VM holds."""
 
@@ -65,6 +76,8 @@
     roster: Roster = ()
     suspects: tuple[str, ...] = ()  # fingerprints with one crash
     quarantined: tuple[str, ...] = ()  # fingerprints with two or more
+    zones_out: tuple[str, ...] = ()
+    adapter_versions: tuple[AdapterVersion, ...] = ()
 
 
 class StateSnapshot(NamedTuple):
@@ -90,6 +103,12 @@
         match command:
             case ApplyConfig():
                 return self._apply_config(command)
+            case PutConfig():
+                return self._put_config(command)
+            case SetZoneOut():
+                return self._set_zone_out(command)
+            case NameVersion():
+                return self._name_version(command)
             case SetRoster():
                 return self._set_roster(command)
             case RemoveVm():
@@ -138,6 +157,37 @@
             return Applied(known.revision)
         return Conflict(known.reason, known.revision)
 
+    def _put_config(self, command: PutConfig) -> Outcome:
+        held = self.published.revision
+        if command.revision > held:
+            self._publish(
+                revision=command.revision,
+                document=command.document,
+            )
+        same = command.document == self.published.document
+        if command.revision == held and not same:
+            return Conflict(f'revision {held} has other content', held)
+        return Applied(self.published.revision)
+
+    def _set_zone_out(self, command: SetZoneOut) -> Outcome:
+        zones = set(self.published.zones_out) - {command.zone}
+        if command.out:
+            zones.add(command.zone)
+        self._publish(zones_out=tuple(sorted(zones)))
+        return Applied(self.published.revision)
+
+    def _name_version(self, command: NameVersion) -> Outcome:
+        versions = {
+            (known.model, known.adapter): known
+            for known in self.published.adapter_versions
+        }
+        named = AdapterVersion(*command)
+        known = versions.get((named.model, named.adapter))
+        if known is None or named.version > known.version:
+            versions[named.model, named.adapter] = named
+        self._publish(adapter_versions=tuple(versions.values()))
+        return Applied(self.published.revision)
+
     def _decide(self, command: ApplyConfig, digest: str) -> Operation:
         revision = self.published.revision
         applied = command.expected == revision
--- /dev/null
+++ b/packages/lovagemast-core/src/lovagemast_core/control/__init__.py
@@ -0,0 +1,28 @@
+"""A control VM: the replicated log and the fleet while it leads."""
+
+from ._config import ControlConfig
+from ._effects import (
+    AskReport,
+    CommandDone,
+    ControlEffect,
+    LeaderNoticed,
+    PushNews,
+    ReadDone,
+    SendOrder,
+)
+from ._fleet import LEASE_S, FleetController
+from ._node import ControlNode
+
+__all__ = [
+    'LEASE_S',
+    'AskReport',
+    'CommandDone',
+    'ControlConfig',
+    'ControlEffect',
+    'ControlNode',
+    'FleetController',
+    'LeaderNoticed',
+    'PushNews',
+    'ReadDone',
+    'SendOrder',
+]
--- /dev/null
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_effects.py
@@ -0,0 +1,61 @@
+"""Wishes of a control VM that only its host can carry out."""
+
+from typing import NamedTuple
+
+from .._commands import Outcome
+from .._effects import PersistLog, SendPeer
+from .._state import PublishedState
+from .._types import TargetName, VmName
+from ..adapters import Order
+
+
+class CommandDone(NamedTuple):
+    """A proposed command was applied, or its fate is not known."""
+
+    call: int
+    outcome: Outcome
+
+
+class ReadDone(NamedTuple):
+    """A read may be answered from ``published``; ``None``: it may not."""
+
+    call: int
+    published: PublishedState | None
+
+
+class SendOrder(NamedTuple):
+    """Send an order to an engine; answered by its outcome."""
+
+    order: Order
+
+
+class AskReport(NamedTuple):
+    """Ask an engine for a report."""
+
+    target: TargetName
+    address: str
+
+
+class PushNews(NamedTuple):
+    """Something changed that entry VMs need to know."""
+
+    urgent: bool
+
+
+class LeaderNoticed(NamedTuple):
+    """Another VM leads, or this one, or nobody that is known."""
+
+    leader: VmName
+    term: int
+
+
+ControlEffect = (
+    SendPeer
+    | PersistLog
+    | CommandDone
+    | ReadDone
+    | SendOrder
+    | AskReport
+    | PushNews
+    | LeaderNoticed
+)
--- /dev/null
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -0,0 +1,202 @@
+"""The leader's controller: targets, adapters, tokens and entry VMs."""
+
+from typing import Final
+
+from .._state import PublishedState
+from .._types import TargetName, VmName
+from ..adapters import (
+    AdapterLabel,
+    AdapterPlanner,
+    Order,
+    OrderOutcome,
+    TargetReport,
+)
+from ..deployment import DeploymentIndex
+from ..quota import TokenIssuer
+from ..targets import (
+    SyncAsk,
+    SyncReply,
+    TargetHeartbeat,
+    TargetRecord,
+    TargetRegistry,
+)
+
+# Below the election timeout, so that no other VM leads meanwhile.
+LEASE_S: Final = 0.8
+ENTRY_SILENT_S: Final = 2.0
+TAKEOVER_MARGIN_S: Final = 0.2
+
+
+class FleetController:
+    """Serves entry VMs and engines while this VM leads a term.
+
+    Tokens and orders are given out only within the leader's lease. Orders
+    begin once no order of an earlier leader can be on its way any more.
+    """
+
+    def __init__(self, vm: VmName, takeover_s: float) -> None:
+        self.registry = TargetRegistry()
+        self.planner = AdapterPlanner()
+        self.issuer = TokenIssuer()
+        self._vm = vm
+        self._takeover_s = takeover_s
+        self._term = 0
+        self._led_since = 0.0
+        self._entries: dict[VmName, float] = {}
+        self._index: DeploymentIndex | None = None
+        self._published = PublishedState()
+
+    @property
+    def term(self) -> int:
+        """Return the term that is led, or was led last."""
+        return self._term
+
+    def lead(self, term: int, now: float, *, succeeds: bool) -> None:
+        """Begin a term; ``succeeds`` tells that another VM led before."""
+        if term == self._term:
+            return
+        self._term = term
+        self._led_since = now
+        self._wait_s = 0.0
+        if succeeds:
+            self._wait_s = self._takeover_s + TAKEOVER_MARGIN_S
+        self.registry.restart()
+        self.planner.restart()
+        self.issuer.restart()
+        self._entries.clear()
+
+    def follow_published(
+        self,
+        published: PublishedState,
+        index: DeploymentIndex | None,
+    ) -> None:
+        """Use a newer published state."""
+        self._published = published
+        self._index = index
+        self.planner.newest = {
+            (named.model, named.adapter): named.version
+            for named in published.adapter_versions
+        }
+        for registered in self.registry.all():
+            self._follow_engine(registered.beat)
+
+    def on_heartbeat(self, beat: TargetHeartbeat, now: float) -> bool:
+        """Take a target's heartbeat; return whether it was news."""
+        if not self.registry.beat(beat, now):
+            return False
+        self._follow_engine(beat)
+        return True
+
+    def on_departure(self, target: TargetName, now: float) -> None:
+        """Take a target off the list."""
+        self.registry.depart(target, now)
+        self.planner.drop(target)
+
+    def on_ask(
+        self,
+        ask: SyncAsk,
+        quorum_age_s: float,
+        now: float,
+    ) -> SyncReply:
+        """Take an entry VM's ask and answer it."""
+        self._entries[ask.vm] = now
+        self.planner.note_wishes(ask.wishes, now)
+        self.planner.note_uses(ask.vm, ask.uses, now)
+        for text in ask.missing:
+            target, _, label = text.partition(' ')
+            self.planner.note_missing(
+                target,
+                AdapterLabel.from_text(label),
+                now,
+            )
+            self.registry.touch(target)
+        reply = self.news_for(ask, quorum_age_s, now)
+        if quorum_age_s > LEASE_S or self._index is None:
+            return reply
+        lots = self.issuer.issue(ask.tokens, self._index.accounts, now)
+        return reply._replace(lots=lots)
+
+    def news_for(
+        self,
+        ask: SyncAsk,
+        quorum_age_s: float,
+        now: float,
+    ) -> SyncReply:
+        """Return what an entry VM does not know yet."""
+        known = ask.stamp if ask.term == self._term else 0
+        published = self._published
+        self._entries = {
+            vm: at
+            for vm, at in self._entries.items()
+            if now - at < ENTRY_SILENT_S
+        }
+        everything = self.registry.all()
+        return SyncReply(
+            ask.ask,
+            leads=True,
+            leader=self._vm,
+            term=self._term,
+            quorum_age_s=quorum_age_s,
+            published=published if published.version > ask.version else None,
+            stamp=self.registry.stamp,
+            targets=tuple(
+                self._record(one.beat, one.heard_at, now)
+                for one in everything
+                if one.stamp > known
+            ),
+            present=tuple(one.beat.target for one in everything),
+            entries=len(self._entries),
+            led_s=now - self._led_since,
+        )
+
+    def expire(self, now: float) -> list[TargetName]:
+        """Drop silent targets and return them."""
+        silent = self.registry.expire(now)
+        for target in silent:
+            self.planner.drop(target)
+        return silent
+
+    def plan(self, quorum_age_s: float, now: float) -> list[Order]:
+        """Return the orders to send now."""
+        waited = now - self._led_since
+        if quorum_age_s > LEASE_S or waited < self._wait_s:
+            return []
+        orders = self.planner.plan(self._term, now)
+        for order in orders:
+            if not order.load:
+                self.registry.touch(order.target)
+        return orders
+
+    def on_order_answered(self, outcome: OrderOutcome, now: float) -> None:
+        """Take an order's outcome."""
+        if self.planner.answered(outcome, now):
+            self.registry.touch(outcome.order.target)
+
+    def on_report(self, report: TargetReport, now: float) -> None:
+        """Take an engine's report."""
+        if self.planner.reported(report, now):
+            self.registry.touch(report.target)
+
+    def _follow_engine(self, beat: TargetHeartbeat) -> None:
+        pools = self._index.pools if self._index else {}
+        self.planner.follow(beat, pools.get(beat.pool))
+
+    def _record(
+        self,
+        beat: TargetHeartbeat,
+        heard_at: float,
+        now: float,
+    ) -> TargetRecord:
+        engine = self.planner.engines.get(beat.target)
+        return TargetRecord(
+            beat.target,
+            beat.pool,
+            beat.address,
+            beat.zone,
+            beat.incarnation,
+            beat.slots,
+            beat.leaving,
+            max(0.0, beat.cold_s - (now - heard_at)),
+            tuple(engine.models) if engine else beat.models,
+            engine.to_resident(now) if engine else (),
+        )
--- /dev/null
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_node.py
@@ -0,0 +1,283 @@
+"""A control VM: its replica, and the fleet while it leads."""
+
+import random
+from collections.abc import Callable
+from typing import Final
+
+from .._commands import Command, NoOp, Outcome, Unavailable
+from .._effects import Effect, PersistLog, SendPeer
+from .._messages import Entry, PeerMessage
+from .._outbox import Outbox
+from .._replica import Replica
+from .._state import PublishedState
+from .._types import TargetName, VmName
+from ..adapters import OrderOutcome, TargetReport
+from ..deployment import DeploymentIndex
+from ..targets import SyncAsk, SyncReply, TargetHeartbeat
+from ._config import ControlConfig
+from ._effects import (
+    AskReport,
+    CommandDone,
+    ControlEffect,
+    LeaderNoticed,
+    PushNews,
+    ReadDone,
+    SendOrder,
+)
+from ._fleet import LEASE_S, FleetController
+
+CALL_TIMEOUT_S: Final = 3.0  # for commands and reads of operators
+STEP_S: Final = 0.05  # between looks at what is due
+UNKNOWN_AGE_S: Final = 1e9
+FIRST_TERM: Final = 1  # of a group that has just been formed
+
+ReadIndex = Callable[[str], DeploymentIndex | None]
+
+
+class _Read:
+    """A read that waits for a confirmation of leadership."""
+
+    def __init__(self, call: int, asked_at: float) -> None:
+        self.call = call
+        self.asked_at = asked_at
+
+
+class ControlNode:
+    """Takes what arrives and collects what the host is to do."""
+
+    def __init__(
+        self,
+        cfg: ControlConfig,
+        read_index: ReadIndex,
+        rng: random.Random,
+    ) -> None:
+        now = cfg.started_at
+        self.vm = cfg.vm
+        self.index: DeploymentIndex | None = None
+        self.fleet = FleetController(cfg.vm, cfg.takeover_s)
+        self._read_index = read_index
+        self._outbox = Outbox(cfg.vm, rng)
+        self._effects: list[ControlEffect] = []
+        self._commands: dict[int, tuple[int, int, float]] = {}
+        self._reads: list[_Read] = []
+        self._last_leader = ''
+        self._previous_leader = ''
+        self._noticed = ('', -1)
+        self._published_seen = PublishedState()
+        self.replica = Replica(
+            cfg.stored,
+            cfg.seeds,
+            self._outbox,
+            self._on_applied,
+            now,
+            may_bootstrap=cfg.bootstrap,
+            voters_wanted=cfg.voters_wanted,
+        )
+        self._outbox.call_at(now, self._step)
+        self._follow_published(now)
+
+    @property
+    def published(self) -> PublishedState:
+        """Return the state that this replica has applied."""
+        return self.replica.published
+
+    @property
+    def leader(self) -> VmName:
+        """Return the VM that leads, as far as is known."""
+        return self.replica.leader_vm
+
+    def serves(self) -> bool:
+        """Return whether this VM leads and knows all that was decided."""
+        return self.replica.is_settled()
+
+    def quorum_age(self, now: float) -> float:
+        """Return how long ago a quorum is known to have followed."""
+        if not self.serves():
+            return UNKNOWN_AGE_S
+        return max(0.0, now - self.replica.quorum_heard_at(now))
+
+    def has_lease(self, now: float) -> bool:
+        """Return whether no other VM can lead at this moment."""
+        return self.quorum_age(now) <= LEASE_S
+
+    def receive(
+        self,
+        sender: VmName,
+        message: PeerMessage,
+        now: float,
+    ) -> None:
+        """Take another control VM's message."""
+        self._run_timers(now)
+        self.replica.receive(sender, message, now)
+        self._after(now)
+
+    def synced(self, batch: int, now: float) -> None:
+        """Note that a batch of the log is on the disk."""
+        self.replica.synced(batch, now)
+        self._after(now)
+
+    def tick(self, now: float) -> None:
+        """Run the timers that are due."""
+        self._run_timers(now)
+        self._after(now)
+
+    def next_deadline(self) -> float | None:
+        """Return when a tick is wanted at the latest."""
+        return self._outbox.next_deadline()
+
+    def propose(self, call: int, command: Command, now: float) -> None:
+        """Commit a command, answered by :class:`CommandDone`."""
+        index = self.replica.next_index
+        self._commands[index] = (call, self.replica.term, now)
+        self.replica.propose(command, now)
+        self._after(now)
+
+    def read(self, call: int, now: float) -> None:
+        """Confirm leadership anew, answered by :class:`ReadDone`."""
+        self._reads.append(_Read(call, now))
+        self.replica.confirm(now)
+        self._after(now)
+
+    def on_heartbeat(self, beat: TargetHeartbeat, now: float) -> None:
+        """Take a target's heartbeat."""
+        stamp = self.fleet.registry.stamp
+        self.fleet.on_heartbeat(beat, now)
+        if self.fleet.registry.stamp != stamp:
+            self._effects.append(PushNews(urgent=beat.leaving))
+
+    def on_departure(self, target: TargetName, now: float) -> None:
+        """Take a target's leave."""
+        self.fleet.on_departure(target, now)
+        self._effects.append(PushNews(urgent=True))
+
+    def on_ask(self, ask: SyncAsk, now: float) -> SyncReply:
+        """Answer an entry VM."""
+        if not self.serves():
+            return SyncReply(
+                ask.ask,
+                leads=False,
+                leader=self.leader,
+                term=self.replica.term,
+                quorum_age_s=UNKNOWN_AGE_S,
+                control=self.replica.voter_vms,
+            )
+        reply = self.fleet.on_ask(ask, self.quorum_age(now), now)
+        self._plan(now)
+        return reply._replace(control=self.replica.voter_vms)
+
+    def on_order_answered(self, outcome: OrderOutcome, now: float) -> None:
+        """Take the outcome of an order."""
+        self.fleet.on_order_answered(outcome, now)
+        self._plan(now)
+        self._effects.append(PushNews(urgent=False))
+
+    def on_report(self, report: TargetReport, now: float) -> None:
+        """Take an engine's report."""
+        self.fleet.on_report(report, now)
+        self._plan(now)
+
+    def drain(self) -> list[ControlEffect]:
+        """Return what the host is to do, in order."""
+        effects = self._effects
+        self._effects = []
+        return effects
+
+    def _step(self, now: float) -> None:
+        self._expire_calls(now)
+        if self.serves():
+            if self.fleet.expire(now):
+                self._effects.append(PushNews(urgent=False))
+            for engine in self.fleet.planner.reports_due(now):
+                engine.report_due = now + 1.0
+                self._effects.append(
+                    AskReport(engine.target, engine.beat.address),
+                )
+            self._plan(now)
+        self._outbox.call_at(now + STEP_S, self._step)
+
+    def _plan(self, now: float) -> None:
+        if not self.serves():
+            return
+        orders = self.fleet.plan(self.quorum_age(now), now)
+        self._effects.extend(SendOrder(order) for order in orders)
+
+    def _run_timers(self, now: float) -> None:
+        callback = self._outbox.pop_due(now)
+        while callback:
+            callback(now)
+            callback = self._outbox.pop_due(now)
+
+    def _after(self, now: float) -> None:
+        while self._outbox.local:
+            message = self._outbox.local.popleft()
+            self.replica.receive(self.vm, message, now)
+        self._notice_leader(now)
+        self._follow_published(now)
+        self._answer_reads(now)
+        for effect in self._outbox.drain():
+            self._keep(effect)
+
+    def _keep(self, effect: Effect) -> None:
+        if isinstance(effect, (SendPeer, PersistLog)):
+            self._effects.append(effect)
+
+    def _notice_leader(self, now: float) -> None:
+        if self.serves() and self.fleet.term != self.replica.term:
+            first = self.replica.term == FIRST_TERM
+            succeeds = not first and self._previous_leader != self.vm
+            self.fleet.lead(self.replica.term, now, succeeds=succeeds)
+            self.fleet.follow_published(self.published, self.index)
+        noticed = (self.leader, self.replica.term)
+        if noticed != self._noticed:
+            self._noticed = noticed
+            self._effects.append(LeaderNoticed(*noticed))
+
+    def _follow_published(self, now: float) -> None:
+        published = self.published
+        if published.version == self._published_seen.version:
+            return
+        if published.revision != self._published_seen.revision:
+            self.index = self._read_index(published.document)
+        self._published_seen = published
+        self.fleet.follow_published(published, self.index)
+        if self.serves():
+            self._effects.append(PushNews(urgent=True))
+
+    def _on_applied(self, entry: Entry, outcome: Outcome, now: float) -> None:
+        if isinstance(entry.command, NoOp):
+            self._previous_leader = self._last_leader
+            self._last_leader = entry.command.leader.partition('#')[0]
+        waiting = self._commands.pop(entry.log_index, None)
+        if waiting is None:
+            return
+        call, term, _asked_at = waiting
+        if term != entry.term:
+            outcome = Unavailable('another leader took over')
+        self._effects.append(CommandDone(call, outcome))
+
+    def _expire_calls(self, now: float) -> None:
+        for index, waiting in list(self._commands.items()):
+            if now - waiting[2] > CALL_TIMEOUT_S:
+                self._commands.pop(index)
+                late = Unavailable('no quorum answered in time')
+                self._effects.append(CommandDone(waiting[0], late))
+        for read in list(self._reads):
+            if now - read.asked_at > CALL_TIMEOUT_S:
+                self._reads.remove(read)
+                self._effects.append(ReadDone(read.call, None))
+
+    def _answer_reads(self, now: float) -> None:
+        if not self._reads:
+            return
+        if not self.replica.is_leader():
+            for read in self._reads:
+                self._effects.append(ReadDone(read.call, None))
+            self._reads.clear()
+            return
+        if not self.serves():
+            return
+        heard_at = self.replica.quorum_heard_at(now)
+        for read in list(self._reads):
+            if heard_at >= read.asked_at:
+                self._reads.remove(read)
+                self._effects.append(ReadDone(read.call, self.published))
--- /dev/null
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
@@ -0,0 +1,27 @@
+"""What an entry VM decides: which target, whether to retry, to refuse."""
+
+from ._choice import (
+    Candidate,
+    Choice,
+    NoChoice,
+    choose_target,
+    find_candidates,
+)
+from ._health import TargetHealth
+from ._limits import ColdLimiter, RetryAllowance
+from ._stream import EventCutter
+from ._view import FleetView, KnownTarget
+
+__all__ = [
+    'Candidate',
+    'Choice',
+    'ColdLimiter',
+    'EventCutter',
+    'FleetView',
+    'KnownTarget',
+    'NoChoice',
+    'RetryAllowance',
+    'TargetHealth',
+    'choose_target',
+    'find_candidates',
+]
--- /dev/null
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_limits.py
@@ -0,0 +1,72 @@
+"""Shares of fleet-wide limits that each entry VM keeps for itself."""
+
+from collections import deque
+from typing import Final
+
+from .._types import TargetName
+
+COLD_WINDOW_S: Final = 1.0
+RETRY_WINDOW_S: Final = 10.0
+
+
+class ColdLimiter:
+    """Bounds the requests that a cold target gets each second.
+
+    Every entry VM takes an equal part of what the target bears, so that no
+    message is needed; a part below one request a second is stretched over
+    a longer window.
+    """
+
+    def __init__(self) -> None:
+        self._sent: dict[TargetName, deque[float]] = {}
+
+    def may_send(
+        self,
+        target: TargetName,
+        per_s: float,
+        entries: int,
+        now: float,
+    ) -> bool:
+        """Return whether a cold target may get one more request."""
+        part = per_s / max(1, entries)
+        window_s = COLD_WINDOW_S if part >= 1 else COLD_WINDOW_S / part
+        sent = self._sent.setdefault(target, deque())
+        while sent and now - sent[0] > window_s:
+            sent.popleft()
+        return len(sent) < max(1, int(part * window_s))
+
+    def note_sent(self, target: TargetName, now: float) -> None:
+        """Count a request to a target."""
+        sent = self._sent.setdefault(target, deque(maxlen=256))
+        sent.append(now)
+
+
+class RetryAllowance:
+    """Bounds second sends to a part of the requests plus a small slack."""
+
+    def __init__(self, ratio: float, slack: float, window_s: float) -> None:
+        self._ratio = ratio
+        self._slack = slack
+        self._window_s = window_s
+        self._requests: deque[float] = deque()
+        self._retries: deque[float] = deque()
+
+    def note_request(self, now: float) -> None:
+        """Count a caller's request."""
+        self._requests.append(now)
+        self._trim(now)
+
+    def take(self, entries: int, now: float) -> bool:
+        """Return whether one more send is within the allowance, and count it."""
+        self._trim(now)
+        allowed = self._ratio * len(self._requests)
+        allowed += self._slack / max(1, entries)
+        if len(self._retries) >= allowed:
+            return False
+        self._retries.append(now)
+        return True
+
+    def _trim(self, now: float) -> None:
+        for times in (self._requests, self._retries):
+            while times and now - times[0] > self._window_s:
+                times.popleft()
--- /dev/null
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
@@ -0,0 +1,122 @@
+"""The fleet as an entry VM knows it from the leader."""
+
+from typing import Final, NamedTuple
+
+from .._state import PublishedState
+from .._types import TargetName, VmName, ZoneName
+from ..adapters import AdapterLabel
+from ..deployment import DeploymentIndex
+from ..targets import SyncReply, TargetRecord
+
+NEVER: Final = float('-inf')
+# A new leader learns of targets by their heartbeats; until it has led for
+# this long, its list is incomplete and nothing is dropped for it.
+LEADER_WARM_S: Final = 4.0
+VERSION_GRACE_S: Final = 3.0  # an older adapter version may serve this long
+
+
+class KnownTarget(NamedTuple):
+    """A target and when what is known of it was learnt."""
+
+    record: TargetRecord
+    adapters: dict[AdapterLabel, float]  # when each is ready, in s
+    learnt_at: float
+
+    def is_cold(self, now: float) -> bool:
+        """Return whether the target is still in its cold start."""
+        return self.record.cold_s > now - self.learnt_at
+
+
+class FleetView:
+    """Applies the leader's replies; says how fresh the picture is."""
+
+    def __init__(self) -> None:
+        self.published = PublishedState()
+        self.index: DeploymentIndex | None = None
+        self.targets: dict[TargetName, KnownTarget] = {}
+        self.confirmed_at = NEVER
+        self.stamp = 0
+        self.term = 0
+        self.entries = 1
+        self.control: tuple[VmName, ...] = ()
+        self._newest: dict[tuple[str, str], tuple[int, float]] = {}
+        self._zones_out: frozenset[ZoneName] = frozenset()
+
+    def apply(
+        self,
+        reply: SyncReply,
+        asked_at: float,
+        now: float,
+    ) -> bool:
+        """Apply a leader's reply; return whether the configuration is new.
+
+        ``asked_at`` is when the ask was sent that the reply names: what
+        the reply confirms held at that time, less the quorum's age.
+        """
+        newer = self._apply_published(reply.published, now)
+        confirmed = asked_at - max(0.0, reply.quorum_age_s)
+        self.confirmed_at = max(self.confirmed_at, confirmed)
+        if reply.term != self.term:
+            self.term = reply.term
+            self.stamp = 0
+        self._apply_targets(reply, now)
+        self.entries = max(1, reply.entries)
+        if reply.control:
+            self.control = reply.control
+        return newer
+
+    def set_index(self, index: DeploymentIndex) -> None:
+        """Use the lookups of the configuration in force."""
+        self.index = index
+
+    def age(self, now: float) -> float:
+        """Return how long ago a quorum confirmed the configuration."""
+        return now - self.confirmed_at
+
+    def zone_is_out(self, zone: ZoneName) -> bool:
+        """Return whether operators have taken a zone out."""
+        return zone in self._zones_out
+
+    def newest_version(self, model: str, adapter: str) -> int:
+        """Return the newest version that was named, 0 if none was."""
+        return self._newest.get((model, adapter), (0, 0.0))[0]
+
+    def least_version(self, model: str, adapter: str, now: float) -> int:
+        """Return the oldest version that may still serve."""
+        newest, since = self._newest.get((model, adapter), (0, 0.0))
+        return newest if now - since > VERSION_GRACE_S else max(0, newest - 1)
+
+    def drop(self, target: TargetName) -> None:
+        """Forget a target that proved to be another one."""
+        self.targets.pop(target, None)
+
+    def _apply_published(
+        self,
+        published: PublishedState | None,
+        now: float,
+    ) -> bool:
+        if published is None or published.version <= self.published.version:
+            return False
+        newer = published.revision > self.published.revision
+        for named in published.adapter_versions:
+            name = (named.model, named.adapter)
+            if named.version > self._newest.get(name, (0, 0.0))[0]:
+                self._newest[name] = (named.version, now)
+        self._zones_out = frozenset(published.zones_out)
+        self.published = published
+        return newer
+
+    def _apply_targets(self, reply: SyncReply, now: float) -> None:
+        for record in reply.targets:
+            adapters = {
+                AdapterLabel.from_text(one.label): now + one.ready_in_s
+                for one in record.adapters
+            }
+            known = KnownTarget(record, adapters, now)
+            self.targets[record.target] = known
+        self.stamp = max(self.stamp, reply.stamp)
+        if reply.led_s < LEADER_WARM_S:
+            return
+        present = set(reply.present)
+        for target in [one for one in self.targets if one not in present]:
+            self.targets.pop(target)
--- /dev/null
+++ b/packages/lovagemast-core/src/lovagemast_core/quota/_holder.py
@@ -0,0 +1,104 @@
+"""An entry VM's side of quotas: tokens that it holds and may spend."""
+
+import math
+from typing import Final
+
+from .._types import AccountName
+from ..deployment import AccountSpec
+from ..targets import TokenLot, TokenWish
+
+DEMAND_WINDOW_S: Final = 2.0  # over which demand is averaged
+HOLD_S: Final = 2.0  # of demand, which bridges the election of a leader
+HOLD_PART_OF_BURST: Final = 0.4  # at most, so that others get some
+LOT_TTL_S: Final = 4.0  # a lower limit binds once older lots have expired
+
+
+class _Account:
+    """Lots of one account, oldest first, and its demand."""
+
+    def __init__(self, now: float) -> None:
+        self.lots: list[tuple[float, float]] = []  # granted at, tokens
+        self.demand = 0.0  # tokens a second
+        self.demand_at = now
+        self.short = 0.0  # tokens that requests wait for
+
+    def expire(self, now: float) -> None:
+        self.lots = [lot for lot in self.lots if now - lot[0] < LOT_TTL_S]
+
+    def held(self) -> float:
+        return sum(tokens for _at, tokens in self.lots)
+
+    def note_demand(self, tokens: float, now: float) -> None:
+        decay = math.exp(-(now - self.demand_at) / DEMAND_WINDOW_S)
+        self.demand = self.demand * decay + tokens / DEMAND_WINDOW_S
+        self.demand_at = now
+
+    def demand_now(self, now: float) -> float:
+        age = now - self.demand_at
+        return self.demand * math.exp(-age / DEMAND_WINDOW_S)
+
+
+class TokenHolder:
+    """Spends tokens for requests and says how many more are wanted."""
+
+    def __init__(self) -> None:
+        self._accounts: dict[AccountName, _Account] = {}
+
+    def note_demand(
+        self, account: AccountSpec, cost: float, now: float
+    ) -> None:
+        """Count a request's cost as demand, whether or not it is served."""
+        self._account(account.name, now).note_demand(cost, now)
+
+    def spend(self, account: AccountSpec, cost: float, now: float) -> bool:
+        """Take a request's cost if enough tokens are held."""
+        if account.rate <= 0:
+            return True
+        state = self._account(account.name, now)
+        state.expire(now)
+        if state.held() < cost:
+            state.short = max(state.short, cost)
+            return False
+        rest = cost
+        while rest > 0:
+            granted_at, tokens = state.lots[0]
+            if tokens > rest:
+                state.lots[0] = (granted_at, tokens - rest)
+                return True
+            rest -= tokens
+            state.lots.pop(0)
+        return True
+
+    def add(self, lot: TokenLot, now: float) -> None:
+        """Hold tokens that the leader sent."""
+        state = self._account(lot.account, now)
+        state.lots.append((now, lot.tokens))
+        state.short = 0
+
+    def wishes(
+        self,
+        accounts: dict[AccountName, AccountSpec],
+        entries: int,
+        now: float,
+    ) -> tuple[TokenWish, ...]:
+        """Return how many tokens of each account to ask for."""
+        wishes = []
+        for name, state in self._accounts.items():
+            account = accounts.get(name)
+            if account is None or account.rate <= 0:
+                continue
+            state.expire(now)
+            ceiling = account.burst * HOLD_PART_OF_BURST
+            wanted = min(state.demand_now(now) * HOLD_S, ceiling)
+            wanted = max(wanted, state.short) - state.held()
+            if wanted > 0:
+                wishes.append(TokenWish(name, wanted))
+        return tuple(wishes)
+
+    def wait_s(self, account: AccountSpec, cost: float, entries: int) -> float:
+        """Return after how long a refused request should come back."""
+        share = account.rate / max(1, entries)
+        return min(2.0, max(0.2, cost / max(share, 1.0)))
+
+    def _account(self, name: AccountName, now: float) -> _Account:
+        return self._accounts.setdefault(name, _Account(now))
--- /dev/null
+++ b/packages/lovagemast-core/src/lovagemast_core/quota/_issuer.py
@@ -0,0 +1,71 @@
+"""The leader's side of quotas: one bucket for each client account.
+
+A token leaves the bucket when it is sent to an entry VM and is spent there
+at most once. A lot that is lost on its way, or held by a VM that dies, is
+gone. A new leader starts with empty buckets, since the one before it may
+have handed out everything; the sum of all lots therefore never exceeds the
+account's rate and burst.
+"""
+
+from collections.abc import Iterable
+from typing import Final
+
+from .._types import AccountName
+from ..deployment import AccountSpec
+from ..targets import TokenLot, TokenWish
+
+# The rest of the burst covers what entry VMs hold but have not spent yet.
+BUCKET_PART_OF_BURST: Final = 0.5
+
+
+class _Bucket:
+    """Tokens that may be handed out."""
+
+    def __init__(self, now: float) -> None:
+        self.tokens = 0.0
+        self.filled_at = now  # s
+
+    def fill(self, account: AccountSpec, now: float) -> None:
+        capacity = account.burst * BUCKET_PART_OF_BURST
+        grown = self.tokens + account.rate * max(0.0, now - self.filled_at)
+        self.tokens = min(capacity, grown)
+        self.filled_at = now
+
+    def take(self, wanted: float) -> float:
+        taken = max(0.0, min(wanted, self.tokens))
+        self.tokens -= taken
+        return taken
+
+
+class TokenIssuer:
+    """Hands out tokens while this VM leads."""
+
+    def __init__(self) -> None:
+        self._buckets: dict[AccountName, _Bucket] = {}
+
+    def restart(self) -> None:
+        """Forget all buckets, at the start of a term."""
+        self._buckets.clear()
+
+    def issue(
+        self,
+        wishes: Iterable[TokenWish],
+        accounts: dict[AccountName, AccountSpec],
+        now: float,
+    ) -> tuple[TokenLot, ...]:
+        """Return the tokens that an entry VM gets for its wishes."""
+        for name, account in accounts.items():
+            if account.rate > 0:
+                self._bucket(name, now).fill(account, now)
+        lots = []
+        for wish in wishes:
+            known = accounts.get(wish.account)
+            if known is None or known.rate <= 0:
+                continue
+            taken = self._bucket(wish.account, now).take(wish.tokens)
+            if taken > 0:
+                lots.append(TokenLot(wish.account, taken))
+        return tuple(lots)
+
+    def _bucket(self, name: AccountName, now: float) -> _Bucket:
+        return self._buckets.setdefault(name, _Bucket(now))
--- a/packages/lovagemast-node/src/lovagemast_node/__init__.py
+++ b/packages/lovagemast-node/src/lovagemast_node/__init__.py
@@ -1,14 +1,27 @@
-"""The lovagemast daemon: HTTP, RPC, disk, logs and metrics for the core."""
-
-from ._daemon import main
-from ._settings import Settings, load_settings
-from ._storage import DamagedLogError, LogStore, read_log
-
-__all__ = [
-    'DamagedLogError',
-    'LogStore',
-    'Settings',
-    'load_settings',
-    'main',
-    'read_log',
-]
+"""The lovagemast daemon: HTTP, RPC, disk, logs and metrics for the core.
+
+The names are loaded on first use: a VM with little memory imports only the
+parts that its role needs.
+"""
+
+import importlib
+from typing import Any, Final
+
+_MODULES: Final = {
+    'DamagedLogError': '._storage',
+    'LogStore': '._storage',
+    'Settings': '._settings',
+    'load_settings': '._settings',
+    'main': '._daemon',
+    'read_log': '._storage',
+}
+
+__all__ = list(_MODULES)
+
+
+def __getattr__(name: str) -> Any:
+    """Load a public name."""
+    module = _MODULES.get(name)
+    if module is None:
+        raise AttributeError(name)
+    return getattr(importlib.import_module(module, __name__), name)
--- /dev/null
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/__init__.py
@@ -0,0 +1,40 @@
+"""The daemon of a deployment that a platform hosts: entry and control VMs.
+
+A platform package brings the dialects, which translate between its wire and
+the core's types, and the settings; everything else is here.
+"""
+
+from ._control import ControlHost
+from ._dialect import (
+    CallFacts,
+    ControlDialect,
+    DepartureCall,
+    EdgeDialect,
+    HeartbeatCall,
+    InvalidCall,
+    NameVersionCall,
+    PutConfigCall,
+    ReadConfigCall,
+    TargetHead,
+    ZoneCall,
+)
+from ._entry import EntryHost
+from ._settings import ControlSettings, EntrySettings
+
+__all__ = [
+    'CallFacts',
+    'ControlDialect',
+    'ControlHost',
+    'ControlSettings',
+    'DepartureCall',
+    'EdgeDialect',
+    'EntryHost',
+    'EntrySettings',
+    'HeartbeatCall',
+    'InvalidCall',
+    'NameVersionCall',
+    'PutConfigCall',
+    'ReadConfigCall',
+    'TargetHead',
+    'ZoneCall',
+]
--- /dev/null
+++ b/packages/lovagemast-node/src/lovagemast_node/http/__init__.py
@@ -0,0 +1,30 @@
+"""HTTP/1.1 at both edges, strict about what is a whole message."""
+
+from ._client import (
+    AnswerBroken,
+    AnswerData,
+    AnswerEnd,
+    AnswerHead,
+    ConnectFailed,
+    TargetConnection,
+    TargetPool,
+)
+from ._message import Headers, HttpRequest, encode_head, header_value
+from ._server import HttpServer, Responder, ServerLimits
+
+__all__ = [
+    'AnswerBroken',
+    'AnswerData',
+    'AnswerEnd',
+    'AnswerHead',
+    'ConnectFailed',
+    'Headers',
+    'HttpRequest',
+    'HttpServer',
+    'Responder',
+    'ServerLimits',
+    'TargetConnection',
+    'TargetPool',
+    'encode_head',
+    'header_value',
+]
--- /dev/null
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_sockets.py
@@ -0,0 +1,34 @@
+"""Socket options by which a connection that went silent is noticed."""
+
+import asyncio
+import socket
+from typing import Final
+
+KEEPALIVE_IDLE_S: Final = 1
+KEEPALIVE_INTERVAL_S: Final = 1
+KEEPALIVE_PROBES: Final = 2
+USER_TIMEOUT_MS: Final = 2_500  # for bytes that nobody acknowledges
+BACKLOG: Final = 512
+
+
+def watch_silence(transport: asyncio.BaseTransport) -> None:
+    """Let the kernel end a connection whose other side is unreachable."""
+    sock = transport.get_extra_info('socket')
+    if sock is None:
+        return
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    )
+    for level, option, value in options:
+        sock.setsockopt(level, option, value)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and the port of ``host:port``."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
--- a/packages/lovagemast-wire/src/lovagemast_wire/__init__.py
+++ b/packages/lovagemast-wire/src/lovagemast_wire/__init__.py
@@ -1,13 +1,16 @@
 """Converts the core's messages to and from Protocol Buffers."""
 
+from . import lovagemast_pb2
 from ._codec import WireError, from_wire, to_wire
 from ._envelope import decode_envelope, encode_envelope
 from ._logrecord import LogRecord, decode_record, encode_record
-from .lovagemast_grpc import PeersBase, PeersStub
+from .lovagemast_grpc import EntriesBase, EntriesStub, PeersBase, PeersStub
 from .lovagemast_pb2 import Closed, Envelope
 
 __all__ = [
     'Closed',
+    'EntriesBase',
+    'EntriesStub',
     'Envelope',
     'LogRecord',
     'PeersBase',
@@ -18,5 +21,6 @@
     'encode_envelope',
     'encode_record',
     'from_wire',
+    'lovagemast_pb2',
     'to_wire',
 ]
--- a/packages/lovagemast-wire/src/lovagemast_wire/lovagemast_grpc.py
+++ b/packages/lovagemast-wire/src/lovagemast_wire/lovagemast_grpc.py
@@ -38,3 +38,31 @@
             lovagemast_wire.lovagemast_pb2.Envelope,
             lovagemast_wire.lovagemast_pb2.Closed,
         )
+
+
+class EntriesBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Sync(self, stream: 'grpclib.server.Stream[lovagemast_wire.lovagemast_pb2.SyncAsk, lovagemast_wire.lovagemast_pb2.SyncReply]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/lovagemast.Entries/Sync': grpclib.const.Handler(
+                self.Sync,
+                grpclib.const.Cardinality.STREAM_STREAM,
+                lovagemast_wire.lovagemast_pb2.SyncAsk,
+                lovagemast_wire.lovagemast_pb2.SyncReply,
+            ),
+        }
+
+
+class EntriesStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Sync = grpclib.client.StreamStreamMethod(
+            channel,
+            '/lovagemast.Entries/Sync',
+            lovagemast_wire.lovagemast_pb2.SyncAsk,
+            lovagemast_wire.lovagemast_pb2.SyncReply,
+        )
