--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_engine.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_engine.py
@@ -13,6 +13,7 @@
 REPORT_LAG_S: Final = 0.12  # a report is older than this much
 REPORT_INTERVAL_S: Final = 0.15
 UNCERTAIN_S: Final = 13.0  # an unanswered order may take effect this late
+MAX_RECENT: Final = 120  # adapters that an engine keeps in its host's memory
 
 
 class EngineState:
@@ -29,6 +30,7 @@
         self.running: dict[tuple[str, str], int] = {}
         self.changed_at = 0.0  # s, when an order last took effect
         self.report_due = 0.0
+        self._recent: dict[tuple[str, str], None] = {}  # the oldest first
         self._uncertain: list[tuple[float, AdapterLabel]] = []
         for text in beat.adapters:
             self.ready_at[AdapterLabel.from_text(text)] = 0.0
@@ -42,6 +44,10 @@
         """Return whether any version of an adapter is here or coming."""
         return any(label.name == name for label in self.ready_at)
 
+    def held_lately(self, name: tuple[str, str]) -> bool:
+        """Return whether an adapter loads fast, from the host's memory."""
+        return name in self._recent
+
     def coming(self, now: float) -> int:
         """Return how many adapters are on their way."""
         return sum(due > now for due in self.ready_at.values())
@@ -148,11 +154,18 @@
             if label.name == order.label.name and label != order.label
         ]
         due = now if outcome.result is OrderResult.HOLDS else now + load_s
+        self._note_recent(order.label.name)
         for label in replaced:
             self.ready_at.pop(label)
             due = NEVER  # it waits for the requests that run on the old one
         self.ready_at[order.label] = due
 
+    def _note_recent(self, name: tuple[str, str]) -> None:
+        self._recent.pop(name, None)
+        self._recent[name] = None
+        if len(self._recent) > MAX_RECENT:
+            self._recent.pop(next(iter(self._recent)))
+
     def _due_of(self, label: AdapterLabel, now: float) -> float:
         for known, due in self.ready_at.items():
             if known.name == label.name:
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
@@ -3,10 +3,10 @@
 Answers the load of many rare adapters: a request for an adapter that no
 engine holds has it loaded at the engine with the least demand, in place of
 the idle adapter with the least demand there. Popular adapters are held by
-several engines, in proportion to their part of all requests.
+several engines once those that hold them are crowded. An engine that held an
+adapter lately loads it fast and without the store, and is preferred.
 """
 
-import math
 from collections.abc import Iterable
 from typing import Final
 
@@ -19,12 +19,14 @@
 from ._orders import Order, OrderOutcome, TargetReport
 
 ADAPTER_LOAD_S: Final = 0.26
+RECENT_LOAD_S: Final = 0.03  # of an adapter that the engine held lately
 MAX_LOADS_IN_FLIGHT: Final = 8  # over all engines; beyond, all get slower
 MODEL_LOADS_IN_FLIGHT: Final = 2
 WISH_TTL_S: Final = 1.0  # entry VMs repeat what they still wait for
-SPREAD: Final = 2.0  # copies of an adapter for each engine's worth of demand
 TOP_ADAPTERS: Final = 12  # that may have more than one copy
+CROWDED: Final = 0.5  # of an engine's slots taken; then copies help
 MOVE_RATIO: Final = 4.0  # demand over that of the victim, for a second copy
+STORE_BURDEN: Final = 1.0  # what a load from the store counts, in requests/s
 USES_TTL_S: Final = 3.0
 
 Name = tuple[str, str]
@@ -116,6 +118,8 @@
         if engine is None or engine.order != outcome.order:
             return False
         load_s = ADAPTER_LOAD_S
+        if engine.held_lately(outcome.order.label.name):
+            load_s = RECENT_LOAD_S
         if not outcome.order.adapter:
             model = engine.spec.model(outcome.order.model)
             load_s = model.load_s if model else 0.0
@@ -181,18 +185,24 @@
         return missing
 
     def _copies(self, now: float) -> list[Name]:
-        """Return popular adapters that fewer engines hold than should."""
-        total = self.demand.total(now)
-        count = len(self.engines)
-        if total <= 0 or count < 2:
-            return []
-        wanted = []
-        for name in self.demand.top(TOP_ADAPTERS, now):
-            part = self.demand.rate(name, now) / total
-            copies = min(count, math.ceil(part * count * SPREAD))
-            if 0 < self._copies_of(name) < copies:
-                wanted.append(name)
-        return wanted
+        """Return popular adapters whose engines are all crowded."""
+        return [
+            name
+            for name in self.demand.top(TOP_ADAPTERS, now)
+            if self._is_crowded(name)
+        ]
+
+    def _is_crowded(self, name: Name) -> bool:
+        loads = [
+            self._crowding(engine)
+            for engine in self.engines.values()
+            if engine.holds(name)
+        ]
+        return bool(loads) and min(loads) > CROWDED
+
+    def _crowding(self, engine: EngineState) -> float:
+        """Return the part of an engine's slots that entry VMs use."""
+        return sum(engine.running.values()) / max(1, engine.spec.slots)
 
     def _is_held(self, name: Name) -> bool:
         """Return whether a current version is held where it can be used."""
@@ -234,7 +244,8 @@
             for engine in candidates
             if engine.holds(name) and not self._holds_current(engine, name)
         ]
-        for engine in sorted(fresh, key=lambda one: self._burden(one, now)):
+        fresh.sort(key=lambda one: self._burden(one, name, now))
+        for engine in fresh:
             order = self._load_or_unload(engine, name, term, now)
             if order:
                 return order
@@ -285,9 +296,13 @@
             ),
         )
 
-    def _burden(self, engine: EngineState, now: float) -> float:
-        """Return the demand that falls to an engine, in requests a second."""
+    def _burden(self, engine: EngineState, name: Name, now: float) -> float:
+        """Return what speaks against an engine, in requests a second."""
         burden = 0.5 * engine.coming(now)
+        if not engine.held_lately(name):
+            burden += STORE_BURDEN
+        if self._crowding(engine) > CROWDED:
+            burden += engine.spec.slots
         for label in engine.ready_at:
             copies = max(1, self._copies_of(label.name))
             burden += self.demand.rate(label.name, now) / copies
--- /dev/null
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_admission.py
@@ -0,0 +1,136 @@
+"""Checks a request before a target is looked for.
+
+The filters run in order: route, key, pool, quota. Each one lets the request
+pass or ends it with an answer of the system's own.
+"""
+
+from typing import Final, NamedTuple
+
+from lovagemast_core.deployment import (
+    AccountSpec,
+    DeploymentIndex,
+    PoolSpec,
+    RouteSpec,
+)
+
+from ..http import HttpRequest, header_value
+from ._clock import now_s
+from ._dialect import CallFacts
+from ._entrystate import EntryState
+
+BEHIND_S: Final = 1.5  # silence of the leader after which a denial is unsure
+TOKEN_WAIT_S: Final = 0.15  # one round trip to the leader and its push
+POLL_S: Final = 0.05
+RETRY_SOON_S: Final = 0.3
+
+
+class Refused(NamedTuple):
+    """An answer of the system's own."""
+
+    status: int
+    reason: str
+    retry_after_s: float | None = None
+
+
+class Admitted(NamedTuple):
+    """A request that passed all filters; times are in s."""
+
+    req: HttpRequest
+    facts: CallFacts
+    route: RouteSpec
+    pool: PoolSpec
+    account: AccountSpec | None
+    arrived: float
+    deadline: float
+
+    @property
+    def account_name(self) -> str | None:
+        """Return the client account, ``None`` on routes open to all."""
+        return self.account.name if self.account else None
+
+    @property
+    def priority(self) -> int:
+        """Return the request's rank; the account's goes first."""
+        if self.account and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
+
+
+class Admission:
+    """The filter chain of an entry VM."""
+
+    def __init__(self, state: EntryState) -> None:
+        self._state = state
+
+    async def admit(
+        self,
+        req: HttpRequest,
+        facts: CallFacts | None,
+        arrived: float,
+    ) -> Admitted | Refused:
+        """Return the request with what the filters found."""
+        index = self._state.view.index
+        if index is None:
+            return Refused(503, 'no configuration yet', RETRY_SOON_S)
+        if facts is None:
+            return Refused(400, 'headers are not proper')
+        host = header_value(req.headers, b'host') or ''
+        route = index.route(host, req.path)
+        if route is None:
+            return self._denied(404, 'no route')
+        account = self._check_key(index, route, facts)
+        if isinstance(account, Refused):
+            return account
+        pool = index.pools.get(self._state.pick_pool(route))
+        if pool is None:
+            return Refused(503, 'the route has no pool', RETRY_SOON_S)
+        refused = await self._charge(account, facts)
+        if refused:
+            return refused
+        timeout_s = route.timeout_s
+        if facts.deadline_s is not None:
+            timeout_s = min(timeout_s, facts.deadline_s)
+        deadline = arrived + timeout_s
+        return Admitted(req, facts, route, pool, account, arrived, deadline)
+
+    def _check_key(
+        self,
+        index: DeploymentIndex,
+        route: RouteSpec,
+        facts: CallFacts,
+    ) -> AccountSpec | Refused | None:
+        if route.open or not index.accounts:
+            return None
+        if not self._state.is_confirmed(now_s()):
+            return Refused(503, 'keys could not be confirmed', RETRY_SOON_S)
+        account = index.account_of_key(facts.key) if facts.key else None
+        return account or self._denied(401, 'unknown key')
+
+    def _denied(self, status: int, reason: str) -> Refused:
+        """Deny a request, unless a newer configuration may allow it."""
+        if self._state.view.age(now_s()) > BEHIND_S:
+            return Refused(503, f'{reason}, but may be behind', RETRY_SOON_S)
+        return Refused(status, reason)
+
+    async def _charge(
+        self,
+        account: AccountSpec | None,
+        facts: CallFacts,
+    ) -> Refused | None:
+        if account is None or account.rate <= 0:
+            return None
+        cost = 1.0
+        if account.by_tokens:
+            cost = facts.tokens or account.default_tokens
+        holder = self._state.tokens
+        holder.note_demand(account, cost, now_s())
+        give_up_at = now_s() + TOKEN_WAIT_S
+        while not holder.spend(account, cost, now_s()):
+            self._state.ask_leader()
+            if now_s() >= give_up_at:
+                entries = self._state.view.entries
+                wait_s = holder.wait_s(account, cost, entries)
+                reason = f'{account.name} is over its quota by {cost:.0f}'
+                return Refused(429, reason, wait_s)
+            await self._state.wait_for_news(POLL_S)
+        return None
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
@@ -57,6 +57,11 @@
         weights = [split.weight for split in splits]
         return self._rng.choices(splits, weights)[0].pool
 
+    def is_confirmed(self, now: float) -> bool:
+        """Return whether keys were confirmed by a quorum lately enough."""
+        limit_s = self.cfg.key_age_s
+        return limit_s is None or self.view.age(now) < limit_s
+
     async def wait_for_news(self, timeout_s: float) -> None:
         """Wait until the leader sends news, for a short time at most."""
         if self._news is None or self._news.done():
--- /dev/null
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_relay.py
@@ -0,0 +1,52 @@
+"""Passes a target's answer on to the caller."""
+
+from lovagemast_core.entry import EventCutter
+
+from ..http import AnswerHead, Responder
+from ._dialect import EdgeDialect
+
+
+class Relay:
+    """One answer, which several targets may contribute to in turn."""
+
+    def __init__(self, responder: Responder, dialect: EdgeDialect) -> None:
+        self._responder = responder
+        self._dialect = dialect
+        self._cutter = EventCutter()
+
+    @property
+    def started(self) -> bool:
+        """Return whether a part of the answer was passed on."""
+        return self._responder.started
+
+    @property
+    def last_event_id(self) -> str:
+        """Return the id of the last event that was passed on."""
+        return self._cutter.last_id
+
+    def begin_stream(self) -> None:
+        """Expect the events of another target."""
+        self._cutter.restart()
+
+    async def pass_events(self, head: AnswerHead, chunk: bytes) -> None:
+        """Pass whole events on, and keep what is not whole yet."""
+        whole = self._cutter.feed(chunk)
+        if whole:
+            self._start(head)
+            await self._responder.write(whole)
+
+    async def end_stream(self, head: AnswerHead) -> None:
+        """End a stream that is whole."""
+        self._start(head)
+        await self._responder.write(self._cutter.finish())
+        self._responder.end()
+
+    async def pass_whole(self, head: AnswerHead, body: bytes) -> None:
+        """Pass an answer on that is no stream."""
+        headers = self._dialect.answer_headers(head.headers)
+        await self._responder.send(head.status, headers, body)
+
+    def _start(self, head: AnswerHead) -> None:
+        if not self._responder.started:
+            headers = self._dialect.answer_headers(head.headers)
+            self._responder.start(head.status, headers, None)
