Count an order that is under way as a load

Cause: an adapter whose order had no answer yet did not count as held, so the next plan, a few ms later, ordered it at a second and a third engine (842 loads in 754 places for 297 adapters), and more loads ran at once than the store takes at full speed, so that 124 requests came before their adapter.

--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_engine.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_engine.py
@@ -84,7 +84,10 @@
     def sent(self, order: Order) -> None:
         """Note that an order is under way."""
         self.order = order
-        if not order.load and order.adapter:
+        if order.adapter and order.load:
+            if not self.holds(order.label.name):
+                self.ready_at[order.label] = NEVER
+        elif order.adapter:
             for label in list(self.ready_at):
                 if label.name == order.label.name:
                     self.ready_at.pop(label)
@@ -98,6 +101,8 @@
         """Take the outcome of the order under way."""
         order = outcome.order
         self.order = None
+        if order.load and self.ready_at.get(order.label) == NEVER:
+            self.ready_at.pop(order.label)
         self.report_due = now + REPORT_LAG_S
         if outcome.result is OrderResult.UNKNOWN:
             self._uncertain.append((now + UNCERTAIN_S, order.label))
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
@@ -18,7 +18,7 @@
 from ._label import AdapterLabel
 from ._orders import Order, OrderOutcome, TargetReport
 
-ADAPTER_LOAD_S: Final = 0.26
+ADAPTER_LOAD_S: Final = 0.27
 RECENT_LOAD_S: Final = 0.03  # of an adapter that the engine held lately
 MAX_LOADS_IN_FLIGHT: Final = 8  # over all engines; beyond, all get slower
 MODEL_LOADS_IN_FLIGHT: Final = 2
@@ -104,7 +104,7 @@
         orders = self._model_orders(term, now)
         wanted = [*self._wanted(now), *self._copies(now)]
         for name in wanted:
-            if self._in_flight(now) + len(orders) >= MAX_LOADS_IN_FLIGHT:
+            if self._in_flight(now) >= MAX_LOADS_IN_FLIGHT:
                 break
             order = self._order_for(name, term, now)
             if order:
