--- a/packages/lovagemast-core/src/lovagemast_core/control/_config.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_config.py
@@ -12,7 +12,8 @@
     ``seeds`` are the control VMs that form the group at the first start;
     ``bootstrap`` is true only then. ``voters_wanted`` is the number of
     replicas above which a silent one is removed for good. ``takeover_s`` is
-    how long engines must not hear two VMs that give orders.
+    how long engines must not hear two VMs that give orders. ``quota_slack``
+    is in tokens, above an account's rate and burst.
     """
 
     vm: VmName
@@ -21,4 +22,5 @@
     bootstrap: bool
     voters_wanted: int
     takeover_s: float
+    quota_slack: float
     started_at: float  # s
--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -34,14 +34,21 @@
     begin once no order of an earlier leader can be on its way any more.
     """
 
-    def __init__(self, vm: VmName, takeover_s: float) -> None:
+    def __init__(
+        self,
+        vm: VmName,
+        *,
+        takeover_s: float,
+        quota_slack: float,
+    ) -> None:
         self.registry = TargetRegistry()
         self.planner = AdapterPlanner()
-        self.issuer = TokenIssuer()
+        self.issuer = TokenIssuer(quota_slack)
         self._vm = vm
         self._takeover_s = takeover_s
         self._term = 0
         self._led_since = 0.0
+        self._wait_s = 0.0
         self._entries: dict[VmName, float] = {}
         self._index: DeploymentIndex | None = None
         self._published = PublishedState()
--- a/packages/lovagemast-core/src/lovagemast_core/control/_node.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_node.py
@@ -54,7 +54,11 @@
         now = cfg.started_at
         self.vm = cfg.vm
         self.index: DeploymentIndex | None = None
-        self.fleet = FleetController(cfg.vm, cfg.takeover_s)
+        self.fleet = FleetController(
+            cfg.vm,
+            takeover_s=cfg.takeover_s,
+            quota_slack=cfg.quota_slack,
+        )
         self._read_index = read_index
         self._outbox = Outbox(cfg.vm, rng)
         self._effects: list[ControlEffect] = []
--- a/packages/lovagemast-core/src/lovagemast_core/quota/_holder.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quota/_holder.py
@@ -9,7 +9,8 @@
 
 DEMAND_WINDOW_S: Final = 2.0  # over which demand is averaged
 HOLD_S: Final = 2.0  # of demand, which bridges the election of a leader
-HOLD_PART_OF_BURST: Final = 0.4  # at most, so that others get some
+RATE_PART: Final = 0.9  # of a second's rate, held by all entry VMs together
+SLACK_PART: Final = 0.4  # held by all entry VMs together
 LOT_TTL_S: Final = 4.0  # a lower limit binds once older lots have expired
 
 
@@ -20,7 +21,7 @@
         self.lots: list[tuple[float, float]] = []  # granted at, tokens
         self.demand = 0.0  # tokens a second
         self.demand_at = now
-        self.short = 0.0  # tokens that requests wait for
+        self.waiting = 0.0  # tokens that requests wait for
 
     def expire(self, now: float) -> None:
         self.lots = [lot for lot in self.lots if now - lot[0] < LOT_TTL_S]
@@ -41,7 +42,8 @@
 class TokenHolder:
     """Spends tokens for requests and says how many more are wanted."""
 
-    def __init__(self) -> None:
+    def __init__(self, slack: float) -> None:
+        self._slack = slack
         self._accounts: dict[AccountName, _Account] = {}
 
     def note_demand(
@@ -57,7 +59,6 @@
         state = self._account(account.name, now)
         state.expire(now)
         if state.held() < cost:
-            state.short = max(state.short, cost)
             return False
         rest = cost
         while rest > 0:
@@ -69,11 +70,14 @@
             state.lots.pop(0)
         return True
 
+    def wait(self, account: AccountSpec, cost: float, now: float) -> None:
+        """Count tokens that a request waits for, or no longer does."""
+        self._account(account.name, now).waiting += cost
+
     def add(self, lot: TokenLot, now: float) -> None:
         """Hold tokens that the leader sent."""
         state = self._account(lot.account, now)
         state.lots.append((now, lot.tokens))
-        state.short = 0
 
     def wishes(
         self,
@@ -88,9 +92,9 @@
             if account is None or account.rate <= 0:
                 continue
             state.expire(now)
-            ceiling = account.burst * HOLD_PART_OF_BURST
-            wanted = min(state.demand_now(now) * HOLD_S, ceiling)
-            wanted = max(wanted, state.short) - state.held()
+            ceiling = account.rate * RATE_PART + self._slack * SLACK_PART
+            wanted = min(state.demand_now(now) * HOLD_S, ceiling / entries)
+            wanted += state.waiting - state.held()
             if wanted > 0:
                 wishes.append(TokenWish(name, wanted))
         return tuple(wishes)
--- a/packages/lovagemast-core/src/lovagemast_core/quota/_issuer.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quota/_issuer.py
@@ -3,8 +3,11 @@
 A token leaves the bucket when it is sent to an entry VM and is spent there
 at most once. A lot that is lost on its way, or held by a VM that dies, is
 gone. A new leader starts with empty buckets, since the one before it may
-have handed out everything; the sum of all lots therefore never exceeds the
-account's rate and burst.
+have handed out everything.
+
+Over any window an account spends at most what entry VMs hold at its start,
+a full bucket, and its rate. Bucket and holdings are sized so that their sum
+stays within the burst, its overage and the slack that operators allow.
 """
 
 from collections.abc import Iterable
@@ -14,8 +17,8 @@
 from ..deployment import AccountSpec
 from ..targets import TokenLot, TokenWish
 
-# The rest of the burst covers what entry VMs hold but have not spent yet.
-BUCKET_PART_OF_BURST: Final = 0.5
+BURST_PART: Final = 0.9  # the rest is for what entry VMs hold
+SLACK_PART: Final = 0.5
 
 
 class _Bucket:
@@ -25,8 +28,8 @@
         self.tokens = 0.0
         self.filled_at = now  # s
 
-    def fill(self, account: AccountSpec, now: float) -> None:
-        capacity = account.burst * BUCKET_PART_OF_BURST
+    def fill(self, account: AccountSpec, slack: float, now: float) -> None:
+        capacity = account.burst * BURST_PART + slack * SLACK_PART
         grown = self.tokens + account.rate * max(0.0, now - self.filled_at)
         self.tokens = min(capacity, grown)
         self.filled_at = now
@@ -38,9 +41,14 @@
 
 
 class TokenIssuer:
-    """Hands out tokens while this VM leads."""
+    """Hands out tokens while this VM leads.
+
+    ``slack`` is in tokens, above rate and burst, for requests that are large
+    beside a small account's burst.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, slack: float) -> None:
+        self._slack = slack
         self._buckets: dict[AccountName, _Bucket] = {}
 
     def restart(self) -> None:
@@ -56,7 +64,7 @@
         """Return the tokens that an entry VM gets for its wishes."""
         for name, account in accounts.items():
             if account.rate > 0:
-                self._bucket(name, now).fill(account, now)
+                self._bucket(name, now).fill(account, self._slack, now)
         lots = []
         for wish in wishes:
             known = accounts.get(wish.account)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_admission.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_admission.py
@@ -124,13 +124,28 @@
             cost = facts.tokens or account.default_tokens
         holder = self._state.tokens
         holder.note_demand(account, cost, now_s())
+        if holder.spend(account, cost, now_s()):
+            return None
+        holder.wait(account, cost, now_s())
+        try:
+            if await self._wait_for_tokens(account, cost):
+                return None
+        finally:
+            holder.wait(account, -cost, now_s())
+        entries = self._state.view.entries
+        wait_s = holder.wait_s(account, cost, entries)
+        reason = f'{account.name} is over its quota by {cost:.0f}'
+        return Refused(429, reason, wait_s)
+
+    async def _wait_for_tokens(
+        self,
+        account: AccountSpec,
+        cost: float,
+    ) -> bool:
         give_up_at = now_s() + TOKEN_WAIT_S
-        while not holder.spend(account, cost, now_s()):
+        while now_s() < give_up_at:
             self._state.ask_leader()
-            if now_s() >= give_up_at:
-                entries = self._state.view.entries
-                wait_s = holder.wait_s(account, cost, entries)
-                reason = f'{account.name} is over its quota by {cost:.0f}'
-                return Refused(429, reason, wait_s)
             await self._state.wait_for_news(POLL_S)
-        return None
+            if self._state.tokens.spend(account, cost, now_s()):
+                return True
+        return False
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -102,6 +102,7 @@
                 cfg.bootstrap,
                 cfg.voters_wanted,
                 cfg.takeover_s,
+                cfg.quota_slack,
                 now_s(),
             ),
             self._read_index,
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_settings.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_settings.py
@@ -23,6 +23,7 @@
     retry_window_s: float
     cold_slack: float  # requests above a cold target's rate
     memory_mb: int
+    quota_slack: float  # tokens above an account's rate and burst
 
 
 class ControlSettings(NamedTuple):
@@ -39,3 +40,4 @@
     voters_wanted: int
     takeover_s: float
     drain_grace_s: float
+    quota_slack: float  # tokens above an account's rate and burst
