--- a/packages/lovagemast-core/src/lovagemast_core/_state.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_state.py
@@ -1,7 +1,8 @@
 """The state machine that control replicas run in the log's order."""
 
 import hashlib
-from typing import Final, NamedTuple
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple
 
 from ._commands import (
     AlreadyClaimed,
@@ -97,29 +98,24 @@
         self._operations: dict[str, Operation] = {}
         self._claims: dict[str, Claim] = {}
         self._suspicions: dict[str, Suspicion] = {}
+        self._appliers: dict[type, Callable[[Any], Outcome]] = {
+            ApplyConfig: self._apply_config,
+            PutConfig: self._put_config,
+            SetZoneOut: self._set_zone_out,
+            NameVersion: self._name_version,
+            SetRoster: self._set_roster,
+            RemoveVm: self._remove_vm,
+            ClaimCall: self._claim,
+            FinishCall: self._finish,
+            ReportCrash: self._report_crash,
+        }
 
     def apply(self, command: Command) -> Outcome:
         """Apply one committed command and return its outcome."""
-        match command:
-            case ApplyConfig():
-                return self._apply_config(command)
-            case PutConfig():
-                return self._put_config(command)
-            case SetZoneOut():
-                return self._set_zone_out(command)
-            case NameVersion():
-                return self._name_version(command)
-            case SetRoster():
-                return self._set_roster(command)
-            case RemoveVm():
-                return self._remove_vm(command)
-            case ClaimCall():
-                return self._claim(command)
-            case FinishCall():
-                return self._finish(command)
-            case ReportCrash():
-                return self._report_crash(command)
-        return Applied(self.published.revision)
+        apply = self._appliers.get(type(command))
+        if apply is None:
+            return Applied(self.published.revision)
+        return apply(command)
 
     def to_snapshot(self) -> StateSnapshot:
         """Return the whole state."""
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_demand.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_demand.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 WINDOW_S: Final = 10.0
+DECAY_STEP_S: Final = 0.1
 LEAST_RATE: Final = 0.01  # requests a second; below, an adapter is forgotten
 
 
@@ -38,7 +39,7 @@
 
     def _decay(self, now: float) -> None:
         age = now - self._decayed_at
-        if age <= 0.1:  # s; often enough for a window of seconds
+        if age <= DECAY_STEP_S:
             return
         factor = math.exp(-age / WINDOW_S)
         self._rates = {
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_engine.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_engine.py
@@ -59,6 +59,29 @@
         names = {label.name for label in self.ready_at} | unsure
         return len(names)
 
+    def is_empty(self) -> bool:
+        """Return whether no model is here or on its way."""
+        return not self.models and not self.model_due
+
+    def new_order(
+        self,
+        label: AdapterLabel,
+        term: int,
+        *,
+        load: bool,
+    ) -> Order:
+        """Return an order that holds only if no other one comes first."""
+        return Order(
+            self.target,
+            self.beat.address,
+            load,
+            label.model,
+            label.adapter,
+            label.version,
+            self.sequence or 0,
+            term,
+        )
+
     def is_free(self, now: float) -> bool:
         """Return whether an order may be sent."""
         return self.order is None and self.sequence is not None
--- /dev/null
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_engines.py
@@ -0,0 +1,133 @@
+"""All engines: who holds what, and where an adapter fits best."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from .._types import TargetName
+from ..deployment import PoolSpec
+from ..targets import AdapterUse, TargetHeartbeat
+from ._demand import DemandMeter
+from ._engine import MAX_COMING, EngineState
+from ._label import AdapterLabel
+
+CROWDED: Final = 0.5  # of an engine's slots taken; then copies help
+STORE_BURDEN: Final = 1.0  # what a load from the store counts, in requests/s
+COMING_BURDEN: Final = 0.5  # for each adapter on its way, in requests/s
+
+Name = tuple[str, str]
+
+
+class EngineTable:
+    """The engines that the leader gives orders to."""
+
+    def __init__(self, demand: DemandMeter) -> None:
+        self.by_target: dict[TargetName, EngineState] = {}
+        self.newest: dict[Name, int] = {}
+        self._demand = demand
+        self._holders: dict[Name, list[EngineState]] = {}
+        self._burdens: dict[TargetName, float] = {}
+
+    def __iter__(self) -> Iterator[EngineState]:
+        """Iterate over the engines."""
+        return iter(self.by_target.values())
+
+    def follow(self, beat: TargetHeartbeat, pool: PoolSpec | None) -> None:
+        """Take an engine's newest heartbeat."""
+        known = self.by_target.get(beat.target)
+        if pool is None or pool.engine is None:
+            self.by_target.pop(beat.target, None)
+        elif known is None or known.beat.incarnation != beat.incarnation:
+            self.by_target[beat.target] = EngineState(beat, pool.engine)
+        else:
+            known.beat = beat
+            known.spec = pool.engine
+
+    def refresh(self, uses: list[AdapterUse], now: float) -> None:
+        """Note what runs where and who holds what, for one plan."""
+        self._sum_uses(uses)
+        self._holders = {}
+        for engine in self:
+            for label in engine.ready_at:
+                self._holders.setdefault(label.name, []).append(engine)
+        self._burdens = {
+            engine.target: sum(
+                self.demand_here(label, now) for label in engine.ready_at
+            )
+            for engine in self
+        }
+
+    def in_flight(self, now: float) -> int:
+        """Return how many adapters are on their way to engines."""
+        return sum(engine.coming(now) for engine in self)
+
+    def is_current(self, label: AdapterLabel) -> bool:
+        """Return whether no newer version was named."""
+        return label.version >= self.newest.get(label.name, 0)
+
+    def is_held(self, name: Name) -> bool:
+        """Return whether a current version is held where it can be used."""
+        return any(
+            self.holds_current(engine, name)
+            for engine in self.holders(name)
+            if not engine.beat.leaving
+        )
+
+    def holders(self, name: Name) -> list[EngineState]:
+        """Return the engines that hold an adapter in any version."""
+        return self._holders.get(name, [])
+
+    def is_outdated(self, name: Name) -> bool:
+        """Return whether only versions before the newest are held."""
+        return bool(self.holders(name)) and not self.is_held(name)
+
+    def holds_current(self, engine: EngineState, name: Name) -> bool:
+        """Return whether an engine holds a current version."""
+        return any(
+            label.name == name and self.is_current(label)
+            for label in engine.ready_at
+        )
+
+    def is_crowded(self, name: Name) -> bool:
+        """Return whether all engines that hold an adapter are crowded."""
+        loads = [_crowding(engine) for engine in self.holders(name)]
+        return bool(loads) and min(loads) > CROWDED
+
+    def demand_here(self, label: AdapterLabel, now: float) -> float:
+        """Return the demand that falls to each engine with an adapter."""
+        copies = max(1, len(self.holders(label.name)))
+        return self._demand.rate(label.name, now) / copies
+
+    def usable_for(self, model: str, now: float) -> list[EngineState]:
+        """Return the engines that may be ordered to load an adapter."""
+        return [
+            engine
+            for engine in self
+            if model in engine.models
+            and engine.is_free(now)
+            and not engine.beat.leaving
+            and engine.coming(now) < MAX_COMING
+        ]
+
+    def burden(self, engine: EngineState, name: Name, now: float) -> float:
+        """Return what speaks against an engine, in requests a second."""
+        burden = COMING_BURDEN * engine.coming(now)
+        if not engine.held_lately(name):
+            burden += STORE_BURDEN
+        if _crowding(engine) > CROWDED:
+            burden += engine.spec.slots
+        return burden + self._burdens.get(engine.target, 0)
+
+    def _sum_uses(self, uses: list[AdapterUse]) -> None:
+        for engine in self:
+            engine.running.clear()
+        for use in uses:
+            known = self.by_target.get(use.target)
+            if known and use.running:
+                name = AdapterLabel.from_text(use.label).name
+                before = known.running.get(name, 0)
+                known.running[name] = before + use.running
+
+
+def _crowding(engine: EngineState) -> float:
+    """Return the part of an engine's slots that entry VMs use."""
+    return sum(engine.running.values()) / max(1, engine.spec.slots)
--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -80,7 +80,7 @@
         """Use a newer published state."""
         self._published = published
         self._index = index
-        self.planner.newest = {
+        self.planner.engines.newest = {
             (named.model, named.adapter): named.version
             for named in published.adapter_versions
         }
@@ -194,7 +194,7 @@
         heard_at: float,
         now: float,
     ) -> TargetRecord:
-        engine = self.planner.engines.get(beat.target)
+        engine = self.planner.get(beat.target)
         return TargetRecord(
             beat.target,
             beat.pool,
--- a/packages/lovagemast-core/src/lovagemast_core/control/_node.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_node.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 from typing import Final
 
-from .._commands import Command, NoOp, Outcome, Unavailable
-from .._effects import Effect, PersistLog, SendPeer
+from .._commands import Command, NoOp, Outcome
+from .._effects import PersistLog, SendPeer
 from .._messages import Entry, PeerMessage
 from .._outbox import Outbox
 from .._replica import Replica
@@ -14,19 +14,17 @@
 from ..adapters import OrderOutcome, TargetReport
 from ..deployment import DeploymentIndex
 from ..targets import SyncAsk, SyncReply, TargetHeartbeat
+from ._calls import OperatorCalls
 from ._config import ControlConfig
 from ._effects import (
     AskReport,
-    CommandDone,
     ControlEffect,
     LeaderNoticed,
     PushNews,
-    ReadDone,
     SendOrder,
 )
 from ._fleet import LEASE_S, FleetController
 
-CALL_TIMEOUT_S: Final = 3.0  # for commands and reads of operators
 STEP_S: Final = 0.05  # between looks at what is due
 UNKNOWN_AGE_S: Final = 1e9
 FIRST_TERM: Final = 1  # of a group that has just been formed
@@ -34,14 +32,6 @@
 ReadIndex = Callable[[str], DeploymentIndex | None]
 
 
-class _Read:
-    """A read that waits for a confirmation of leadership."""
-
-    def __init__(self, call: int, asked_at: float) -> None:
-        self.call = call
-        self.asked_at = asked_at
-
-
 class ControlNode:
     """Takes what arrives and collects what the host is to do."""
 
@@ -62,8 +52,7 @@
         self._read_index = read_index
         self._outbox = Outbox(cfg.vm, rng)
         self._effects: list[ControlEffect] = []
-        self._commands: dict[int, tuple[int, int, float]] = {}
-        self._reads: list[_Read] = []
+        self._calls = OperatorCalls()
         self._last_leader = ''
         self._previous_leader = ''
         self._noticed = ('', -1)
@@ -131,15 +120,12 @@
 
     def propose(self, call: int, command: Command, now: float) -> None:
         """Commit a command, answered by :class:`CommandDone`."""
-        index = self.replica.next_index
-        self._commands[index] = (call, self.replica.term, now)
-        self.replica.propose(command, now)
+        self._calls.propose(self.replica, call, command, now)
         self._after(now)
 
     def read(self, call: int, now: float) -> None:
         """Confirm leadership anew, answered by :class:`ReadDone`."""
-        self._reads.append(_Read(call, now))
-        self.replica.confirm(now)
+        self._calls.read(self.replica, call, now)
         self._after(now)
 
     def on_heartbeat(self, beat: TargetHeartbeat, now: float) -> None:
@@ -187,7 +173,7 @@
         return effects
 
     def _step(self, now: float) -> None:
-        self._expire_calls(now)
+        self._calls.expire(now)
         if self.serves():
             if self.fleet.expire(now):
                 self._effects.append(PushNews(urgent=False))
@@ -217,13 +203,13 @@
             self.replica.receive(self.vm, message, now)
         self._notice_leader(now)
         self._follow_published(now)
-        self._answer_reads(now)
-        for effect in self._outbox.drain():
-            self._keep(effect)
-
-    def _keep(self, effect: Effect) -> None:
-        if isinstance(effect, (SendPeer, PersistLog)):
-            self._effects.append(effect)
+        self._calls.confirmed(self.replica, now)
+        self._effects.extend(self._calls.drain())
+        self._effects.extend(
+            effect
+            for effect in self._outbox.drain()
+            if isinstance(effect, (SendPeer, PersistLog))
+        )
 
     def _notice_leader(self, now: float) -> None:
         if self.serves() and self.fleet.term != self.replica.term:
@@ -251,37 +237,4 @@
         if isinstance(entry.command, NoOp):
             self._previous_leader = self._last_leader
             self._last_leader = entry.command.leader.partition('#')[0]
-        waiting = self._commands.pop(entry.log_index, None)
-        if waiting is None:
-            return
-        call, term, _asked_at = waiting
-        if term != entry.term:
-            outcome = Unavailable('another leader took over')
-        self._effects.append(CommandDone(call, outcome))
-
-    def _expire_calls(self, now: float) -> None:
-        for index, waiting in list(self._commands.items()):
-            if now - waiting[2] > CALL_TIMEOUT_S:
-                self._commands.pop(index)
-                late = Unavailable('no quorum answered in time')
-                self._effects.append(CommandDone(waiting[0], late))
-        for read in list(self._reads):
-            if now - read.asked_at > CALL_TIMEOUT_S:
-                self._reads.remove(read)
-                self._effects.append(ReadDone(read.call, None))
-
-    def _answer_reads(self, now: float) -> None:
-        if not self._reads:
-            return
-        if not self.replica.is_leader():
-            for read in self._reads:
-                self._effects.append(ReadDone(read.call, None))
-            self._reads.clear()
-            return
-        if not self.serves():
-            return
-        heard_at = self.replica.quorum_heard_at(now)
-        for read in list(self._reads):
-            if heard_at >= read.asked_at:
-                self._reads.remove(read)
-                self._effects.append(ReadDone(read.call, self.published))
+        self._calls.applied(entry, outcome)
--- a/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
@@ -3,7 +3,9 @@
 from ._choice import (
     Candidate,
     Choice,
+    Need,
     NoChoice,
+    Terms,
     choose_target,
     find_candidates,
 )
@@ -19,9 +21,11 @@
     'EventCutter',
     'FleetView',
     'KnownTarget',
+    'Need',
     'NoChoice',
     'RetryAllowance',
     'TargetHealth',
+    'Terms',
     'choose_target',
     'find_candidates',
 ]
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_choice.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_choice.py
@@ -12,6 +12,14 @@
 FAILURE_COST: Final = 3.0  # for a target that fails all requests
 
 
+class Need(NamedTuple):
+    """What a request needs of a target."""
+
+    pool: str
+    model: str  # empty at a plain service
+    adapter: str  # empty for the base model
+
+
 class Candidate(NamedTuple):
     """A target that holds what a request needs."""
 
@@ -19,6 +27,11 @@
     label: AdapterLabel | None  # the adapter version that will serve
     ready_at: float  # s
 
+    @property
+    def target(self) -> TargetName:
+        """Return the target's name."""
+        return self.known.record.target
+
 
 class Choice(NamedTuple):
     """The target to send a request to."""
@@ -29,92 +42,99 @@
 class NoChoice(NamedTuple):
     """No target can take the request now.
 
-    ``holders`` tells how many targets hold the adapter at all, ``open``
-    how many of the pool are usable, ``ready_at`` when one will be ready.
+    ``holders`` tells how many targets hold the adapter at all, and
+    ``ready_at`` when the next one will be ready, in s.
     """
 
-    pool_size: int
     holders: int
     ready_at: float | None
 
 
+class Terms(NamedTuple):
+    """What decides between candidates.
+
+    Targets in ``avoid`` had the request before.
+    """
+
+    health: TargetHealth
+    load_of: Callable[[KnownTarget], float]  # parts of a full target
+    may_send: Callable[[KnownTarget], bool]
+    avoid: frozenset[TargetName]
+    zone: ZoneName
+
+
 def find_candidates(
     view: FleetView,
-    pool: str,
-    model: str,
-    adapter: str,
+    need: Need,
     now: float,
 ) -> Iterable[Candidate]:
     """Yield the targets of a pool that hold a model or an adapter."""
-    least = view.least_version(model, adapter, now) if adapter else 0
+    least = view.least_version(need.model, need.adapter, now)
     for known in view.targets.values():
         record = known.record
-        if record.pool != pool or record.leaving:
+        if record.pool != need.pool or record.leaving:
             continue
         if view.zone_is_out(record.zone):
             continue
-        if not model:
-            yield Candidate(known, None, 0.0)
-        elif not adapter and model in record.models:
-            yield Candidate(known, AdapterLabel(model, ''), 0.0)
-        elif adapter:
-            held = _newest_of(known, model, adapter, least)
-            if held:
-                yield Candidate(known, held[0], held[1])
+        candidate = _candidate(known, need, least)
+        if candidate:
+            yield candidate
 
 
 def choose_target(
     candidates: Iterable[Candidate],
-    *,
-    health: TargetHealth,
-    load_of: Callable[[KnownTarget], float],
-    may_send: Callable[[KnownTarget], bool],
-    avoid: frozenset[TargetName],
-    own_zone: ZoneName,
+    terms: Terms,
     now: float,
 ) -> Choice | NoChoice:
     """Return the least loaded of the candidates that are ready.
 
-    Targets in ``avoid`` had the request before. Failures count as load,
-    so that a failing target gets fewer requests but is not left out.
+    Failures count as load, so that a failing target gets fewer requests but
+    is not left out.
     """
-    best: Candidate | None = None
-    best_cost = float('inf')
-    ready_at: float | None = None
-    holders = 0
-    for candidate in candidates:
-        target = candidate.known.record.target
-        if target in avoid or health.is_shut(target, now):
-            continue
-        holders += 1
-        if candidate.ready_at > now:
-            ready_at = min(ready_at or candidate.ready_at, candidate.ready_at)
-            continue
-        if not health.is_open(target, now) or not may_send(candidate.known):
-            continue
-        cost = load_of(candidate.known)
-        cost += FAILURE_COST * health.failure_part(target, now)
-        if candidate.known.record.zone != own_zone:
-            cost += CROSS_ZONE_COST
-        if cost < best_cost:
-            best, best_cost = candidate, cost
-    if best:
-        return Choice(best)
-    return NoChoice(0, holders, ready_at)
-
-
-def _newest_of(
+    holders = [
+        candidate
+        for candidate in candidates
+        if candidate.target not in terms.avoid
+        and not terms.health.is_shut(candidate.target, now)
+    ]
+    ready = [
+        candidate
+        for candidate in holders
+        if candidate.ready_at <= now
+        and terms.health.is_open(candidate.target, now)
+        and terms.may_send(candidate.known)
+    ]
+    if ready:
+        return Choice(min(ready, key=lambda one: _cost(one, terms, now)))
+    due = [one.ready_at for one in holders if one.ready_at > now]
+    return NoChoice(len(holders), min(due, default=None))
+
+
+def _cost(candidate: Candidate, terms: Terms, now: float) -> float:
+    cost = terms.load_of(candidate.known)
+    cost += FAILURE_COST * terms.health.failure_part(candidate.target, now)
+    if candidate.known.record.zone != terms.zone:
+        cost += CROSS_ZONE_COST
+    return cost
+
+
+def _candidate(
     known: KnownTarget,
-    model: str,
-    adapter: str,
+    need: Need,
     least: int,
-) -> tuple[AdapterLabel, float] | None:
-    found = None
-    for label, ready_at in known.adapters.items():
-        if label.model != model or label.adapter != adapter:
-            continue
-        if label.version < least:
-            continue
-        if found is None or label.version > found[0].version:
-            found = (label, ready_at)
-    return found
+) -> Candidate | None:
+    if not need.model:
+        return Candidate(known, None, 0.0)
+    if not need.adapter:
+        label = AdapterLabel(need.model, '')
+        held = need.model in known.record.models
+        return Candidate(known, label, 0.0) if held else None
+    versions = [
+        label
+        for label in known.adapters
+        if label.name == (need.model, need.adapter) and label.version >= least
+    ]
+    if not versions:
+        return None
+    newest = max(versions, key=lambda label: label.version)
+    return Candidate(known, newest, known.adapters[newest])
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_health.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_health.py
@@ -81,7 +81,7 @@
 
     def forget(self, present: set[TargetName]) -> None:
         """Drop the records of targets that are gone."""
-        for target in [one for one in self._records if one not in present]:
+        for target in set(self._records) - present:
             self._records.pop(target)
 
     def _record(self, target: TargetName, now: float) -> _Record:
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_limits.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_limits.py
@@ -57,7 +57,7 @@
         self._trim(now)
 
     def take(self, entries: int, now: float) -> bool:
-        """Return whether one more send is within the allowance, and count it."""
+        """Count one more send if the allowance has room for it."""
         self._trim(now)
         allowed = self._ratio * len(self._requests)
         allowed += self._slack / max(1, entries)
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_stream.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_stream.py
@@ -28,7 +28,8 @@
 
     def finish(self) -> bytes:
         """Return what follows the last whole event at a stream's end."""
-        tail, self._tail = self._tail, b''
+        tail = self._tail
+        self._tail = b''
         return tail
 
     def restart(self) -> None:
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
@@ -117,6 +117,5 @@
         self.stamp = max(self.stamp, reply.stamp)
         if reply.led_s < LEADER_WARM_S:
             return
-        present = set(reply.present)
-        for target in [one for one in self.targets if one not in present]:
+        for target in set(self.targets) - set(reply.present):
             self.targets.pop(target)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/__init__.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/__init__.py
@@ -7,12 +7,14 @@
 from ._control import ControlHost
 from ._dialect import (
     CallFacts,
+    ControlCall,
     ControlDialect,
     DepartureCall,
     EdgeDialect,
     HeartbeatCall,
     InvalidCall,
     NameVersionCall,
+    Outgoing,
     PutConfigCall,
     ReadConfigCall,
     TargetHead,
@@ -23,6 +25,7 @@
 
 __all__ = [
     'CallFacts',
+    'ControlCall',
     'ControlDialect',
     'ControlHost',
     'ControlSettings',
@@ -33,6 +36,7 @@
     'HeartbeatCall',
     'InvalidCall',
     'NameVersionCall',
+    'Outgoing',
     'PutConfigCall',
     'ReadConfigCall',
     'TargetHead',
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_calls.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_calls.py
@@ -7,7 +7,9 @@
     Candidate,
     Choice,
     KnownTarget,
+    Need,
     NoChoice,
+    Terms,
     choose_target,
     find_candidates,
 )
@@ -108,7 +110,7 @@
         self._state = state
         self._job = job
         self._relay = relay
-        self._name = (job.pool.name, job.facts.model, job.facts.adapter)
+        self._need = Need(job.pool.name, job.facts.model, job.facts.adapter)
         self._tried: set[str] = set()
         self._runs = 0
         self.sends = 0
@@ -122,7 +124,7 @@
         """Deliver an answer, or return why there is none."""
         self._state.retries.note_request(now_s())
         if self._job.facts.adapter:
-            self._state.work.wanted(*self._name)
+            self._state.work.wanted(*self._need)
         while True:
             candidate = await self._find_target()
             if isinstance(candidate, Refused):
@@ -194,14 +196,14 @@
                     return choice.candidate
                 if now >= give_up_at:
                     return self._not_run('no target is free')
-                if self._name[2] and not choice.holders and not waiting:
+                if self._need.adapter and not choice.holders and not waiting:
                     waiting = True
-                    self._state.work.waits(*self._name, 1)
+                    self._state.work.waits(*self._need, 1)
                     self._state.ask_leader()
                 await self._state.wait_for_news(_pause_s(choice, now))
         finally:
             if waiting:
-                self._state.work.waits(*self._name, -1)
+                self._state.work.waits(*self._need, -1)
 
     def _give_up_at(self) -> float:
         job = self._job
@@ -213,19 +215,15 @@
 
     def _choose(self, now: float) -> Choice | NoChoice:
         state = self._state
-        return choose_target(
-            find_candidates(state.view, *self._name, now),
-            health=state.health,
-            load_of=lambda known: state.work.load_of(
-                known,
-                state.view.entries,
-                now,
-            ),
-            may_send=lambda known: self._may_send(known, now),
-            avoid=frozenset(self._tried),
-            own_zone=state.cfg.zone,
-            now=now,
+        terms = Terms(
+            state.health,
+            lambda known: state.work.load_of(known, state.view.entries, now),
+            lambda known: self._may_send(known, now),
+            frozenset(self._tried),
+            state.cfg.zone,
         )
+        candidates = find_candidates(state.view, self._need, now)
+        return choose_target(candidates, terms, now)
 
     def _may_send(self, known: KnownTarget, now: float) -> bool:
         state = self._state
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -7,7 +7,13 @@
 from lovagemast_core.deployment import DeploymentIndex, EdgeLimits
 from lovagemast_core.targets import SyncAsk, SyncReply
 
-from ..http import HttpRequest, HttpServer, Responder, ServerLimits
+from ..http import (
+    HttpRequest,
+    HttpServer,
+    Responder,
+    ServerLimits,
+    split_address,
+)
 from ._calls import Call
 from ._clock import now_s
 from ._dialect import EdgeDialect
@@ -59,12 +65,8 @@
         loop.add_signal_handler(signal.SIGTERM, self._on_term)
         loop.add_signal_handler(signal.SIGHUP, self._on_hup)
         self._log.write('entry', 'start', zone=self._cfg.zone)
-        for server, address in (
-            (self._health, self._cfg.ready),
-            (self._front, self._cfg.front),
-        ):
-            host, _, port = address.rpartition(':')
-            await server.listen(host, int(port))
+        await self._health.listen(*split_address(self._cfg.ready))
+        await self._front.listen(*split_address(self._cfg.front))
         sync = asyncio.create_task(self._sync.run())
         await self._draining.wait()
         await self._drain()
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_lines.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_lines.py
@@ -22,13 +22,10 @@
         self._second = 0
         self._lines = 0
         self.dropped = 0
-        self.enabled = True
         try:
             os.set_blocking(STDOUT, False)
         except OSError as exc:
-            print(
-                f'log: standard output stays blocking: {exc}', file=sys.stderr
-            )
+            sys.stderr.write(f'log: standard output may block: {exc}\n')
 
     def write(self, part: str, message: str, **fields: Any) -> None:
         """Write a line with a part's prefix."""
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
@@ -80,21 +80,27 @@
             await asyncio.sleep(RECONNECT_S)
 
     async def _send_all(self) -> None:
-        async with Channel(self._vm, self._port) as channel:
-            stub = PeersStub(channel)
-            async with stub.Exchange.open() as stream:
-                async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                    await stream.send_request()
-                self._is_open = True
-                self._log.write('peer', 'link open', peer=self._vm)
-                opened_at = now_s()
-                while True:
-                    queued_at, message = await self._waiting.get()
-                    if queued_at < opened_at - RECONNECT_S:
-                        continue
-                    envelope = encode_envelope(self._own_vm, message)
-                    async with asyncio.timeout(SEND_TIMEOUT_S):
-                        await stream.send_message(envelope)
+        async with (
+            Channel(self._vm, self._port) as channel,
+            PeersStub(channel).Exchange.open() as stream,
+        ):
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await stream.send_request()
+            self._is_open = True
+            self._log.write('peer', 'link open', peer=self._vm)
+            opened_at = now_s()
+            while True:
+                message = await self._next_since(opened_at)
+                envelope = encode_envelope(self._own_vm, message)
+                async with asyncio.timeout(SEND_TIMEOUT_S):
+                    await stream.send_message(envelope)
+
+    async def _next_since(self, opened_at: float) -> PeerMessage:
+        """Return the next message; those from before a break are dropped."""
+        while True:
+            queued_at, message = await self._waiting.get()
+            if queued_at >= opened_at - RECONNECT_S:
+                return message
 
 
 class PeerLinks:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_sync.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_sync.py
@@ -23,6 +23,7 @@
 LEAST_INTERVAL_S: Final = 0.01  # between asks when requests wait
 REPLY_TIMEOUT_S: Final = 0.7  # below the time in which a leader is elected
 RETRY_S: Final = 0.1
+SYNC_ERRORS: Final = (*STREAM_ERRORS, WireError)
 
 Compose = Callable[[int], SyncAsk]
 OnReply = Callable[[SyncReply, float], None]
@@ -62,13 +63,14 @@
             vm = self._next_vm()
             try:
                 await self._follow(vm)
-            except (*STREAM_ERRORS, WireError) as exc:
+            except SYNC_ERRORS as exc:
                 self._note_lost(vm, repr(exc))
             await asyncio.sleep(RETRY_S)
 
     def _next_vm(self) -> str:
         if self._leader:
-            vm, self._leader = self._leader, ''
+            vm = self._leader
+            self._leader = ''
             return vm
         vms = self._vms()
         self._turn += 1
@@ -95,20 +97,23 @@
                 await stream.cancel()
 
     async def _send_asks(self, stream: SyncStream) -> None:
-        try:
-            while True:
-                self._wake.clear()
-                self._ask += 1
-                self._sent[self._ask] = now_s()
-                await stream.send_message(to_wire(self._compose(self._ask)))
-                await asyncio.sleep(LEAST_INTERVAL_S)
-                try:
-                    async with asyncio.timeout(ASK_INTERVAL_S):
-                        await self._wake.wait()
-                except TimeoutError:
-                    continue
-        except STREAM_ERRORS as exc:
-            self._log.write('sync', 'ask failed', cause=repr(exc))
+        while True:
+            self._wake.clear()
+            self._ask += 1
+            self._sent[self._ask] = now_s()
+            message = to_wire(self._compose(self._ask))
+            try:
+                await stream.send_message(message)
+            except STREAM_ERRORS as exc:
+                self._log.write('sync', 'ask failed', cause=repr(exc))
+                return
+            await asyncio.sleep(LEAST_INTERVAL_S)
+            await self._wait_for_wake()
+
+    async def _wait_for_wake(self) -> None:
+        waiter = asyncio.ensure_future(self._wake.wait())
+        await asyncio.wait((waiter,), timeout=ASK_INTERVAL_S)
+        waiter.cancel()
 
     async def _read_replies(self, vm: str, stream: SyncStream) -> None:
         while True:
@@ -132,6 +137,7 @@
         sent_at = self._sent.get(reply.ask)
         if sent_at is None:
             return
-        for ask in [one for one in self._sent if one < reply.ask]:
-            self._sent.pop(ask)
+        self._sent = {
+            ask: at for ask, at in self._sent.items() if ask >= reply.ask
+        }
         self._on_reply(reply, sent_at)
--- a/packages/lovagemast-node/src/lovagemast_node/http/__init__.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/__init__.py
@@ -9,8 +9,15 @@
     TargetConnection,
     TargetPool,
 )
-from ._message import Headers, HttpRequest, encode_head, header_value
+from ._message import (
+    Headers,
+    HttpRequest,
+    encode_head,
+    end_to_end,
+    header_value,
+)
 from ._server import HttpServer, Responder, ServerLimits
+from ._sockets import split_address
 
 __all__ = [
     'AnswerBroken',
@@ -26,5 +33,7 @@
     'TargetConnection',
     'TargetPool',
     'encode_head',
+    'end_to_end',
     'header_value',
+    'split_address',
 ]
--- a/packages/lovagemast-node/src/lovagemast_node/http/_client.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_client.py
@@ -126,29 +126,19 @@
         """Pass the head on, unless it answers another request."""
         if not self._busy:
             return
-        self._length = None
-        self._is_chunked = False
-        answered = b''
-        for name, value in self._headers:
-            lower = name.lower()
-            if lower == b'content-length' and value.isdigit():
-                self._length = int(value)
-            elif lower == b'transfer-encoding':
-                self._is_chunked = b'chunked' in value.lower()
-            elif lower == self._id_header:
-                answered = value
-            elif lower == b'keep-alive':
-                self._note_keep_alive(value)
+        headers = {name.lower(): value for name, value in self._headers}
+        length = headers.get(b'content-length', b'')
+        self._length = int(length) if length.isdigit() else None
+        self._is_chunked = b'transfer-encoding' in headers
+        self._note_keep_alive(headers.get(b'keep-alive', b''))
         self._in_body = True
-        self._skipping = bool(self._id_header) and (
-            answered not in {b'', self._request_id}
-        )
-        if self._skipping:
-            self.is_reusable = False
-            return
         status = self._parser.get_status_code()
-        if status < FINAL_STATUS:
-            self._skipping = True
+        answered = headers.get(self._id_header, self._request_id)
+        foreign = answered != self._request_id
+        self._skipping = foreign or status < FINAL_STATUS
+        if foreign:
+            self.is_reusable = False
+        if self._skipping:
             return
         self._events.put_nowait(
             AnswerHead(status, tuple(self._headers), self._length),
