Any control VM takes an operator's change and passes it to the leader

Changes are idempotent and go through the core's proposals, as they do in the project's own deployment, so one answer is enough.

--- a/packages/lovagemast-core/src/lovagemast_core/control/_node.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_node.py
@@ -6,27 +6,31 @@
 
 from .._commands import Command, NoOp, Outcome
 from .._effects import PersistLog, SendPeer
-from .._messages import Entry, PeerMessage
+from .._messages import Entry, PeerMessage, ProposalDone, Propose
 from .._outbox import Outbox
+from .._proposals import ProposalController
 from .._replica import Replica
 from .._state import PublishedState
 from .._types import TargetName, VmName
 from ..adapters import OrderOutcome, TargetReport
 from ..deployment import DeploymentIndex
 from ..targets import SyncAsk, SyncReply, TargetHeartbeat
-from ._calls import OperatorCalls
 from ._config import ControlConfig
 from ._effects import (
     AskReport,
+    CommandDone,
     ControlEffect,
     LeaderNoticed,
     PushNews,
     SendOrder,
 )
 from ._fleet import LEASE_S, FleetController
+from ._reads import ConfirmedReads
 
 STEP_S: Final = 0.05  # between looks at what is due
 UNKNOWN_AGE_S: Final = 1e9
+BOOT_BITS: Final = 64
+COMMAND_TIMEOUT_S: Final = 1.5  # an operator asks elsewhere by then
 FIRST_TERM: Final = 1  # of a group that has just been formed
 
 ReadIndex = Callable[[str], DeploymentIndex | None]
@@ -52,7 +56,7 @@
         self._read_index = read_index
         self._outbox = Outbox(cfg.vm, rng)
         self._effects: list[ControlEffect] = []
-        self._calls = OperatorCalls()
+        self._reads = ConfirmedReads()
         self._last_leader = ''
         self._previous_leader = ''
         self._noticed = ('', -1)
@@ -66,6 +70,12 @@
             may_bootstrap=cfg.bootstrap,
             voters_wanted=cfg.voters_wanted,
         )
+        self._proposals = ProposalController(
+            self._outbox,
+            self.replica,
+            lambda: self.leader,
+            boot=f'{rng.getrandbits(BOOT_BITS):x}',
+        )
         self._outbox.call_at(now, self._step)
         self._follow_published(now)
 
@@ -101,7 +111,7 @@
     ) -> None:
         """Take another control VM's message."""
         self._run_timers(now)
-        self.replica.receive(sender, message, now)
+        self._receive(sender, message, now)
         self._after(now)
 
     def synced(self, batch: int, now: float) -> None:
@@ -119,13 +129,24 @@
         return self._outbox.next_deadline()
 
     def propose(self, call: int, command: Command, now: float) -> None:
-        """Commit a command, answered by :class:`CommandDone`."""
-        self._calls.propose(self.replica, call, command, now)
+        """Commit a command, answered by :class:`CommandDone`.
+
+        A VM that does not lead passes it on, so that an operator needs one
+        answer only.
+        """
+        self._proposals.propose(
+            command,
+            lambda outcome, _now: self._effects.append(
+                CommandDone(call, outcome),
+            ),
+            timeout_s=COMMAND_TIMEOUT_S,
+            now=now,
+        )
         self._after(now)
 
     def read(self, call: int, now: float) -> None:
         """Confirm leadership anew, answered by :class:`ReadDone`."""
-        self._calls.read(self.replica, call, now)
+        self._reads.ask(self.replica, call, now)
         self._after(now)
 
     def on_heartbeat(self, beat: TargetHeartbeat, now: float) -> None:
@@ -173,7 +194,6 @@
         return effects
 
     def _step(self, now: float) -> None:
-        self._calls.expire(now)
         if self.serves():
             if self.fleet.expire(now):
                 self._effects.append(PushNews(urgent=False))
@@ -191,6 +211,19 @@
         orders = self.fleet.plan(self.quorum_age(now), now)
         self._effects.extend(SendOrder(order) for order in orders)
 
+    def _receive(
+        self,
+        sender: VmName,
+        message: PeerMessage,
+        now: float,
+    ) -> None:
+        if isinstance(message, Propose):
+            self._proposals.on_propose(sender, message, now)
+        elif isinstance(message, ProposalDone):
+            self._proposals.on_done(message, now)
+        else:
+            self.replica.receive(sender, message, now)
+
     def _run_timers(self, now: float) -> None:
         callback = self._outbox.pop_due(now)
         while callback:
@@ -200,11 +233,10 @@
     def _after(self, now: float) -> None:
         while self._outbox.local:
             message = self._outbox.local.popleft()
-            self.replica.receive(self.vm, message, now)
+            self._receive(self.vm, message, now)
         self._notice_leader(now)
         self._follow_published(now)
-        self._calls.confirmed(self.replica, now)
-        self._effects.extend(self._calls.drain())
+        self._effects.extend(self._reads.settle(self.replica, now))
         self._effects.extend(
             effect
             for effect in self._outbox.drain()
@@ -216,6 +248,7 @@
             first = self.replica.term == FIRST_TERM
             succeeds = not first and self._previous_leader != self.vm
             self.fleet.lead(self.replica.term, now, succeeds=succeeds)
+            self._proposals.forget_log()
             self.fleet.follow_published(self.published, self.index)
         noticed = (self.leader, self.replica.term)
         if noticed != self._noticed:
@@ -237,4 +270,4 @@
         if isinstance(entry.command, NoOp):
             self._previous_leader = self._last_leader
             self._last_leader = entry.command.leader.partition('#')[0]
-        self._calls.applied(entry, outcome)
+        self._proposals.on_applied(entry, outcome)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_operators.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_operators.py
@@ -69,7 +69,7 @@
             fut.set_result(answer)
 
     async def serve(self, req: HttpRequest, responder: Responder) -> None:
-        """Answer one call, or send it to the VM that leads."""
+        """Answer one call; what only the leader knows is sent there."""
         call = self._dialect.read_call(req)
         if isinstance(call, InvalidCall):
             self._log.write(
@@ -80,16 +80,17 @@
                 cause=call.detail,
             )
             await responder.send(call.status)
+            return
+        change = _change(call)
+        if change:
+            await self._commit(change, responder)
         elif self._node.serves():
             await self._answer(call, responder)
         else:
             await self._redirect(req, responder)
 
     async def _answer(self, call: ControlCall, responder: Responder) -> None:
-        change = _change(call)
-        if change:
-            await self._commit(change, responder)
-        elif isinstance(call, HeartbeatCall):
+        if isinstance(call, HeartbeatCall):
             await self._take_heartbeat(call, responder)
         elif isinstance(call, DepartureCall):
             await self._take_departure(call, responder)
