--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_engine.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_engine.py
@@ -30,6 +30,7 @@
         self.running: dict[tuple[str, str], int] = {}
         self.changed_at = 0.0  # s, when an order last took effect
         self.report_due = 0.0
+        self.shut_until = 0.0  # s, as entry VMs could not reach it
         self._recent: dict[tuple[str, str], None] = {}  # the oldest first
         self._uncertain: list[tuple[float, AdapterLabel]] = []
         for text in beat.adapters:
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_engines.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_engines.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from typing import Final
 
-from .._types import TargetName
+from .._types import TargetName, ZoneName
 from ..deployment import PoolSpec
 from ..targets import AdapterUse, TargetHeartbeat
 from ._demand import DemandMeter
@@ -23,9 +23,11 @@
     def __init__(self, demand: DemandMeter) -> None:
         self.by_target: dict[TargetName, EngineState] = {}
         self.newest: dict[Name, int] = {}
+        self.zones_out: frozenset[ZoneName] = frozenset()
         self._demand = demand
         self._holders: dict[Name, list[EngineState]] = {}
         self._burdens: dict[TargetName, float] = {}
+        self._now = 0.0  # s, of the plan under way
 
     def __iter__(self) -> Iterator[EngineState]:
         """Iterate over the engines."""
@@ -44,6 +46,7 @@
 
     def refresh(self, uses: list[AdapterUse], now: float) -> None:
         """Note what runs where and who holds what, for one plan."""
+        self._now = now
         self._sum_uses(uses)
         self._holders = {}
         for engine in self:
@@ -69,9 +72,15 @@
         return any(
             self.holds_current(engine, name)
             for engine in self.holders(name)
-            if not engine.beat.leaving
+            if self.is_usable(engine)
         )
 
+    def is_usable(self, engine: EngineState) -> bool:
+        """Return whether entry VMs send requests to an engine."""
+        if engine.beat.leaving or engine.beat.zone in self.zones_out:
+            return False
+        return engine.shut_until <= self._now
+
     def holders(self, name: Name) -> list[EngineState]:
         """Return the engines that hold an adapter in any version."""
         return self._holders.get(name, [])
@@ -104,7 +113,7 @@
             for engine in self
             if model in engine.models
             and engine.is_free(now)
-            and not engine.beat.leaving
+            and self.is_usable(engine)
             and engine.coming(now) < MAX_COMING
         ]
 
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
@@ -27,6 +27,7 @@
 TOP_ADAPTERS: Final = 12  # that may have more than one copy
 MOVE_RATIO: Final = 4.0  # demand over that of the victim, for a second copy
 USES_TTL_S: Final = 3.0
+SHUT_TTL_S: Final = 0.6  # entry VMs say it again meanwhile
 
 
 class AdapterPlanner:
@@ -86,6 +87,17 @@
             engine.sequence = None
             engine.report_due = now
 
+    def note_shut(
+        self,
+        targets: tuple[TargetName, ...],
+        now: float,
+    ) -> None:
+        """Count no engine as a holder that an entry VM cannot reach."""
+        for target in targets:
+            engine = self.get(target)
+            if engine:
+                engine.shut_until = now + SHUT_TTL_S
+
     def reports_due(self, now: float) -> list[EngineState]:
         """Return the engines to ask for a report."""
         due = [one for one in self.engines if one.wants_report(now)]
--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -12,7 +12,7 @@
     TargetReport,
 )
 from ..deployment import DeploymentIndex
-from ..quota import TokenIssuer
+from ..quota import ISSUE_LEASE_S, TokenIssuer
 from ..targets import (
     SyncAsk,
     SyncReply,
@@ -84,6 +84,7 @@
             (named.model, named.adapter): named.version
             for named in published.adapter_versions
         }
+        self.planner.engines.zones_out = frozenset(published.zones_out)
         for registered in self.registry.all():
             self._follow_engine(registered.beat)
 
@@ -109,6 +110,7 @@
         self._entries[ask.vm] = now
         self.planner.note_wishes(ask.wishes, now)
         self.planner.note_uses(ask.vm, ask.uses, now)
+        self.planner.note_shut(ask.shut, now)
         for text in ask.missing:
             target, _, label = text.partition(' ')
             self.planner.note_missing(
@@ -118,7 +120,7 @@
             )
             self.registry.touch(target)
         reply = self.news_for(ask, quorum_age_s, now)
-        if quorum_age_s > LEASE_S or self._index is None:
+        if quorum_age_s > ISSUE_LEASE_S or self._index is None:
             return reply
         lots = self.issuer.issue(ask.tokens, self._index.accounts, now)
         return reply._replace(lots=lots)
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_health.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_health.py
@@ -71,6 +71,14 @@
         record = self._records.get(target)
         return record is not None and now < record.shut_until
 
+    def shut(self, now: float) -> tuple[TargetName, ...]:
+        """Return the targets that could not be reached lately."""
+        return tuple(
+            target
+            for target, record in sorted(self._records.items())
+            if now < record.shut_until
+        )
+
     def failure_part(self, target: TargetName, now: float) -> float:
         """Return the part of recent requests that failed, from 0 to 1."""
         record = self._records.get(target)
--- a/packages/lovagemast-core/src/lovagemast_core/quota/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quota/__init__.py
@@ -1,6 +1,6 @@
 """Quotas of client accounts over all entry VMs: tokens in escrow."""
 
 from ._holder import TokenHolder
-from ._issuer import TokenIssuer
+from ._issuer import ISSUE_LEASE_S, TokenIssuer
 
-__all__ = ['TokenHolder', 'TokenIssuer']
+__all__ = ['ISSUE_LEASE_S', 'TokenHolder', 'TokenIssuer']
--- a/packages/lovagemast-core/src/lovagemast_core/quota/_holder.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quota/_holder.py
@@ -11,6 +11,7 @@
 HOLD_S: Final = 2.0  # of demand, which bridges the election of a leader
 RATE_PART: Final = 0.9  # of a second's rate, held by all entry VMs together
 SLACK_PART: Final = 0.4  # held by all entry VMs together
+LEAST_RATE: Final = 1.0  # tokens a second
 LOT_TTL_S: Final = 4.0  # a lower limit binds once older lots have expired
 
 
@@ -22,6 +23,8 @@
         self.demand = 0.0  # tokens a second
         self.demand_at = now
         self.waiting = 0.0  # tokens that requests wait for
+        self.granted = 0.0  # tokens a second
+        self.granted_at = now
 
     def expire(self, now: float) -> None:
         self.lots = [lot for lot in self.lots if now - lot[0] < LOT_TTL_S]
@@ -34,6 +37,11 @@
         self.demand = self.demand * decay + tokens / DEMAND_WINDOW_S
         self.demand_at = now
 
+    def note_grant(self, tokens: float, now: float) -> None:
+        decay = math.exp(-(now - self.granted_at) / DEMAND_WINDOW_S)
+        self.granted = self.granted * decay + tokens / DEMAND_WINDOW_S
+        self.granted_at = now
+
     def demand_now(self, now: float) -> float:
         age = now - self.demand_at
         return self.demand * math.exp(-age / DEMAND_WINDOW_S)
@@ -78,6 +86,7 @@
         """Hold tokens that the leader sent."""
         state = self._account(lot.account, now)
         state.lots.append((now, lot.tokens))
+        state.note_grant(lot.tokens, now)
 
     def wishes(
         self,
@@ -99,10 +108,18 @@
                 wishes.append(TokenWish(name, wanted))
         return tuple(wishes)
 
-    def wait_s(self, account: AccountSpec, cost: float, entries: int) -> float:
-        """Return after how long a refused request should come back."""
-        share = account.rate / max(1, entries)
-        return min(2.0, max(0.2, cost / max(share, 1.0)))
+    def wait_s(
+        self,
+        account: AccountSpec,
+        cost: float,
+        entries: int,
+        now: float,
+    ) -> float:
+        """Return how long a request would wait behind those that wait."""
+        state = self._account(account.name, now)
+        even_share = account.rate / max(1, entries)
+        rate = max(state.granted, even_share, LEAST_RATE)
+        return (state.waiting + cost) / rate
 
     def _account(self, name: AccountName, now: float) -> _Account:
         return self._accounts.setdefault(name, _Account(now))
--- a/packages/lovagemast-core/src/lovagemast_core/quota/_issuer.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quota/_issuer.py
@@ -2,8 +2,8 @@
 
 A token leaves the bucket when it is sent to an entry VM and is spent there
 at most once. A lot that is lost on its way, or held by a VM that dies, is
-gone. A new leader starts with empty buckets, since the one before it may
-have handed out everything.
+gone. A new leader starts with what no leader handed out between the end of
+the former lease and its own election.
 
 Over any window an account spends at most what entry VMs hold at its start,
 a full bucket, and its rate. Bucket and holdings are sized so that their sum
@@ -19,13 +19,16 @@
 
 BURST_PART: Final = 0.9  # the rest is for what entry VMs hold
 SLACK_PART: Final = 0.5
+# Below the election timeout by more than the start of a bucket is worth.
+ISSUE_LEASE_S: Final = 0.4
+START_S: Final = 0.5  # of an account's rate
 
 
 class _Bucket:
     """Tokens that may be handed out."""
 
-    def __init__(self, now: float) -> None:
-        self.tokens = 0.0
+    def __init__(self, account: AccountSpec, now: float) -> None:
+        self.tokens = account.rate * START_S
         self.filled_at = now  # s
 
     def fill(self, account: AccountSpec, slack: float, now: float) -> None:
@@ -62,18 +65,22 @@
         now: float,
     ) -> tuple[TokenLot, ...]:
         """Return the tokens that an entry VM gets for its wishes."""
-        for name, account in accounts.items():
+        for account in accounts.values():
             if account.rate > 0:
-                self._bucket(name, now).fill(account, self._slack, now)
+                self._bucket(account, now).fill(account, self._slack, now)
         lots = []
         for wish in wishes:
             known = accounts.get(wish.account)
             if known is None or known.rate <= 0:
                 continue
-            taken = self._bucket(wish.account, now).take(wish.tokens)
+            taken = self._bucket(known, now).take(wish.tokens)
             if taken > 0:
                 lots.append(TokenLot(wish.account, taken))
         return tuple(lots)
 
-    def _bucket(self, name: AccountName, now: float) -> _Bucket:
-        return self._buckets.setdefault(name, _Bucket(now))
+    def _bucket(self, account: AccountSpec, now: float) -> _Bucket:
+        bucket = self._buckets.get(account.name)
+        if bucket is None:
+            bucket = _Bucket(account, now)
+            self._buckets[account.name] = bucket
+        return bucket
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
@@ -49,7 +49,8 @@
     wishes: tuple[AdapterWish, ...] = ()
     uses: tuple[AdapterUse, ...] = ()
     draining: bool = False
-    missing: tuple[str, ...] = ()  # target/label that a target denied to have
+    missing: tuple[str, ...] = ()  # target and label that it denied to have
+    shut: tuple[TargetName, ...] = ()  # targets that could not be reached
 
 
 class ResidentAdapter(NamedTuple):
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_admission.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_admission.py
@@ -19,9 +19,14 @@
 from ._entrystate import EntryState
 
 BEHIND_S: Final = 1.5  # silence of the leader after which a denial is unsure
-TOKEN_WAIT_S: Final = 0.15  # one round trip to the leader and its push
+ROUND_TRIP_S: Final = 0.1  # to the leader, and its push
+TOKEN_WAIT_PART: Final = 0.5  # of the latency objective
+LONGEST_RETRY_S: Final = 4.0
+NEWS_WAIT_PART: Final = 0.3  # of the time that the caller waits
+DEFAULT_PATIENCE_S: Final = 1.0  # of a caller that does not say
 POLL_S: Final = 0.05
 RETRY_SOON_S: Final = 0.3
+NO_LEADER_RETRY_S: Final = 1.0  # about an election
 
 
 class Refused(NamedTuple):
@@ -69,11 +74,11 @@
         arrived: float,
     ) -> Admitted | Refused:
         """Return the request with what the filters found."""
-        index = self._state.view.index
-        if index is None:
-            return Refused(503, 'no configuration yet', RETRY_SOON_S)
         if facts is None:
             return Refused(400, 'headers are not proper')
+        index = await self._wait_for_config(facts, arrived)
+        if index is None:
+            return Refused(503, 'no configuration yet', NO_LEADER_RETRY_S)
         host = header_value(req.headers, b'host') or ''
         route = index.route(host, req.path)
         if route is None:
@@ -84,7 +89,7 @@
         pool = index.pools.get(self._state.pick_pool(route))
         if pool is None:
             return Refused(503, 'the route has no pool', RETRY_SOON_S)
-        refused = await self._charge(account, facts)
+        refused = await self._charge(account, route, facts)
         if refused:
             return refused
         timeout_s = route.timeout_s
@@ -102,7 +107,9 @@
         if route.open or not index.accounts:
             return None
         if not self._state.is_confirmed(now_s()):
-            return Refused(503, 'keys could not be confirmed', RETRY_SOON_S)
+            return Refused(
+                503, 'keys could not be confirmed', NO_LEADER_RETRY_S
+            )
         account = index.account_of_key(facts.key) if facts.key else None
         return account or self._denied(401, 'unknown key')
 
@@ -115,6 +122,7 @@
     async def _charge(
         self,
         account: AccountSpec | None,
+        route: RouteSpec,
         facts: CallFacts,
     ) -> Refused | None:
         if account is None or account.rate <= 0:
@@ -126,26 +134,45 @@
         holder.note_demand(account, cost, now_s())
         if holder.spend(account, cost, now_s()):
             return None
-        holder.wait(account, cost, now_s())
-        try:
-            if await self._wait_for_tokens(account, cost):
-                return None
-        finally:
-            holder.wait(account, -cost, now_s())
         entries = self._state.view.entries
-        wait_s = holder.wait_s(account, cost, entries)
+        wait_s = holder.wait_s(account, cost, entries, now_s())
+        longest_s = TOKEN_WAIT_PART * route.objective_s
+        if wait_s < longest_s:
+            holder.wait(account, cost, now_s())
+            try:
+                if await self._wait_for_tokens(account, cost, longest_s):
+                    return None
+            finally:
+                holder.wait(account, -cost, now_s())
         reason = f'{account.name} is over its quota by {cost:.0f}'
+        wait_s = min(LONGEST_RETRY_S, max(ROUND_TRIP_S, wait_s))
         return Refused(429, reason, wait_s)
 
     async def _wait_for_tokens(
         self,
         account: AccountSpec,
         cost: float,
+        longest_s: float,
     ) -> bool:
-        give_up_at = now_s() + TOKEN_WAIT_S
+        give_up_at = now_s() + max(longest_s, ROUND_TRIP_S)
         while now_s() < give_up_at:
             self._state.ask_leader()
             await self._state.wait_for_news(POLL_S)
             if self._state.tokens.spend(account, cost, now_s()):
                 return True
         return False
+
+    async def _wait_for_config(
+        self,
+        facts: CallFacts,
+        arrived: float,
+    ) -> DeploymentIndex | None:
+        """Wait a while for the leader, as after a start of all VMs."""
+        patience_s = facts.deadline_s or DEFAULT_PATIENCE_S
+        give_up_at = arrived + patience_s * NEWS_WAIT_PART
+        state = self._state
+        while now_s() < give_up_at:
+            if state.view.index and state.is_confirmed(now_s()):
+                break
+            await state.wait_for_news(POLL_S)
+        return state.view.index
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -155,7 +155,7 @@
         return encode_head(line, headers) + job.req.body
 
     def _lost(self, event: object) -> Ended:
-        self._state.health.unreachable(self._target, now_s())
+        self._state.health.failed(self._target, now_s())
         end = End.BROKEN if self._relay.started else End.FAILED
         detail = event.detail if isinstance(event, AnswerBroken) else 'ended'
         return Ended(end, detail)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -140,6 +140,7 @@
             state.work.take_uses(),
             self._draining.is_set(),
             state.work.take_missing(),
+            state.health.shut(now_s()),
         )
 
     def _on_reply(self, reply: SyncReply, asked_at: float) -> None:
