--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -156,6 +156,7 @@
             present=tuple(one.beat.target for one in everything),
             entries=len(self._entries),
             led_s=now - self._led_since,
+            orders_in_s=max(0.0, self._led_since + self._wait_s - now),
         )
 
     def expire(self, now: float) -> list[TargetName]:
--- a/packages/lovagemast-core/src/lovagemast_core/quota/_holder.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quota/_holder.py
@@ -82,6 +82,11 @@
         """Count tokens that a request waits for, or no longer does."""
         self._account(account.name, now).waiting += cost
 
+    def is_waiting(self, account: AccountSpec) -> bool:
+        """Return whether requests of an account wait for tokens."""
+        state = self._accounts.get(account.name)
+        return state is not None and state.waiting > 0
+
     def add(self, lot: TokenLot, now: float) -> None:
         """Hold tokens that the leader sent."""
         state = self._account(lot.account, now)
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
@@ -102,3 +102,4 @@
     entries: int = 1  # entry VMs that are in step
     control: tuple[VmName, ...] = ()
     led_s: float = 0.0  # how long the leader has led
+    orders_in_s: float = 0.0  # until it may give orders to engines
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_admission.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_admission.py
@@ -137,13 +137,11 @@
         entries = self._state.view.entries
         wait_s = holder.wait_s(account, cost, entries, now_s())
         longest_s = TOKEN_WAIT_PART * route.objective_s
-        if wait_s < longest_s:
-            holder.wait(account, cost, now_s())
-            try:
-                if await self._wait_for_tokens(account, cost, longest_s):
-                    return None
-            finally:
-                holder.wait(account, -cost, now_s())
+        if wait_s >= longest_s:
+            # Behind others it is hopeless; alone, the leader may have plenty.
+            longest_s = 0 if holder.is_waiting(account) else ROUND_TRIP_S
+        if await self._wait_for_tokens(account, cost, longest_s):
+            return None
         reason = f'{account.name} is over its quota by {cost:.0f}'
         wait_s = min(LONGEST_RETRY_S, max(ROUND_TRIP_S, wait_s))
         return Refused(429, reason, wait_s)
@@ -154,12 +152,17 @@
         cost: float,
         longest_s: float,
     ) -> bool:
-        give_up_at = now_s() + max(longest_s, ROUND_TRIP_S)
-        while now_s() < give_up_at:
-            self._state.ask_leader()
-            await self._state.wait_for_news(POLL_S)
-            if self._state.tokens.spend(account, cost, now_s()):
-                return True
+        give_up_at = now_s() + longest_s
+        holder = self._state.tokens
+        holder.wait(account, cost, now_s())
+        try:
+            while now_s() < give_up_at:
+                self._state.ask_leader()
+                await self._state.wait_for_news(POLL_S)
+                if holder.spend(account, cost, now_s()):
+                    return True
+        finally:
+            holder.wait(account, -cost, now_s())
         return False
 
     async def _wait_for_config(
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_calls.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_calls.py
@@ -26,6 +26,7 @@
 OBJECTIVES_TO_WAIT: Final = 2.0  # for a target, in latency objectives
 PART_TO_WAIT: Final = 0.3  # of the time that the caller waits
 RETRY_SOON_S: Final = 0.2
+LOAD_S: Final = 0.4  # of an adapter, and the way to the leader
 CONNECTIONS_PART: Final = 0.9  # of a target's limit, over all entry VMs
 
 
@@ -196,6 +197,9 @@
                     return choice.candidate
                 if now >= give_up_at:
                     return self._not_run('no target is free')
+                orders_at = self._state.view.orders_at
+                if not choice.holders and orders_at > give_up_at:
+                    return self._not_loaded(now)
                 if self._need.adapter and not choice.holders and not waiting:
                     waiting = True
                     self._state.work.waits(*self._need, 1)
@@ -205,6 +209,13 @@
             if waiting:
                 self._state.work.waits(*self._need, -1)
 
+    def _not_loaded(self, now: float) -> Refused:
+        """Refuse at once what no target will hold in time."""
+        if self._runs:
+            return Refused(502, 'no other target holds the adapter')
+        wait_s = self._state.view.orders_at - now + LOAD_S
+        return Refused(503, 'no adapter can be loaded yet', wait_s)
+
     def _give_up_at(self) -> float:
         job = self._job
         if self._relay.started:
