--- a/packages/lovagemast-core/src/lovagemast_core/_election.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_election.py
@@ -8,8 +8,8 @@
 from ._progress import majority_of
 from ._replicastate import ReplicaState, Role, vm_of
 
-ELECTION_TIMEOUT_S: Final = 0.9
-ELECTION_SPREAD_S: Final = 0.6
+ELECTION_TIMEOUT_S: Final = 0.6
+ELECTION_SPREAD_S: Final = 0.4
 
 
 class Election:
--- a/packages/lovagemast-core/src/lovagemast_core/_leadership.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_leadership.py
@@ -16,7 +16,7 @@
 from ._replicastate import ReplicaState, Role, vm_of
 from ._timeline import EventKind
 
-HEARTBEAT_S: Final = 0.15
+HEARTBEAT_S: Final = 0.12
 LOST_VOTER_S: Final = 6.0  # silence after which a surplus voter is removed
 
 
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_engine.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_engine.py
@@ -31,6 +31,7 @@
         self.changed_at = 0.0  # s, when an order last took effect
         self.report_due = 0.0
         self.shut_until = 0.0  # s, as entry VMs could not reach it
+        self.heard_at = 0.0  # s
         self._recent: dict[tuple[str, str], None] = {}  # the oldest first
         self._uncertain: list[tuple[float, AdapterLabel]] = []
         for text in beat.adapters:
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_engines.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_engines.py
@@ -12,6 +12,7 @@
 
 CROWDED: Final = 0.5  # of an engine's slots taken; then copies help
 STORE_BURDEN: Final = 1.0  # what a load from the store counts, in requests/s
+SILENT_S: Final = 2.7  # two heartbeats that did not come
 COMING_BURDEN: Final = 0.5  # for each adapter on its way, in requests/s
 
 Name = tuple[str, str]
@@ -33,7 +34,12 @@
         """Iterate over the engines."""
         return iter(self.by_target.values())
 
-    def follow(self, beat: TargetHeartbeat, pool: PoolSpec | None) -> None:
+    def follow(
+        self,
+        beat: TargetHeartbeat,
+        pool: PoolSpec | None,
+        heard_at: float,
+    ) -> None:
         """Take an engine's newest heartbeat."""
         known = self.by_target.get(beat.target)
         if pool is None or pool.engine is None:
@@ -43,6 +49,8 @@
         else:
             known.beat = beat
             known.spec = pool.engine
+        if beat.target in self.by_target:
+            self.by_target[beat.target].heard_at = heard_at
 
     def refresh(self, uses: list[AdapterUse], now: float) -> None:
         """Note what runs where and who holds what, for one plan."""
@@ -79,7 +87,8 @@
         """Return whether entry VMs send requests to an engine."""
         if engine.beat.leaving or engine.beat.zone in self.zones_out:
             return False
-        return engine.shut_until <= self._now
+        silent = self._now - engine.heard_at > SILENT_S
+        return not silent and engine.shut_until <= self._now
 
     def holders(self, name: Name) -> list[EngineState]:
         """Return the engines that hold an adapter in any version."""
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
@@ -45,9 +45,14 @@
         self._wishes.clear()
         self._uses.clear()
 
-    def follow(self, beat: TargetHeartbeat, pool: PoolSpec | None) -> None:
+    def follow(
+        self,
+        beat: TargetHeartbeat,
+        pool: PoolSpec | None,
+        heard_at: float,
+    ) -> None:
         """Take an engine's newest heartbeat."""
-        self.engines.follow(beat, pool)
+        self.engines.follow(beat, pool, heard_at)
 
     def drop(self, target: TargetName) -> None:
         """Forget an engine that is gone."""
--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -22,7 +22,7 @@
 )
 
 # Below the election timeout, so that no other VM leads meanwhile.
-LEASE_S: Final = 0.8
+LEASE_S: Final = 0.5
 ENTRY_SILENT_S: Final = 2.0
 TAKEOVER_MARGIN_S: Final = 0.2
 
@@ -86,13 +86,13 @@
         }
         self.planner.engines.zones_out = frozenset(published.zones_out)
         for registered in self.registry.all():
-            self._follow_engine(registered.beat)
+            self._follow_engine(registered.beat, registered.heard_at)
 
     def on_heartbeat(self, beat: TargetHeartbeat, now: float) -> bool:
         """Take a target's heartbeat; return whether it was news."""
         if not self.registry.beat(beat, now):
             return False
-        self._follow_engine(beat)
+        self._follow_engine(beat, now)
         return True
 
     def on_departure(self, target: TargetName, now: float) -> None:
@@ -187,9 +187,13 @@
         if self.planner.reported(report, now):
             self.registry.touch(report.target)
 
-    def _follow_engine(self, beat: TargetHeartbeat) -> None:
+    def _follow_engine(
+        self,
+        beat: TargetHeartbeat,
+        heard_at: float,
+    ) -> None:
         pools = self._index.pools if self._index else {}
-        self.planner.follow(beat, pools.get(beat.pool))
+        self.planner.follow(beat, pools.get(beat.pool), heard_at)
 
     def _record(
         self,
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_choice.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_choice.py
@@ -10,6 +10,7 @@
 
 CROSS_ZONE_COST: Final = 0.04  # in parts of a full target
 FAILURE_COST: Final = 3.0  # for a target that fails all requests
+TRIED_COST: Final = 4.0  # for a target that had the request before
 
 
 class Need(NamedTuple):
@@ -53,13 +54,13 @@
 class Terms(NamedTuple):
     """What decides between candidates.
 
-    Targets in ``avoid`` had the request before.
+    Targets in ``tried`` had the request before; they come last.
     """
 
     health: TargetHealth
     load_of: Callable[[KnownTarget], float]  # parts of a full target
     may_send: Callable[[KnownTarget], bool]
-    avoid: frozenset[TargetName]
+    tried: frozenset[TargetName]
     zone: ZoneName
 
 
@@ -94,8 +95,7 @@
     holders = [
         candidate
         for candidate in candidates
-        if candidate.target not in terms.avoid
-        and not terms.health.is_shut(candidate.target, now)
+        if not terms.health.is_shut(candidate.target, now)
     ]
     ready = [
         candidate
@@ -113,6 +113,8 @@
 def _cost(candidate: Candidate, terms: Terms, now: float) -> float:
     cost = terms.load_of(candidate.known)
     cost += FAILURE_COST * terms.health.failure_part(candidate.target, now)
+    if candidate.target in terms.tried:
+        cost += TRIED_COST
     if candidate.known.record.zone != terms.zone:
         cost += CROSS_ZONE_COST
     return cost
--- a/packages/lovagemast-core/src/lovagemast_core/quota/_holder.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quota/_holder.py
@@ -8,7 +8,7 @@
 from ..targets import TokenLot, TokenWish
 
 DEMAND_WINDOW_S: Final = 2.0  # over which demand is averaged
-HOLD_S: Final = 2.0  # of demand, which bridges the election of a leader
+HOLD_S: Final = 1.5  # of demand, which bridges the election of a leader
 RATE_PART: Final = 0.9  # of a second's rate, held by all entry VMs together
 SLACK_PART: Final = 0.4  # held by all entry VMs together
 LEAST_RATE: Final = 1.0  # tokens a second
--- a/packages/lovagemast-core/src/lovagemast_core/quota/_issuer.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quota/_issuer.py
@@ -20,8 +20,8 @@
 BURST_PART: Final = 0.9  # the rest is for what entry VMs hold
 SLACK_PART: Final = 0.5
 # Below the election timeout by more than the start of a bucket is worth.
-ISSUE_LEASE_S: Final = 0.4
-START_S: Final = 0.5  # of an account's rate
+ISSUE_LEASE_S: Final = 0.35
+START_S: Final = 0.25  # of an account's rate
 
 
 class _Bucket:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -21,7 +21,7 @@
 from ._entrystate import EntryState
 from ._relay import Relay
 
-CONNECT_TIMEOUT_S: Final = 0.4
+CONNECT_TIMEOUT_S: Final = 0.2
 FULL_PAUSE_S: Final = 0.03  # before a target that was full is tried again
 MISPLACED_PAUSE_S: Final = 0.5  # another target has the address
 SERVER_FAILURE: Final = 500
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_calls.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_calls.py
@@ -177,8 +177,6 @@
             return self._not_run('targets are full')
         if not self._state.retries.take(self._state.view.entries, now_s()):
             return unsure if self._runs else self._not_run('no retries left')
-        if ended.end is End.NOT_RUN and not self._runs:
-            self._tried.clear()
         return None
 
     def _not_run(self, reason: str) -> Refused:
@@ -187,27 +185,46 @@
         return Refused(503, reason, RETRY_SOON_S)
 
     async def _find_target(self) -> Candidate | Refused:
+        """Wait for a target, and for its adapter to be loaded."""
         give_up_at = self._give_up_at()
-        waiting = False
+        waits = False
         try:
             while True:
                 now = now_s()
                 choice = self._choose(now)
                 if isinstance(choice, Choice):
                     return choice.candidate
-                if now >= give_up_at:
-                    return self._not_run('no target is free')
-                orders_at = self._state.view.orders_at
-                if not choice.holders and orders_at > give_up_at:
-                    return self._not_loaded(now)
-                if self._need.adapter and not choice.holders and not waiting:
-                    waiting = True
-                    self._state.work.waits(*self._need, 1)
-                    self._state.ask_leader()
+                refused = self._is_hopeless(choice, give_up_at, now)
+                if refused:
+                    return refused
+                if not waits and self._lacks_adapter(choice):
+                    waits = True
+                    self._wish(1)
                 await self._state.wait_for_news(_pause_s(choice, now))
         finally:
-            if waiting:
-                self._state.work.waits(*self._need, -1)
+            if waits:
+                self._wish(-1)
+
+    def _lacks_adapter(self, choice: NoChoice) -> bool:
+        return bool(self._need.adapter) and not choice.holders
+
+    def _wish(self, change: int) -> None:
+        """Tell the leader that a request waits for an adapter."""
+        self._state.work.waits(*self._need, change)
+        self._state.ask_leader()
+
+    def _is_hopeless(
+        self,
+        choice: NoChoice,
+        give_up_at: float,
+        now: float,
+    ) -> Refused | None:
+        if now >= give_up_at:
+            return self._not_run('no target is free')
+        orders_at = self._state.view.orders_at
+        if self._lacks_adapter(choice) and orders_at > give_up_at:
+            return self._not_loaded(now)
+        return None
 
     def _not_loaded(self, now: float) -> Refused:
         """Refuse at once what no target will hold in time."""
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
@@ -7,6 +7,7 @@
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server, Stream
+from h2.exceptions import H2Error
 from lovagemast_core import PeerMessage, PeerReceived
 from lovagemast_core.targets import SyncAsk, SyncReply
 from lovagemast_wire import (
@@ -36,6 +37,7 @@
     OSError,
     GRPCError,
     StreamTerminatedError,
+    H2Error,
     TimeoutError,
     asyncio.IncompleteReadError,
 )
