--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -139,6 +139,7 @@
             for vm, at in self._entries.items()
             if now - at < ENTRY_SILENT_S
         }
+        known_vm = ask.vm in self._entries
         everything = self.registry.all()
         return SyncReply(
             ask.ask,
@@ -155,6 +156,7 @@
             ),
             present=tuple(one.beat.target for one in everything),
             entries=len(self._entries),
+            rank=sorted(self._entries).index(ask.vm) if known_vm else 0,
             led_s=now - self._led_since,
             orders_in_s=max(0.0, self._led_since + self._wait_s - now),
         )
--- a/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
@@ -10,7 +10,7 @@
     find_candidates,
 )
 from ._health import TargetHealth
-from ._limits import ColdLimiter, RetryAllowance
+from ._limits import ColdLimiter, RetryAllowance, Share
 from ._stream import EventCutter
 from ._view import FleetView, KnownTarget
 
@@ -24,6 +24,7 @@
     'Need',
     'NoChoice',
     'RetryAllowance',
+    'Share',
     'TargetHealth',
     'Terms',
     'choose_target',
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_limits.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_limits.py
@@ -1,7 +1,7 @@
 """Shares of fleet-wide limits that each entry VM keeps for itself."""
 
 from collections import deque
-from typing import Final
+from typing import Final, NamedTuple
 
 from .._types import TargetName
 
@@ -9,12 +9,19 @@
 RETRY_WINDOW_S: Final = 10.0
 
 
+class Share(NamedTuple):
+    """An entry VM's place among those that share a limit."""
+
+    rank: int  # from 0
+    entries: int
+
+
 class ColdLimiter:
     """Bounds the requests that a cold target gets each second.
 
     Every entry VM takes an equal part of what the target bears, so that no
-    message is needed; a part below one request a second is stretched over
-    a longer window.
+    message is needed. Where there are more entry VMs than requests to share,
+    only those of the lowest ranks send any.
     """
 
     def __init__(self) -> None:
@@ -24,16 +31,17 @@
         self,
         target: TargetName,
         per_s: float,
-        entries: int,
+        share: Share,
         now: float,
     ) -> bool:
         """Return whether a cold target may get one more request."""
-        part = per_s / max(1, entries)
-        window_s = COLD_WINDOW_S if part >= 1 else COLD_WINDOW_S / part
+        senders = min(share.entries, max(1, int(per_s)))
+        if share.rank >= senders:
+            return False
         sent = self._sent.setdefault(target, deque())
-        while sent and now - sent[0] > window_s:
+        while sent and now - sent[0] > COLD_WINDOW_S:
             sent.popleft()
-        return len(sent) < max(1, int(part * window_s))
+        return len(sent) < max(1, int(per_s / senders))
 
     def note_sent(self, target: TargetName, now: float) -> None:
         """Count a request to a target."""
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
@@ -38,6 +38,7 @@
         self.stamp = 0
         self.term = 0
         self.entries = 1
+        self.rank = 0
         self.control: tuple[VmName, ...] = ()
         self.orders_at = 0.0  # s, from when the leader may give orders
         self._newest: dict[tuple[str, str], tuple[int, float]] = {}
@@ -62,6 +63,7 @@
             self.stamp = 0
         self._apply_targets(reply, now)
         self.entries = max(1, reply.entries)
+        self.rank = reply.rank
         self.orders_at = now + reply.orders_in_s
         if reply.control:
             self.control = reply.control
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
@@ -103,3 +103,4 @@
     control: tuple[VmName, ...] = ()
     led_s: float = 0.0  # how long the leader has led
     orders_in_s: float = 0.0  # until it may give orders to engines
+    rank: int = 0  # of the entry VM among those that are in step
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_calls.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_calls.py
@@ -9,6 +9,7 @@
     KnownTarget,
     Need,
     NoChoice,
+    Share,
     Terms,
     choose_target,
     find_candidates,
@@ -263,7 +264,8 @@
         if not known.is_cold(now):
             return True
         per_s = self._job.pool.cold_per_s
-        return state.cold.may_send(target, per_s, entries, now)
+        share = Share(state.view.rank, entries)
+        return state.cold.may_send(target, per_s, share, now)
 
 
 def _pause_s(choice: NoChoice, now: float) -> float:
--- /dev/null
+++ b/tests/test_adapters.py
@@ -0,0 +1,253 @@
+"""Tests of the leader's plan of adapters."""
+
+import pytest
+from lovagemast_core.adapters import (
+    AdapterLabel,
+    AdapterPlanner,
+    Order,
+    OrderOutcome,
+    OrderResult,
+    TargetReport,
+)
+from lovagemast_core.deployment import EngineSpec, ModelSpec, PoolSpec
+from lovagemast_core.targets import AdapterUse, AdapterWish, TargetHeartbeat
+
+TERM = 3
+SLOTS = 4
+
+
+def make_pool() -> PoolSpec:
+    """Return a pool of small engines."""
+    model = ModelSpec('m', 100.0, 2.0, 1.0)
+    engine = EngineSpec(8, 1_000, 120.0, SLOTS, 4.0, (model,))
+    return PoolSpec('pool', '/health', 10, 0.0, 0.0, engine)
+
+
+class Bench:
+    """A planner with engines that carry out every order at once."""
+
+    def __init__(self, engines: int = 3) -> None:
+        self.now = 100.0
+        self.planner = AdapterPlanner()
+        self.orders: list[Order] = []
+        self.sequences = {f'e{index}': 0 for index in range(engines)}
+        for name in self.sequences:
+            self.beat(name)
+            self.report(name, ())
+
+    def beat(self, name: str, models: tuple[str, ...] = ('m',)) -> None:
+        """Send an engine's heartbeat."""
+        beat = TargetHeartbeat(
+            name,
+            'pool',
+            f'{name}:80',
+            f'z-{name}',
+            8,
+            False,
+            0.0,
+            1,
+            1,
+            models,
+        )
+        self.planner.follow(beat, make_pool(), self.now)
+
+    def report(self, name: str, labels: tuple[AdapterLabel, ...]) -> None:
+        """Report what an engine holds."""
+        self.planner.reported(
+            TargetReport(
+                name,
+                self.sequences[name],
+                busy=False,
+                models=('m',),
+                adapters=labels,
+                coming=(),
+                running=0,
+                waiting=0,
+            ),
+            self.now,
+        )
+
+    def wish(self, adapter: str, demand: float = 1.0) -> None:
+        """Let requests wait for an adapter."""
+        wish = AdapterWish('pool', 'm', adapter, 1, demand)
+        self.planner.note_wishes((wish,), self.now)
+
+    def plan(self) -> list[Order]:
+        """Return the orders that are due now."""
+        orders = self.planner.plan(TERM, self.now)
+        self.orders.extend(orders)
+        return orders
+
+    def answer(
+        self,
+        order: Order,
+        result: OrderResult = OrderResult.ACCEPTED,
+    ) -> None:
+        """Let an engine answer an order."""
+        if result in {OrderResult.ACCEPTED, OrderResult.HOLDS}:
+            self.sequences[order.target] += 1
+        self.planner.answered(OrderOutcome(order, result), self.now)
+
+    def load(self, adapter: str) -> str:
+        """Load an adapter and return the engine that has it."""
+        for _round in range(3):
+            self.now += 0.5
+            self.beat_all()
+            self.wish(adapter)
+            for order in self.plan():
+                self.answer(order)
+                if order.load and order.adapter == adapter:
+                    self.now += 0.5
+                    return order.target
+        raise AssertionError(f'{adapter} was not loaded')
+
+    def beat_all(self) -> None:
+        """Keep all engines alive."""
+        for name in self.sequences:
+            self.beat(name)
+
+
+class TestLoads:
+    def test_one_load_for_one_adapter(self) -> None:
+        """Plans made before the engine answers order nothing twice."""
+        bench = Bench()
+        bench.wish('a1')
+        bench.plan()
+        bench.wish('a1')
+        bench.plan()
+        assert len(bench.orders) == 1
+
+    def test_loads_in_flight_are_bounded(self) -> None:
+        """No more adapters are on their way than the store carries."""
+        bench = Bench(engines=20)
+        for index in range(20):
+            bench.wish(f'a{index}')
+        assert len(bench.plan()) == 8
+
+    def test_precondition_counts_accepted_orders(self) -> None:
+        """Each order names how many the engine accepted before."""
+        bench = Bench(engines=1)
+        bench.load('a1')
+        bench.wish('a2')
+        assert bench.plan()[0].precondition == 1
+
+    def test_no_order_while_one_is_unanswered(self) -> None:
+        """An engine gets one order at a time."""
+        bench = Bench(engines=1)
+        bench.wish('a1')
+        bench.plan()
+        bench.wish('a2')
+        assert bench.plan() == []
+
+    def test_unknown_outcome_needs_a_report(self) -> None:
+        """After a lost answer nothing is ordered until a report came."""
+        bench = Bench(engines=1)
+        bench.wish('a1')
+        bench.answer(bench.plan()[0], OrderResult.UNKNOWN)
+        bench.wish('a1')
+        assert bench.plan() == []
+        bench.now += 0.3
+        bench.report('e0', ())
+        bench.wish('a1')
+        assert len(bench.plan()) == 1
+
+    def test_unanswered_load_keeps_its_place(self) -> None:
+        """A load that may still take effect counts as a place taken."""
+        bench = Bench(engines=1)
+        bench.wish('a1')
+        bench.answer(bench.plan()[0], OrderResult.UNKNOWN)
+        engine = bench.planner.get('e0')
+        assert engine
+        assert engine.places_taken(bench.now + 5.0) == 1
+        assert engine.places_taken(bench.now + 14.0) == 0
+
+    def test_empty_engine_gets_its_model(self) -> None:
+        """An engine that restarted empty is ordered to load the model."""
+        bench = Bench(engines=1)
+        bench.planner.drop('e0')
+        bench.beat('e0', models=())
+        engine = bench.planner.get('e0')
+        assert engine
+        engine.sequence = 0
+        assert bench.plan()[0].label == AdapterLabel('m', '')
+
+
+class TestEviction:
+    def fill(self, bench: Bench) -> list[str]:
+        """Fill the only engine."""
+        names = [f'a{index}' for index in range(SLOTS)]
+        for name in names:
+            bench.load(name)
+        return names
+
+    def test_idle_adapter_makes_room(self) -> None:
+        """A full engine unloads the idle adapter with the least demand."""
+        bench = Bench(engines=1)
+        names = self.fill(bench)
+        bench.planner.note_wishes(
+            tuple(AdapterWish('pool', 'm', name, 0, 9.0) for name in names[1:]),
+            bench.now,
+        )
+        bench.wish('new')
+        order = bench.plan()[0]
+        assert (order.load, order.adapter) == (False, names[0])
+
+    def test_adapter_in_use_stays(self) -> None:
+        """Nothing is unloaded while requests run on everything."""
+        bench = Bench(engines=1)
+        names = self.fill(bench)
+        uses = tuple(
+            AdapterUse('e0', str(AdapterLabel('m', name)), 1, 0)
+            for name in names
+        )
+        bench.planner.note_uses('vm', uses, bench.now)
+        bench.wish('new')
+        assert bench.plan() == []
+
+
+class TestPlaces:
+    def test_engine_that_held_it_lately(self) -> None:
+        """An adapter returns to the engine that loads it fast."""
+        bench = Bench()
+        home = bench.load('a1')
+        engine = bench.planner.get(home)
+        assert engine
+        engine.ready_at.clear()
+        assert bench.load('a1') == home
+
+    @pytest.mark.parametrize('kind', ['zone', 'shut', 'silent'])
+    def test_loaded_elsewhere(self, kind: str) -> None:
+        """An engine that cannot be used does not count as a holder."""
+        bench = Bench()
+        home = bench.load('a1')
+        bench.now += 3.0
+        for name in bench.sequences:
+            if name != home or kind != 'silent':
+                bench.beat(name)
+        if kind == 'zone':
+            bench.planner.engines.zones_out = frozenset((f'z-{home}',))
+        if kind == 'shut':
+            bench.planner.note_shut((home,), bench.now)
+        bench.wish('a1')
+        orders = bench.plan()
+        assert [order.adapter for order in orders] == ['a1']
+        assert orders[0].target != home
+
+    def test_crowded_adapter_gets_a_copy(self) -> None:
+        """A popular adapter is copied once its engine is crowded."""
+        bench = Bench()
+        home = bench.load('a1')
+        use = AdapterUse(home, 'm/a1@0', 6, 0)
+        bench.planner.note_uses('vm', (use,), bench.now)
+        orders = bench.plan()
+        assert [order.adapter for order in orders] == ['a1']
+
+    def test_named_version_is_loaded_elsewhere(self) -> None:
+        """A newer version comes without stopping the one that serves."""
+        bench = Bench()
+        home = bench.load('a1')
+        bench.beat_all()
+        bench.planner.engines.newest = {('m', 'a1'): 2}
+        orders = bench.plan()
+        assert orders[0].version == 2
+        assert orders[0].target != home
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,345 @@
+"""Tests of control VMs over an in-memory network."""
+
+import random
+
+import pytest
+from lovagemast_core import (
+    Applied,
+    Conflict,
+    Outcome,
+    PersistLog,
+    PublishedState,
+    PutConfig,
+    SendPeer,
+    SetZoneOut,
+    StoredLog,
+)
+from lovagemast_core.control import (
+    LEASE_S,
+    CommandDone,
+    ControlConfig,
+    ControlNode,
+    ReadDone,
+)
+from lovagemast_core.targets import SyncAsk, TargetHeartbeat
+
+STEP_S = 0.01
+TAKEOVER_S = 3.0
+VMS = ('c1', 'c2', 'c3')
+
+
+class Cluster:
+    """Control VMs whose messages and syncs arrive one step later."""
+
+    def __init__(self, vms: tuple[str, ...] = VMS, seed: int = 1) -> None:
+        self.now = 100.0
+        self.rng = random.Random(seed)
+        self.nodes: dict[str, ControlNode] = {}
+        self.disks: dict[str, _Disk] = {}
+        self.cut: set[str] = set()
+        self.frozen: set[str] = set()
+        self.answers: dict[int, Outcome] = {}
+        self.reads: dict[int, PublishedState | None] = {}
+        self._mail: list[tuple[str, str, object]] = []
+        self._synced: list[tuple[str, int]] = []
+        for vm in vms:
+            self.disks[vm] = _Disk(f'{vm}#first')
+            self.start(vm, bootstrap=True)
+
+    def start(self, vm: str, *, bootstrap: bool = False) -> None:
+        """Start a VM's process from its disk."""
+        cfg = ControlConfig(
+            vm,
+            self.disks[vm].to_stored(),
+            VMS,
+            bootstrap,
+            3,
+            TAKEOVER_S,
+            0.0,
+            self.now,
+        )
+        rng = random.Random(self.rng.random())
+        self.nodes[vm] = ControlNode(cfg, lambda _document: None, rng)
+
+    def stop(self, vm: str) -> None:
+        """Kill a VM's process; its disk stays."""
+        self.nodes.pop(vm)
+        self._mail = [mail for mail in self._mail if vm not in mail[:2]]
+        self._synced = [one for one in self._synced if one[0] != vm]
+
+    def wipe(self, vm: str) -> None:
+        """Give a VM an empty disk."""
+        self.disks[vm] = _Disk(f'{vm}#{self.rng.getrandbits(32)}')
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        for _step in range(round(seconds / STEP_S)):
+            self.now += STEP_S
+            mail, self._mail = self._mail, []
+            synced, self._synced = self._synced, []
+            for vm, batch in synced:
+                self.nodes[vm].synced(batch, self.now)
+            for sender, vm, message in mail:
+                self._deliver(sender, vm, message)
+            for vm, node in list(self.nodes.items()):
+                if vm not in self.frozen:
+                    node.tick(self.now)
+            self.collect()
+
+    def collect(self) -> None:
+        """Carry out what the nodes want."""
+        for vm, node in self.nodes.items():
+            for effect in node.drain():
+                self._perform(vm, effect)
+
+    def leader(self) -> str:
+        """Return the VM that leads the latest term."""
+        leading = [vm for vm, node in self.nodes.items() if node.serves()]
+        return max(leading, key=lambda vm: self.nodes[vm].replica.term)
+
+    def change(self, vm: str, command: object) -> int:
+        """Let an operator send a change to a VM."""
+        call = self.rng.getrandbits(40)
+        self.nodes[vm].propose(call, command, self.now)  # type: ignore[arg-type]
+        self.collect()
+        return call
+
+    def read(self, vm: str) -> int:
+        """Let an operator read the configuration at a VM."""
+        call = self.rng.getrandbits(40)
+        self.nodes[vm].read(call, self.now)
+        self.collect()
+        return call
+
+    def _deliver(self, sender: str, vm: str, message: object) -> None:
+        node = self.nodes.get(vm)
+        if node is None or self.cut & {sender, vm}:
+            return
+        if vm in self.frozen:
+            self._mail.append((sender, vm, message))
+            return
+        node.receive(sender, message, self.now)  # type: ignore[arg-type]
+
+    def _perform(self, vm: str, effect: object) -> None:
+        if isinstance(effect, SendPeer):
+            self._mail.append((vm, effect.vm, effect.message))
+        elif isinstance(effect, PersistLog):
+            self.disks[vm].write(effect)
+            self._synced.append((vm, effect.batch))
+        elif isinstance(effect, CommandDone):
+            self.answers[effect.call] = effect.outcome
+        elif isinstance(effect, ReadDone):
+            self.reads[effect.call] = effect.published
+
+
+class _Disk:
+    """What a VM's disk holds, as the log store keeps it."""
+
+    def __init__(self, identity: str) -> None:
+        self.stored = StoredLog(identity)
+
+    def write(self, batch: PersistLog) -> None:
+        stored = self.stored
+        if batch.snapshot:
+            last = batch.snapshot.last_index
+            kept = tuple(one for one in stored.entries if one.log_index > last)
+            stored = stored._replace(snapshot=batch.snapshot, entries=kept)
+        if batch.truncate_from is not None:
+            first = batch.truncate_from
+            kept = tuple(one for one in stored.entries if one.log_index < first)
+            stored = stored._replace(entries=kept)
+        stored = stored._replace(entries=(*stored.entries, *batch.entries))
+        if batch.hard_state:
+            stored = stored._replace(hard_state=batch.hard_state)
+        self.stored = stored
+
+    def to_stored(self) -> StoredLog:
+        return self.stored
+
+
+@pytest.fixture
+def cluster() -> Cluster:
+    """Return a cluster that has elected a leader."""
+    made = Cluster()
+    made.run(2.0)
+    return made
+
+
+def put(revision: int, text: str = 'doc') -> PutConfig:
+    """Return a configuration change."""
+    return PutConfig(revision, f'{text} {revision}')
+
+
+class TestChanges:
+    @pytest.mark.parametrize('vm', VMS)
+    def test_any_vm_takes_changes(self, cluster: Cluster, vm: str) -> None:
+        """A change is acknowledged wherever the operator sends it."""
+        call = cluster.change(vm, put(5))
+        cluster.run(0.3)
+        assert cluster.answers[call] == Applied(5)
+
+    def test_highest_revision_wins(self, cluster: Cluster) -> None:
+        """An older change that arrives late is acknowledged, not applied."""
+        leader = cluster.leader()
+        cluster.change(leader, put(5))
+        call = cluster.change(leader, put(3))
+        cluster.run(0.3)
+        assert cluster.answers[call] == Applied(5)
+        assert cluster.nodes[leader].published.document == 'doc 5'
+
+    def test_resend_is_acknowledged(self, cluster: Cluster) -> None:
+        """The same change sent again gets the same outcome."""
+        leader = cluster.leader()
+        calls = [cluster.change(leader, put(5)) for _send in range(2)]
+        cluster.run(0.3)
+        assert [cluster.answers[call] for call in calls] == [Applied(5)] * 2
+
+    def test_other_content_is_refused(self, cluster: Cluster) -> None:
+        """A held revision does not take other content."""
+        leader = cluster.leader()
+        cluster.change(leader, put(5))
+        call = cluster.change(leader, put(5, 'other'))
+        cluster.run(0.3)
+        assert isinstance(cluster.answers[call], Conflict)
+        assert cluster.nodes[leader].published.document == 'doc 5'
+
+    def test_survives_all_being_killed(self, cluster: Cluster) -> None:
+        """What was acknowledged is there after all VMs restart."""
+        call = cluster.change(cluster.leader(), put(5))
+        cluster.run(0.3)
+        assert cluster.answers[call] == Applied(5)
+        for vm in VMS:
+            cluster.stop(vm)
+        for vm in VMS:
+            cluster.start(vm)
+        cluster.run(3.0)
+        assert cluster.nodes[cluster.leader()].published.revision == 5
+
+    def test_survives_a_lost_disk(self, cluster: Cluster) -> None:
+        """The leader loses its disk right after it acknowledged."""
+        leader = cluster.leader()
+        call = cluster.change(leader, SetZoneOut('z1', True))
+        cluster.run(0.1)
+        assert call in cluster.answers
+        cluster.stop(leader)
+        cluster.wipe(leader)
+        cluster.start(leader)
+        cluster.run(4.0)
+        assert cluster.nodes[leader].published.zones_out == ('z1',)
+        assert len(cluster.nodes[leader].replica.voter_vms) == 3
+
+    def test_empty_disks_do_not_form_a_group(self) -> None:
+        """Only the first start of the whole system makes a new group."""
+        cluster = Cluster()
+        for vm in VMS:
+            cluster.stop(vm)
+            cluster.wipe(vm)
+            cluster.start(vm)
+        cluster.run(4.0)
+        assert not any(node.serves() for node in cluster.nodes.values())
+
+
+class TestReads:
+    def test_read_is_the_newest(self, cluster: Cluster) -> None:
+        """A read returns what was acknowledged before."""
+        leader = cluster.leader()
+        cluster.change(leader, put(5))
+        cluster.run(0.3)
+        call = cluster.read(leader)
+        cluster.run(0.3)
+        state = cluster.reads[call]
+        assert state
+        assert state.revision == 5
+
+    @pytest.mark.parametrize('trouble', ['cut', 'frozen'])
+    def test_former_leader_does_not_answer(
+        self,
+        cluster: Cluster,
+        trouble: str,
+    ) -> None:
+        """A leader that was replaced unnoticed answers no read."""
+        old = cluster.leader()
+        getattr(cluster, trouble).add(old)
+        cluster.run(2.5)
+        newer = cluster.leader()
+        assert newer != old
+        cluster.change(newer, put(9))
+        cluster.run(0.3)
+        cluster.frozen.clear()
+        call = cluster.read(old)
+        cluster.run(2.0)
+        assert cluster.reads[call] is None
+
+
+class TestLease:
+    def test_no_lease_behind_a_cut(self, cluster: Cluster) -> None:
+        """A cut-off leader's lease ends before another VM leads."""
+        old = cluster.leader()
+        cluster.cut.add(old)
+        held_until = cluster.now
+        while not any(
+            node.serves() for vm, node in cluster.nodes.items() if vm != old
+        ):
+            cluster.run(STEP_S)
+            if cluster.nodes[old].has_lease(cluster.now):
+                held_until = cluster.now
+        assert held_until < cluster.now
+
+    def test_freeze_counts(self, cluster: Cluster) -> None:
+        """A leader that wakes from a freeze has no lease any more."""
+        old = cluster.leader()
+        cluster.frozen.add(old)
+        cluster.run(LEASE_S + 0.1)
+        assert not cluster.nodes[old].has_lease(cluster.now)
+
+    @pytest.mark.parametrize('seed', range(5))
+    def test_orders_wait_for_the_former_holder(self, seed: int) -> None:
+        """A new leader gives no order while the last ones may arrive."""
+        cluster = Cluster(seed=seed)
+        cluster.run(2.0)
+        old = cluster.leader()
+        cluster.stop(old)
+        cluster.run(2.5)
+        newer = cluster.nodes[cluster.leader()]
+        ask = SyncAsk(1, 'entry', 'z1', 0, 0, 0)
+        wait_s = newer.on_ask(ask, cluster.now).orders_in_s
+        assert wait_s > 0
+        led_s = newer.on_ask(ask, cluster.now).led_s
+        assert led_s + wait_s >= TAKEOVER_S
+
+    def test_same_holder_goes_on(self, cluster: Cluster) -> None:
+        """A leader that is elected again need not wait for itself."""
+        old = cluster.leader()
+        others = [vm for vm in VMS if vm != old]
+        for vm in others:
+            cluster.stop(vm)
+        cluster.run(1.5)
+        assert not cluster.nodes[old].serves()
+        for vm in others:
+            cluster.start(vm)
+        cluster.run(2.5)
+        node = cluster.nodes[cluster.leader()]
+        reply = node.on_ask(SyncAsk(1, 'entry', 'z1', 0, 0, 0), cluster.now)
+        assert (reply.orders_in_s > 0) is (cluster.leader() != old)
+
+
+class TestTargets:
+    def test_other_vms_point_to_the_leader(self, cluster: Cluster) -> None:
+        """An entry VM learns the leader from any control VM."""
+        leader = cluster.leader()
+        other = next(vm for vm in VMS if vm != leader)
+        ask = SyncAsk(1, 'entry', 'z1', 0, 0, 0)
+        reply = cluster.nodes[other].on_ask(ask, cluster.now)
+        assert (reply.leads, reply.leader) == (False, leader)
+
+    def test_news_only_once(self, cluster: Cluster) -> None:
+        """A target is sent in full until the entry VM has it."""
+        node = cluster.nodes[cluster.leader()]
+        beat = TargetHeartbeat('t1', 'p', 'h:1', 'z', 8, False, 0.0, 1, 1)
+        node.on_heartbeat(beat, cluster.now)
+        first = node.on_ask(SyncAsk(1, 'e', 'z', 0, 0, 0), cluster.now)
+        assert [record.target for record in first.targets] == ['t1']
+        ask = SyncAsk(2, 'e', 'z', 0, first.stamp, first.term)
+        second = node.on_ask(ask, cluster.now)
+        assert second.targets == ()
+        assert second.present == ('t1',)
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,224 @@
+"""Tests of what entry VMs decide by themselves."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from lovagemast_core import PublishedState
+from lovagemast_core.entry import (
+    Choice,
+    ColdLimiter,
+    EventCutter,
+    FleetView,
+    KnownTarget,
+    Need,
+    NoChoice,
+    RetryAllowance,
+    Share,
+    TargetHealth,
+    Terms,
+    choose_target,
+    find_candidates,
+)
+from lovagemast_core.targets import (
+    ResidentAdapter,
+    SyncReply,
+    TargetRecord,
+)
+
+NOW = 50.0
+
+
+def make_view(*records: TargetRecord, out: tuple[str, ...] = ()) -> FleetView:
+    """Return a view of some targets."""
+    view = FleetView()
+    reply = SyncReply(1, True, 'c', 1, 0.0, PublishedState(1, zones_out=out))
+    view.apply(reply._replace(targets=records), NOW - 5, NOW - 5)
+    return view
+
+
+def make_record(target: str, **changes: object) -> TargetRecord:
+    """Return an engine that holds ``m/a1``."""
+    record = TargetRecord(
+        target,
+        'pool',
+        f'{target}:80',
+        'z1',
+        1,
+        8,
+        leaving=False,
+        cold_s=0.0,
+        models=('m',),
+        adapters=(ResidentAdapter('m/a1@0', 0.0),),
+    )
+    return record._replace(**changes)  # type: ignore[arg-type]
+
+
+def choose(
+    view: FleetView,
+    loads: dict[str, float],
+    health: TargetHealth | None = None,
+    tried: frozenset[str] = frozenset(),
+    adapter: str = 'a1',
+) -> Choice | NoChoice:
+    """Choose among the targets of a view."""
+    terms = Terms(
+        health or TargetHealth(),
+        lambda known: loads.get(known.record.target, 0.0),
+        lambda _known: True,
+        tried,
+        'z1',
+    )
+    need = Need('pool', 'm', adapter)
+    return choose_target(find_candidates(view, need, NOW), terms, NOW)
+
+
+def target_of(choice: Choice | NoChoice) -> str | None:
+    """Return the chosen target."""
+    return choice.candidate.target if isinstance(choice, Choice) else None
+
+
+class TestChoice:
+    def test_least_loaded(self) -> None:
+        """The target with the least load is chosen."""
+        view = make_view(make_record('t1'), make_record('t2'))
+        assert target_of(choose(view, {'t1': 0.5, 't2': 0.2})) == 't2'
+
+    @pytest.mark.parametrize(
+        'changes',
+        [
+            {'leaving': True},
+            {'zone': 'z2'},
+            {'pool': 'other'},
+            {'adapters': ()},
+        ],
+    )
+    def test_unusable(self, changes: dict[str, object]) -> None:
+        """Leaving, taken out, foreign and adapterless targets are left."""
+        view = make_view(make_record('t1', **changes), out=('z2',))
+        assert target_of(choose(view, {})) is None
+
+    def test_waits_for_a_load(self) -> None:
+        """The time is told at which an adapter on its way is ready."""
+        coming = (ResidentAdapter('m/a1@0', 5.5),)
+        choice = choose(make_view(make_record('t1', adapters=coming)), {})
+        assert choice == NoChoice(1, NOW + 0.5)
+
+    def test_failing_target_gets_less(self) -> None:
+        """A target that fails requests is chosen only at higher load."""
+        health = TargetHealth()
+        for _failure in range(6):
+            health.failed('t1', NOW)
+        view = make_view(make_record('t1'), make_record('t2'))
+        assert target_of(choose(view, {'t2': 0.9}, health)) == 't2'
+
+    def test_unreachable_target_is_left(self) -> None:
+        """A target that could not be reached is set aside for a while."""
+        health = TargetHealth()
+        health.unreachable('t1', NOW)
+        assert (
+            target_of(choose(make_view(make_record('t1')), {}, health)) is None
+        )
+
+    @pytest.mark.parametrize(
+        ('targets', 'chosen'),
+        [(('t1', 't2'), 't2'), (('t1',), 't1')],
+    )
+    def test_tried_target_comes_last(
+        self,
+        targets: tuple[str, ...],
+        chosen: str,
+    ) -> None:
+        """A target that had the request is used only if it is the last."""
+        view = make_view(*(make_record(one) for one in targets))
+        tried = frozenset(('t1',))
+        assert target_of(choose(view, {'t2': 0.9}, tried=tried)) == chosen
+
+    def test_base_model_needs_no_adapter(self) -> None:
+        """Requests for the base model go to any engine that holds it."""
+        view = make_view(make_record('t1', adapters=()))
+        assert target_of(choose(view, {}, adapter='')) == 't1'
+
+
+class TestColdLimiter:
+    @pytest.mark.parametrize(
+        ('per_s', 'entries'),
+        [(19.0, 6), (19.0, 61), (2.0, 6), (20.0, 1)],
+    )
+    def test_sum_stays_bounded(self, per_s: float, entries: int) -> None:
+        """All entry VMs together send no more than a target bears."""
+        limiters = [ColdLimiter() for _entry in range(entries)]
+        sent: list[float] = []
+        for tick in range(400):
+            now = NOW + tick * 0.01
+            for rank, limiter in enumerate(limiters):
+                share = Share(rank, entries)
+                if limiter.may_send('t1', per_s, share, now):
+                    limiter.note_sent('t1', now)
+                    sent.append(now)
+        for start in sent:
+            window = [at for at in sent if 0 <= at - start < 1.0]
+            assert len(window) <= per_s * 1.5 + 5
+
+
+class TestRetryAllowance:
+    def test_part_of_requests_and_slack(self) -> None:
+        """Retries stay below a part of the requests plus the slack."""
+        allowance = RetryAllowance(0.1, 6.0, 10.0)
+        for _request in range(50):
+            allowance.note_request(NOW)
+        granted = sum(allowance.take(2, NOW) for _try in range(100))
+        assert granted == 0.1 * 50 + 6 / 2
+
+
+class TestEventCutter:
+    @given(
+        count=st.integers(1, 8),
+        cuts=st.lists(st.integers(0, 200), max_size=12),
+    )
+    def test_only_whole_events(self, count: int, cuts: list[int]) -> None:
+        """However a stream is cut, whole events come out, once each."""
+        stream = b''.join(
+            b'id: %d\ndata: x%d\n\n' % (n, n) for n in range(count)
+        )
+        places = sorted({min(cut, len(stream)) for cut in cuts})
+        cutter = EventCutter()
+        passed = b''
+        for start, end in zip(
+            [0, *places], [*places, len(stream)], strict=True
+        ):
+            whole = cutter.feed(stream[start:end])
+            assert whole == b'' or whole.endswith(b'\n\n')
+            passed += whole
+        assert passed == stream
+        assert cutter.last_id == str(count - 1)
+
+    def test_partial_event_is_dropped(self) -> None:
+        """The rest of a broken event is not joined to another stream."""
+        cutter = EventCutter()
+        assert cutter.feed(b'id: 1\n\nid: 2\nda') == b'id: 1\n\n'
+        cutter.restart()
+        assert cutter.feed(b'id: 2\ndata\n\n') == b'id: 2\ndata\n\n'
+
+
+class TestHealth:
+    def test_backoff_grows(self) -> None:
+        """Each further failure to connect sets a target aside longer."""
+        health = TargetHealth()
+        health.unreachable('t1', NOW)
+        assert health.is_open('t1', NOW + 0.4)
+        health.unreachable('t1', NOW + 0.4)
+        assert health.is_shut('t1', NOW + 0.9)
+
+    def test_success_clears(self) -> None:
+        """A whole answer ends the backoff."""
+        health = TargetHealth()
+        health.unreachable('t1', NOW)
+        health.succeeded('t1', NOW)
+        assert health.is_open('t1', NOW)
+
+    def test_cold_known(self) -> None:
+        """A target is cold as long as it said when it was heard."""
+        record = make_record('t1', cold_s=2.0)
+        known = KnownTarget(record, {}, NOW)
+        assert known.is_cold(NOW + 1.5)
+        assert not known.is_cold(NOW + 2.5)
--- /dev/null
+++ b/tests/test_quota.py
@@ -0,0 +1,109 @@
+"""Tests of quotas: no more is spent than rate, burst and slack allow."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from lovagemast_core.deployment import AccountSpec
+from lovagemast_core.quota import TokenHolder, TokenIssuer
+from lovagemast_core.targets import TokenLot
+
+SLACK = 17_000.0
+WINDOW_S = 8.0
+OVERAGE = 1.1
+STEP_S = 0.1
+
+
+def make_account(rate: float) -> AccountSpec:
+    """Return an account whose burst is one second of its rate."""
+    return AccountSpec('acme', ('k',), None, rate, rate, True, 100.0)
+
+
+class Fleet:
+    """Entry VMs that spend what one leader after another hands out."""
+
+    def __init__(self, rate: float, vms: int) -> None:
+        self.account = make_account(rate)
+        self.issuer = TokenIssuer(SLACK)
+        self.holders = [TokenHolder(SLACK) for _vm in range(vms)]
+        self.spent: list[tuple[float, float]] = []
+        self.leaderless_until = 0.0
+
+    def elect(self, now: float) -> None:
+        """Replace the leader; none hands out tokens for a lease's time."""
+        self.issuer.restart()
+        self.leaderless_until = now + 0.25
+
+    def step(self, costs: list[float], now: float) -> None:
+        """Let each VM try one request, then ask the leader."""
+        accounts = {self.account.name: self.account}
+        for holder, cost in zip(self.holders, costs, strict=True):
+            holder.note_demand(self.account, cost, now)
+            if holder.spend(self.account, cost, now):
+                self.spent.append((now, cost))
+            if now < self.leaderless_until:
+                continue
+            wishes = holder.wishes(accounts, len(self.holders), now)
+            for lot in self.issuer.issue(wishes, accounts, now):
+                holder.add(lot, now)
+
+    def most_in_window(self) -> float:
+        """Return the most that was spent in any window."""
+        sums = [
+            sum(cost for at, cost in self.spent if 0 <= at - start < WINDOW_S)
+            for start, _cost in self.spent
+        ]
+        return max(sums, default=0.0)
+
+
+class TestBound:
+    @settings(max_examples=25, deadline=None)
+    @given(
+        rate=st.sampled_from([4_200.0, 20_000.0, 52_907.0]),
+        vms=st.integers(1, 12),
+        seed=st.integers(0, 2**32),
+    )
+    def test_never_over_quota(self, rate: float, vms: int, seed: int) -> None:
+        """Heavy demand with elections stays within what is allowed."""
+        rng = random.Random(seed)
+        fleet = Fleet(rate, vms)
+        now = 100.0
+        for _step in range(160):
+            now += STEP_S
+            if rng.random() < 0.02:
+                fleet.elect(now)
+            fleet.step([rng.uniform(50, 8_000) for _vm in range(vms)], now)
+        allowed = (rate * WINDOW_S + rate) * OVERAGE + SLACK
+        assert fleet.most_in_window() <= allowed
+
+    def test_usual_demand_is_served(self) -> None:
+        """Demand of half the rate is not refused once tokens flow."""
+        fleet = Fleet(20_000.0, 4)
+        now = 100.0
+        for _step in range(100):
+            now += STEP_S
+            fleet.step([250.0] * 4, now)
+        assert len(fleet.spent) >= 0.97 * 4 * 100
+
+
+class TestHolder:
+    def test_lot_expires(self) -> None:
+        """Tokens that were not spent in time are gone."""
+        holder = TokenHolder(SLACK)
+        account = make_account(1_000.0)
+        holder.add(TokenLot('acme', 500.0), 10.0)
+        assert not holder.spend(account, 400.0, 14.5)
+
+    def test_waiting_request_is_wished_for(self) -> None:
+        """A request larger than the usual holding is asked for whole."""
+        holder = TokenHolder(0.0)
+        account = make_account(1_000.0)
+        holder.wait(account, 5_000.0, 10.0)
+        wishes = holder.wishes({'acme': account}, 6, 10.0)
+        assert wishes[0].tokens == pytest.approx(5_000.0)
+
+    def test_no_limit(self) -> None:
+        """An account without a rate is never held back."""
+        account = make_account(0.0)
+        assert TokenHolder(SLACK).spend(account, 1e9, 10.0)
