--- a/packages/lovagemast-node/src/lovagemast_node/http/_client.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_client.py
@@ -80,6 +80,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end to whoever waits for an answer."""
         self.is_closed = True
+        self.is_reusable = False
         if not self._busy:
             return
         ends_with_channel = (
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,354 @@
+"""Tests of both HTTP edges at the level of bytes."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+import pytest
+from lovagemast_node.http import (
+    AnswerBroken,
+    AnswerData,
+    AnswerEnd,
+    AnswerHead,
+    ConnectFailed,
+    HttpRequest,
+    HttpServer,
+    Responder,
+    ServerLimits,
+    TargetConnection,
+    TargetPool,
+)
+from lovagemast_node.http._reader import Fault, ReaderLimits, RequestReader
+
+HOST = '127.0.0.1'
+NO_LINGER = struct.pack('ii', 1, 0)  # closing resets the connection
+DEFAULT_LIMITS = ServerLimits()
+LIMITS = ReaderLimits(header_bytes=400, body_bytes=100)
+POST = b'POST /a HTTP/1.1\r\nHost: h\r\n'
+GET = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
+
+
+def read(data: bytes, step: int) -> list[HttpRequest] | Fault:
+    """Read requests from bytes that arrive a few at a time."""
+    reader = RequestReader(LIMITS)
+    found: list[HttpRequest] = []
+    for start in range(0, len(data), step):
+        done = reader.feed(data[start : start + step])
+        if isinstance(done, Fault):
+            return done
+        found.extend(one.req for one in done)
+    return found
+
+
+class TestReader:
+    @pytest.mark.parametrize('step', [1, 7, 10_000])
+    @pytest.mark.parametrize(
+        ('data', 'bodies'),
+        [
+            (GET, [b'']),
+            (GET * 3, [b'', b'', b'']),
+            (
+                b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nxyz',
+                [b'xyz'],
+            ),
+            (
+                b'POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked'
+                b'\r\n\r\n2\r\nxy\r\n1\r\nz\r\n0\r\n\r\n',
+                [b'xyz'],
+            ),
+        ],
+    )
+    def test_whole_requests(
+        self,
+        data: bytes,
+        bodies: list[bytes],
+        step: int,
+    ) -> None:
+        """Requests are read whole, however their bytes arrive."""
+        done = read(data, step)
+        assert not isinstance(done, Fault)
+        assert [req.body for req in done] == bodies
+
+    @pytest.mark.parametrize('step', [1, 10_000])
+    @pytest.mark.parametrize(
+        ('head', 'fault'),
+        [
+            (b'Content-Length: 3\r\nTransfer-Encoding: chunked', 400),
+            (b'Content-Length: 3\r\nContent-Length: 3', 400),
+            (b'Content-Length: 3\r\nContent-Length: 4', 400),
+            (b'Content-Length: +3', 400),
+            (b'Content-Length: 0x3', 400),
+            (b'Content-Length: 3, 3', 400),
+            (b'Transfer-Encoding: chunked, identity', 400),
+            (b'Transfer-Encoding: xchunked', 400),
+            (b'Transfer-Encoding : chunked', 400),
+            (b'Host: other', 400),
+            (b'Content-Length: 101', 413),
+            (b'X-Long: ' + b'x' * 500, 431),
+        ],
+    )
+    def test_refused_heads(self, head: bytes, fault: int, step: int) -> None:
+        """What two readers could take differently is refused."""
+        data = b'POST /a HTTP/1.1\r\nHost: h\r\n' + head + b'\r\n\r\nxyz'
+        assert read(data, step) == Fault(fault)
+
+    @pytest.mark.parametrize(
+        'data',
+        [
+            b'GET /a HTTP/1.1\r\n\r\n',
+            b'GET http://h/a HTTP/1.1\r\nHost: h\r\n\r\n',
+            b'GET /a HTTP/1.1\nHost: h\n\n',
+            b'GET /a HTTP/1.1\r\nHost: h\r\n folded: x\r\n\r\n',
+            b'\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03',
+        ],
+    )
+    def test_not_requests(self, data: bytes) -> None:
+        """Other protocols, missing hosts and odd lines are refused."""
+        assert read(data, 10_000) == Fault.BAD_REQUEST
+
+    def test_chunked_body_is_bounded(self) -> None:
+        """A body without a length ends at the limit."""
+        head = b'POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n'
+        chunk = b'40\r\n' + b'x' * 64 + b'\r\n'
+        assert read(head + b'\r\n' + chunk * 2, 10_000) == Fault(413)
+
+
+Play = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+ANSWER = b'HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok'
+FOREIGN = ANSWER.replace(b'X-Id: 1', b'X-Id: 0').replace(b'ok', b'no')
+
+
+async def call_target(
+    *parts: bytes,
+    reset: bool = False,
+    close: bool = False,
+) -> tuple[list[object], TargetConnection]:
+    """Return what is read of a target that writes some bytes."""
+
+    async def play(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        for part in parts:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        if reset:
+            sock = writer.get_extra_info('socket')
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+            writer.transport.abort()
+        elif close:
+            writer.close()
+        else:
+            await asyncio.sleep(0.2)
+            writer.close()
+
+    server = await asyncio.start_server(play, HOST, 0)
+    port = server.sockets[0].getsockname()[1]
+    conn = await TargetPool().acquire(
+        f'{HOST}:{port}',
+        fresh=False,
+        timeout_s=1.0,
+        now=0.0,
+    )
+    assert isinstance(conn, TargetConnection)
+    conn.send(GET, b'1', b'x-id')
+    events: list[object] = []
+    async with asyncio.timeout(2):
+        while not events or not isinstance(
+            events[-1], (AnswerEnd, AnswerBroken)
+        ):
+            events.append(await conn.event())
+    await asyncio.sleep(0.05)
+    server.close()
+    return events, conn
+
+
+def _is_over(events: list[object]) -> bool:
+    return bool(events) and isinstance(events[-1], (AnswerEnd, AnswerBroken))
+
+
+def body_of(events: list[object]) -> bytes:
+    """Return the body that was passed on."""
+    return b''.join(one.chunk for one in events if isinstance(one, AnswerData))
+
+
+class TestTargetAnswers:
+    @pytest.mark.parametrize(
+        ('parts', 'reusable'),
+        [
+            ((ANSWER,), True),
+            ((ANSWER[:30], ANSWER[30:]), True),
+            ((ANSWER + ANSWER,), False),
+            ((ANSWER, FOREIGN), False),
+            ((ANSWER + b'garbage',), False),
+            ((FOREIGN + ANSWER,), False),
+            ((FOREIGN, ANSWER), False),
+            ((b'HTTP/1.1 100 Continue\r\n\r\n' + ANSWER,), True),
+            ((ANSWER.replace(b'X-Id', b'Connection: close\r\nX-Id'),), False),
+        ],
+    )
+    def test_own_answer_is_found(
+        self,
+        parts: tuple[bytes, ...],
+        reusable: bool,
+    ) -> None:
+        """Crossed and extra answers are skipped; odd connections end."""
+        events, conn = asyncio.run(call_target(*parts))
+        assert isinstance(events[0], AnswerHead)
+        assert events[-1] == AnswerEnd()
+        assert body_of(events) == b'ok'
+        assert conn.is_reusable is reusable
+
+    @pytest.mark.parametrize('reset', [False, True])
+    @pytest.mark.parametrize(
+        'part',
+        [
+            b'',
+            ANSWER[:20],
+            ANSWER[:-1],
+            FOREIGN,
+            ANSWER.replace(
+                b'Content-Length: 2\r\n\r\nok',
+                b'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n',
+            ),
+        ],
+    )
+    def test_broken_is_never_whole(self, part: bytes, reset: bool) -> None:
+        """An answer that ends early is not taken for a whole one."""
+        played = call_target(part, reset=reset, close=not reset)
+        events, conn = asyncio.run(played)
+        assert isinstance(events[-1], AnswerBroken)
+        assert not conn.is_reusable
+
+    @pytest.mark.parametrize(('reset', 'whole'), [(False, True), (True, False)])
+    def test_answer_without_a_length(self, reset: bool, whole: bool) -> None:
+        """It is whole if its connection ends, not if it is reset."""
+        part = ANSWER.replace(b'Content-Length: 2\r\n', b'')
+        played = call_target(part, reset=reset, close=not reset)
+        events, conn = asyncio.run(played)
+        assert (events[-1] == AnswerEnd()) is whole
+        assert not conn.is_reusable
+
+    @pytest.mark.parametrize('part', [b'no answer\r\n\r\n', b'\x00' * 40])
+    def test_garbage(self, part: bytes) -> None:
+        """Bytes that are no answer break the call."""
+        events, _conn = asyncio.run(call_target(part))
+        assert isinstance(events[-1], AnswerBroken)
+
+    def test_nothing_listens(self) -> None:
+        """A refused connection is told from a broken one."""
+
+        async def connect() -> object:
+            return await TargetPool().acquire(
+                f'{HOST}:1',
+                fresh=False,
+                timeout_s=1.0,
+                now=0.0,
+            )
+
+        assert isinstance(asyncio.run(connect()), ConnectFailed)
+
+
+async def with_server(
+    handler: Callable[[HttpRequest, Responder], Awaitable[None]],
+    use: Callable[[HttpServer, int], Awaitable[bytes]],
+    limits: ServerLimits = DEFAULT_LIMITS,
+) -> bytes:
+    """Return what a client reads of a server."""
+    server = HttpServer(handler, limits, lambda: None)
+    await server.listen(HOST, 0)
+    assert server._listener
+    port = server._listener.sockets[0].getsockname()[1]
+    return await use(server, port)
+
+
+async def echo(req: HttpRequest, responder: Responder) -> None:
+    """Answer with the request's path."""
+    await responder.send(200, (), req.path.encode())
+
+
+class TestServer:
+    def test_answers_in_order(self) -> None:
+        """Pipelined requests are answered one after another."""
+
+        async def use(server: HttpServer, port: int) -> bytes:
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(GET + GET.replace(b'/a', b'/b'))
+            first = await reader.readuntil(b'/a')
+            return first + await reader.readuntil(b'/b')
+
+        answers = asyncio.run(with_server(echo, use))
+        assert answers.index(b'/a') < answers.index(b'/b')
+
+    def test_slow_head_times_out(self) -> None:
+        """A head that does not come in time is answered 408."""
+
+        async def use(server: HttpServer, port: int) -> bytes:
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(GET[:10])
+            return await reader.read()
+
+        limits = ServerLimits(header_timeout_s=0.1)
+        answer = asyncio.run(with_server(echo, use, limits))
+        assert answer.startswith(b'HTTP/1.1 408')
+
+    def test_draining_closes_after_the_answer(self) -> None:
+        """The answer under way is whole and says that it is the last."""
+
+        async def slow(req: HttpRequest, responder: Responder) -> None:
+            await asyncio.sleep(0.1)
+            await echo(req, responder)
+
+        async def use(server: HttpServer, port: int) -> bytes:
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(GET)
+            await asyncio.sleep(0.03)
+            server.drain()
+            return await reader.read()
+
+        answer = asyncio.run(with_server(slow, use))
+        assert b'Connection: close' in answer
+        assert answer.endswith(b'/a')
+
+    def test_caller_gone_cancels(self) -> None:
+        """The handler is cancelled when its caller leaves."""
+        ended = []
+
+        async def wait(req: HttpRequest, responder: Responder) -> None:
+            try:
+                await asyncio.sleep(5)
+            finally:
+                ended.append(req.path)
+
+        async def use(server: HttpServer, port: int) -> bytes:
+            _reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(GET)
+            await asyncio.sleep(0.05)
+            writer.close()
+            await asyncio.sleep(0.05)
+            return b''
+
+        asyncio.run(with_server(wait, use))
+        assert ended == ['/a']
+
+    def test_aborted_answer_is_not_whole(self) -> None:
+        """A chunked answer that is given up has no end mark."""
+
+        async def give_up(req: HttpRequest, responder: Responder) -> None:
+            responder.start(200, (), None)
+            await responder.write(b'part')
+            responder.abort()
+
+        async def use(server: HttpServer, port: int) -> bytes:
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(GET)
+            try:
+                return await reader.read()
+            except ConnectionResetError:
+                return b''
+
+        answer = asyncio.run(with_server(give_up, use))
+        assert not answer.endswith(b'0\r\n\r\n')
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,340 @@
+"""Tests of the translation between the platform and the product."""
+
+import json
+from typing import Any
+
+import pytest
+from lovagemast_core.adapters import AdapterLabel, Order, OrderResult
+from lovagemast_core.deployment import CallKind, Deployment
+from lovagemast_node.fleet import (
+    DepartureCall,
+    HeartbeatCall,
+    InvalidCall,
+    NameVersionCall,
+    Outgoing,
+    PutConfigCall,
+    ReadConfigCall,
+    ZoneCall,
+)
+from lovagemast_node.http import AnswerHead, HttpRequest
+from lovagemast_platform._control import PlatformControl
+from lovagemast_platform._deployment import read_deployment
+from lovagemast_platform._edge import PlatformEdge
+from lovagemast_platform._settings import SettingsFile
+
+
+def make_route(**changes: Any) -> dict[str, Any]:
+    """Return a route as operators send it."""
+    route = {
+        'name': 'r1',
+        'hostname': 'Shop.example',
+        'pathPrefix': '/one/',
+        'kind': 'streaming',
+        'timeoutMs': 12_000,
+        'targetLatencyMs': 600,
+        'priority': 1,
+        'service': 's1',
+        'maxAttempts': 2,
+        'public': False,
+        'resumable': True,
+    }
+    return {**route, **changes}
+
+
+def make_config(**changes: Any) -> dict[str, Any]:
+    """Return a configuration as operators send it."""
+    config = {
+        'version': 7,
+        'routes': [make_route()],
+        'services': [{'name': 's1'}, {'name': 's2', 'maxConnections': 9}],
+        'limits': {'idleTimeoutMs': 9_000},
+        'tenants': [
+            {
+                'name': 't1',
+                'apiKeys': ['k1'],
+                'unit': 'token_stream',
+                'ratePerS': 100,
+                'burst': 200,
+                'plainTokens': 20,
+            },
+        ],
+    }
+    return {**config, **changes}
+
+
+class TestDeployment:
+    def test_reads_all(self) -> None:
+        """Fields get the project's names, and times are in seconds."""
+        read = read_deployment(json.dumps(make_config()))
+        assert isinstance(read, Deployment)
+        route = read.routes[0]
+        assert (route.host, route.timeout_s) == ('shop.example', 12.0)
+        assert (route.kind, route.idempotent) == (CallKind.STREAM, True)
+        assert read.limits.idle_timeout_s == 9.0
+        account = read.accounts[0]
+        assert (account.rate, account.by_tokens) == (100.0, True)
+
+    @pytest.mark.parametrize(
+        'config',
+        [
+            make_config(routes=[make_route(service='unknown')]),
+            make_config(routes=[make_route(), make_route(name='r2')]),
+            make_config(routes=[make_route(timeoutMs=0)]),
+            make_config(
+                routes=[
+                    make_route(trafficSplit=[{'service': 's1', 'weight': 0}]),
+                ],
+            ),
+            make_config(
+                tenants=[
+                    {'name': 't1', 'apiKeys': ['k']},
+                    {'name': 't2', 'apiKeys': ['k']},
+                ],
+            ),
+            make_config(version='7'),
+            make_config(routes='none'),
+            {'version': 7},
+            [],
+        ],
+    )
+    def test_invalid(self, config: Any) -> None:
+        """What cannot be served is refused with a reason."""
+        assert isinstance(read_deployment(json.dumps(config)), str)
+
+    def test_cut_short(self) -> None:
+        """A document that ends early is refused."""
+        assert isinstance(read_deployment(json.dumps(make_config())[:-9]), str)
+
+
+def call(method: str, path: str, body: object = None) -> Any:
+    """Return how a call to a control VM is read."""
+    encoded = b'' if body is None else json.dumps(body).encode()
+    return PlatformControl().read_call(HttpRequest(method, path, (), encoded))
+
+
+BEAT = {
+    'service': 's1',
+    'address': '10.0.0.9:80',
+    'zone': 'z1',
+    'slots': 64,
+    'state': 'ready',
+    'coldRemainingMs': 1_500,
+    'sequence': 4,
+    'born': 1_700_000_000_000,
+    'models': [{'name': 'm', 'version': 1, 'adapters': ['a3@2']}],
+}
+
+
+class TestControlCalls:
+    @pytest.mark.parametrize(
+        ('method', 'path', 'kind'),
+        [
+            ('GET', '/config', ReadConfigCall),
+            ('POST', '/evacuations/z1', ZoneCall),
+            ('DELETE', '/evacuations/z1', ZoneCall),
+            ('DELETE', '/instances/i-1', DepartureCall),
+            ('GET', '/other', InvalidCall),
+            ('PUT', '/config', InvalidCall),
+        ],
+    )
+    def test_kinds(self, method: str, path: str, kind: type) -> None:
+        """Each call is told by its method and path."""
+        assert isinstance(call(method, path), kind)
+
+    def test_config(self) -> None:
+        """A configuration keeps the bytes that were sent."""
+        read = call('PUT', '/config', make_config())
+        assert isinstance(read, PutConfigCall)
+        assert json.loads(read.document) == make_config()
+        assert read.revision == 7
+
+    def test_version(self) -> None:
+        """A version names a model and an adapter."""
+        body = {'model': 'm', 'adapter': 'a3', 'version': 2}
+        expected = NameVersionCall('m', 'a3', 2)
+        assert call('POST', '/version-put', body) == expected
+
+    def test_heartbeat(self) -> None:
+        """A heartbeat says what a target holds and how long it is cold."""
+        read = call('PUT', '/instances/i-1', BEAT)
+        assert isinstance(read, HeartbeatCall)
+        assert read.beat
+        assert (read.beat.target, read.beat.cold_s) == ('i-1', 1.5)
+        assert read.beat.adapters == ('m/a3@2',)
+
+    @pytest.mark.parametrize(
+        'changes',
+        [
+            {'born': '1700000000000'},
+            {'born': 1.5},
+            {'born': None},
+            {'state': 'resting'},
+            {'sequence': True},
+            {'address': 'nowhere'},
+            {'slots': 'many'},
+            {'models': {}},
+            {'service': 3},
+        ],
+    )
+    def test_other_writers(self, changes: dict[str, Any]) -> None:
+        """A heartbeat that no target can have sent names none."""
+        read = call('PUT', '/instances/i-1', {**BEAT, **changes})
+        assert read == HeartbeatCall(None)
+
+
+class TestEngineMessages:
+    def test_order(self) -> None:
+        """An order carries what protects it against coming late."""
+        order = Order('i-1', '10.0.0.9:80', True, 'm', 'a3', 2, 5, 9)
+        data = PlatformControl().order_request(order, '10.0.0.1', 'id')
+        head, _, body = data.partition(b'\r\n\r\n')
+        assert b'X-Expect-Instance: i-1' in head
+        assert json.loads(body) == {
+            'operation': 'load',
+            'model': 'm',
+            'adapter': 'a3',
+            'version': 2,
+            'precondition': 5,
+            'holder': '10.0.0.1',
+            'fencingToken': 9,
+        }
+
+    @pytest.mark.parametrize(
+        ('status', 'result'),
+        [
+            (202, OrderResult.ACCEPTED),
+            (200, OrderResult.HOLDS),
+            (409, OrderResult.BUSY),
+            (412, OrderResult.REFUSED),
+            (421, OrderResult.REFUSED),
+        ],
+    )
+    def test_order_answers(self, status: int, result: OrderResult) -> None:
+        """Statuses say whether an order is carried out."""
+        assert PlatformControl().read_order_answer(status) is result
+
+    def test_report(self) -> None:
+        """A report lists what is there and what is on its way."""
+        body = {
+            'models': [{'name': 'm', 'adapters': ['a1@1']}],
+            'busy': False,
+            'sequence': 3,
+            'coming': ['m/a2@1'],
+            'running': 2,
+            'queued': 1,
+        }
+        report = PlatformControl().read_report('i', json.dumps(body).encode())
+        assert report
+        assert report.adapters == (AdapterLabel('m', 'a1', 1),)
+        assert report.coming == (AdapterLabel('m', 'a2', 1),)
+
+
+HEADERS = (
+    (b'Host', b'shop.example'),
+    (b'X-Request-Id', b'r1'),
+    (b'Authorization', b'Bearer k1'),
+    (b'X-Model', b'm/a3'),
+    (b'X-Token-Count', b'100,20'),
+    (b'X-Deadline-Ms', b'1500'),
+    (b'X-Tenant', b'forged'),
+    (b'X-Hold', b'forged'),
+    (b'Kv-From', b'forged'),
+    (b'Connection', b'X-Secret'),
+    (b'X-Secret', b'hop'),
+    (b'X-Kept', b'kept'),
+)
+
+
+class TestEdge:
+    def test_reads_a_call(self) -> None:
+        """The headers say who asks for what, and for how long."""
+        facts = PlatformEdge().read_call(HEADERS)
+        assert facts
+        assert (facts.key, facts.model, facts.adapter) == ('k1', 'm', 'a3')
+        assert (facts.tokens, facts.deadline_s) == (120.0, 1.5)
+
+    @pytest.mark.parametrize(
+        'extra',
+        [b'X-Request-Id', b'Authorization', b'X-Model', b'X-Token-Count'],
+    )
+    def test_doubled_headers(self, extra: bytes) -> None:
+        """A header that two readers could read differently is refused."""
+        headers = (*HEADERS, (extra, b'2'))
+        assert PlatformEdge().read_call(headers) is None
+
+    def test_no_id(self) -> None:
+        """A request without an id is refused."""
+        assert PlatformEdge().read_call(((b'Host', b'h'),)) is None
+
+    def test_headers_for_a_target(self) -> None:
+        """No key, nothing forged and nothing of one connection passes."""
+        outgoing = Outgoing('r1', 'i-1', 't1', 1.25, 2, '12', 3)
+        sent = PlatformEdge().call_headers(HEADERS, outgoing)
+        found = {name.lower(): value for name, value in sent}
+        assert len(found) == len(sent)
+        assert b'authorization' not in found
+        assert b'x-secret' not in found
+        assert b'x-hold' not in found
+        assert found[b'x-tenant'] == b't1'
+        assert found[b'x-kept'] == b'kept'
+        assert found[b'x-deadline-ms'] == b'1250'
+        assert found[b'x-expect-instance'] == b'i-1'
+        assert found[b'x-expect-version'] == b'2'
+        assert found[b'last-event-id'] == b'12'
+
+    @pytest.mark.parametrize(
+        ('status', 'name', 'field'),
+        [
+            (503, b'X-Not-Executed', 'not_executed'),
+            (421, b'X-Instance-Id', 'other_target'),
+            (200, b'X-Server-Stamp', 'stamped'),
+            (200, b'Content-Encoding', 'encoded'),
+        ],
+    )
+    def test_heads(self, status: int, name: bytes, field: str) -> None:
+        """The head of an answer says what it is worth."""
+        head = AnswerHead(status, ((name, b'1'),), 0)
+        assert getattr(PlatformEdge().read_head(head), field) is True
+
+    @pytest.mark.parametrize(
+        ('text', 'running'),
+        [(b'3,1,8', 3), (b'3,1', None), (b'x,y,z', None)],
+    )
+    def test_load(self, text: bytes, running: int | None) -> None:
+        """A load that cannot be read is not known."""
+        head = AnswerHead(200, ((b'X-Server-Load', text),), 0)
+        assert PlatformEdge().read_head(head).running == running
+
+
+SETTINGS: dict[str, Any] = {
+    'node': 'core-1',
+    'ip': '10.0.0.1',
+    'zone': 'z1',
+    'internalPorts': [7600, 7615],
+    'seeds': ['10.0.0.1:8229', '10.0.0.2:8229'],
+    'bootstrap': True,
+    'dataDir': '/data',
+    'listen': {'control': '10.0.0.1:8229', 'front': 'h:1', 'ready': 'h:2'},
+    'faultTolerance': {'machines': 2},
+    'bounds': {'failClosed': True, 'revokeMs': 5_000, 'leaseMs': 3_000},
+    'later': {'unknown': 1},
+}
+
+
+class TestSettings:
+    def test_control(self) -> None:
+        """Seeds are VMs; the tolerated losses give the voters wanted."""
+        cfg = SettingsFile(SETTINGS).to_control()
+        assert cfg.seeds == ('10.0.0.1', '10.0.0.2')
+        assert (cfg.voters_wanted, cfg.takeover_s) == (5, 3.0)
+
+    def test_key_age_is_below_the_bound(self) -> None:
+        """A key is given up before the platform's bound is reached."""
+        cfg = SettingsFile(SETTINGS).to_entry()
+        assert cfg.key_age_s
+        assert cfg.key_age_s < 5.0
+
+    def test_keys_may_stay(self) -> None:
+        """Without the bound, keys are honoured behind a cut."""
+        settings = {**SETTINGS, 'bounds': {'failClosed': False}}
+        assert SettingsFile(settings).to_entry().key_age_s is None
