--- a/packages/lovagemast-core/src/lovagemast_core/quota/_holder.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quota/_holder.py
@@ -11,6 +11,7 @@
 HOLD_S: Final = 1.5  # of demand, which bridges the election of a leader
 RATE_PART: Final = 0.9  # of a second's rate, held by all entry VMs together
 SLACK_PART: Final = 0.4  # held by all entry VMs together
+SHORT_S: Final = 0.3
 LEAST_RATE: Final = 1.0  # tokens a second
 LOT_TTL_S: Final = 4.0  # a lower limit binds once older lots have expired
 
@@ -23,6 +24,7 @@
         self.demand = 0.0  # tokens a second
         self.demand_at = now
         self.waiting = 0.0  # tokens that requests wait for
+        self.short_at = float('-inf')  # s, when the bucket was last empty
         self.granted = 0.0  # tokens a second
         self.granted_at = now
 
@@ -82,16 +84,19 @@
         """Count tokens that a request waits for, or no longer does."""
         self._account(account.name, now).waiting += cost
 
-    def is_waiting(self, account: AccountSpec) -> bool:
-        """Return whether requests of an account wait for tokens."""
-        state = self._accounts.get(account.name)
-        return state is not None and state.waiting > 0
+    def is_short(self, account: AccountSpec, now: float) -> bool:
+        """Return whether the account's bucket was empty a moment ago."""
+        state = self._account(account.name, now)
+        return now - state.short_at < SHORT_S
 
     def add(self, lot: TokenLot, now: float) -> None:
         """Hold tokens that the leader sent."""
         state = self._account(lot.account, now)
-        state.lots.append((now, lot.tokens))
-        state.note_grant(lot.tokens, now)
+        if lot.short:
+            state.short_at = now
+        if lot.tokens > 0:
+            state.lots.append((now, lot.tokens))
+            state.note_grant(lot.tokens, now)
 
     def wishes(
         self,
--- a/packages/lovagemast-core/src/lovagemast_core/quota/_issuer.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quota/_issuer.py
@@ -74,8 +74,8 @@
             if known is None or known.rate <= 0:
                 continue
             taken = self._bucket(known, now).take(wish.tokens)
-            if taken > 0:
-                lots.append(TokenLot(wish.account, taken))
+            short = taken < wish.tokens
+            lots.append(TokenLot(wish.account, taken, short))
         return tuple(lots)
 
     def _bucket(self, account: AccountSpec, now: float) -> _Bucket:
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
@@ -80,6 +80,7 @@
 
     account: AccountName
     tokens: float
+    short: bool = False  # the bucket had fewer than were asked for
 
 
 class SyncReply(NamedTuple):
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_admission.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_admission.py
@@ -136,13 +136,15 @@
             return None
         entries = self._state.view.entries
         wait_s = holder.wait_s(account, cost, entries, now_s())
-        longest_s = TOKEN_WAIT_PART * route.objective_s
-        if wait_s >= longest_s:
-            # Behind others it is hopeless; alone, the leader may have plenty.
-            longest_s = 0 if holder.is_waiting(account) else ROUND_TRIP_S
-        if await self._wait_for_tokens(account, cost, longest_s):
+        longest_s = max(ROUND_TRIP_S, TOKEN_WAIT_PART * route.objective_s)
+        hopeless = wait_s > longest_s and holder.is_short(account, now_s())
+        if not hopeless and await self._wait_for_tokens(
+            account,
+            cost,
+            longest_s,
+        ):
             return None
-        reason = f'{account.name} is over its quota by {cost:.0f}'
+        reason = f'{account.name} is over its {account.rate:.0f} by {cost:.0f}'
         wait_s = min(LONGEST_RETRY_S, max(ROUND_TRIP_S, wait_s))
         return Refused(429, reason, wait_s)
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from lovagemast_core.deployment import AccountSpec
 from lovagemast_core.quota import TokenHolder, TokenIssuer
-from lovagemast_core.targets import TokenLot
+from lovagemast_core.targets import TokenLot, TokenWish
 
 SLACK = 17_000.0
 WINDOW_S = 8.0
@@ -107,3 +107,15 @@
         """An account without a rate is never held back."""
         account = make_account(0.0)
         assert TokenHolder(SLACK).spend(account, 1e9, 10.0)
+
+    def test_empty_bucket_is_told(self) -> None:
+        """A VM learns that the bucket had less than it asked for."""
+        issuer = TokenIssuer(0.0)
+        account = make_account(1_000.0)
+        accounts = {account.name: account}
+        wishes = (TokenWish(account.name, 5_000.0),)
+        holder = TokenHolder(0.0)
+        for lot in issuer.issue(wishes, accounts, 10.0):
+            holder.add(lot, 10.0)
+        assert holder.is_short(account, 10.0)
+        assert not holder.is_short(account, 11.0)
