Spend whole lots without running past the last one

Cause: the sum of the lots can exceed a cost by a rounding error that their one-by-one subtraction does not; found by the new test of scarce tokens.

--- a/packages/lovagemast-core/src/lovagemast_core/quota/_holder.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quota/_holder.py
@@ -12,6 +12,7 @@
 RATE_PART: Final = 0.9  # of a second's rate, held by all entry VMs together
 SLACK_PART: Final = 0.4  # held by all entry VMs together
 SHORT_S: Final = 0.3
+SCARCE_S: Final = 2.0
 LEAST_RATE: Final = 1.0  # tokens a second
 LOT_TTL_S: Final = 4.0  # a lower limit binds once older lots have expired
 
@@ -71,7 +72,7 @@
         if state.held() < cost:
             return False
         rest = cost
-        while rest > 0:
+        while rest > 0 and state.lots:
             granted_at, tokens = state.lots[0]
             if tokens > rest:
                 state.lots[0] = (granted_at, tokens - rest)
@@ -113,6 +114,8 @@
             state.expire(now)
             ceiling = account.rate * RATE_PART + self._slack * SLACK_PART
             wanted = min(state.demand_now(now) * HOLD_S, ceiling / entries)
+            if now - state.short_at < SCARCE_S:
+                wanted = 0  # held ahead, tokens would lie idle in parts
             wanted += state.waiting - state.held()
             if wanted > 0:
                 wishes.append(TokenWish(name, wanted))
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_calls.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_calls.py
@@ -152,6 +152,7 @@
             id=self._job.facts.request_id,
             target=target,
             account=self._job.account_name,
+            tokens=self._job.facts.tokens,
             label=str(candidate.label) if candidate.label else '',
             detail=ended.detail,
             sends=self.sends,
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -119,3 +119,28 @@
             holder.add(lot, 10.0)
         assert holder.is_short(account, 10.0)
         assert not holder.is_short(account, 11.0)
+
+
+class TestScarcity:
+    def test_scarce_tokens_are_used(self) -> None:
+        """Under twice the rate, nearly all of the rate is spent."""
+        rate = 8_000.0
+        fleet = Fleet(rate, 6)
+        rng = random.Random(5)
+        now = 100.0
+        accounts = {fleet.account.name: fleet.account}
+        for _step in range(600):
+            now += STEP_S
+            holder = rng.choice(fleet.holders)
+            cost = rng.uniform(500, 2_700)
+            holder.note_demand(fleet.account, cost, now)
+            holder.wait(fleet.account, cost, now)
+            for one in fleet.holders:
+                wishes = one.wishes(accounts, 6, now)
+                for lot in fleet.issuer.issue(wishes, accounts, now):
+                    one.add(lot, now)
+            if holder.spend(fleet.account, cost, now):
+                fleet.spent.append((now, cost))
+            holder.wait(fleet.account, -cost, now)
+        spent = sum(cost for at, cost in fleet.spent if at > 110.0)
+        assert spent >= 0.9 * rate * 50
