--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_admission.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_admission.py
@@ -19,6 +19,7 @@
 from ._entrystate import EntryState
 
 BEHIND_S: Final = 1.5  # silence of the leader after which a denial is unsure
+LEADERLESS_S: Final = 0.5  # silence after which a new leader is likely
 ROUND_TRIP_S: Final = 0.1  # to the leader, and its push
 TOKEN_WAIT_PART: Final = 0.5  # of the latency objective
 LONGEST_RETRY_S: Final = 4.0
@@ -137,6 +138,9 @@
         entries = self._state.view.entries
         wait_s = holder.wait_s(account, cost, entries, now_s())
         longest_s = max(ROUND_TRIP_S, TOKEN_WAIT_PART * route.objective_s)
+        if self._state.view.age(now_s()) > LEADERLESS_S:
+            longest_s = max(longest_s, route.objective_s)
+            wait_s = max(wait_s, NO_LEADER_RETRY_S)
         hopeless = wait_s > longest_s and holder.is_short(account, now_s())
         if not hopeless and await self._wait_for_tokens(
             account,
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_calls.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_calls.py
@@ -142,6 +142,7 @@
         attempt = Attempt(self._state, self._job, candidate, self._relay)
         self.sends += 1
         self._runs += 1
+        chosen_at = now_s()
         ended = await attempt.run(last_try=not self._could_run_again())
         if not attempt.was_sent:
             self._runs -= 1
@@ -157,12 +158,23 @@
             detail=ended.detail,
             sends=self.sends,
             revision=self._state.view.published.revision,
-            took_s=round(now_s() - self._job.arrived, 4),
+            **self._times(chosen_at),
         )
         if ended.end is not End.DONE:
             self._tried.add(target)
         return ended
 
+    def _times(self, chosen_at: float) -> dict[str, float | None]:
+        """Return how long each part of the request took, in s."""
+        arrived = self._job.arrived
+        first_at = self._relay.first_at
+        return {
+            'chosen_s': round(chosen_at - arrived, 4),
+            'first_s': round(first_at - arrived, 4) if first_at else None,
+            'pause_s': round(self._relay.longest_pause_s, 4),
+            'took_s': round(now_s() - arrived, 4),
+        }
+
     def _could_run_again(self) -> bool:
         """Return whether another target may run it after this attempt."""
         route = self._job.route
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
@@ -29,7 +29,7 @@
 
 RECONNECT_S: Final = 0.2
 MAX_WAITING: Final = 512  # messages
-CONNECT_TIMEOUT_S: Final = 0.6
+CONNECT_TIMEOUT_S: Final = 0.4
 # A heartbeat of the leader comes several times in this long, and its reply
 # with it: a stream that took nothing for longer has gone silent.
 SEND_TIMEOUT_S: Final = 1.0
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_relay.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_relay.py
@@ -3,6 +3,7 @@
 from lovagemast_core.entry import EventCutter
 
 from ..http import AnswerHead, Responder
+from ._clock import now_s
 from ._dialect import EdgeDialect
 
 
@@ -13,6 +14,9 @@
         self._responder = responder
         self._dialect = dialect
         self._cutter = EventCutter()
+        self.first_at: float | None = None  # s, when the answer began
+        self.longest_pause_s = 0.0  # between events
+        self._last_at = 0.0
 
     @property
     def started(self) -> bool:
@@ -33,6 +37,7 @@
         whole = self._cutter.feed(chunk)
         if whole:
             self._start(head)
+            self._note_pause()
             await self._responder.write(whole)
 
     async def end_stream(self, head: AnswerHead) -> None:
@@ -46,7 +51,15 @@
         headers = self._dialect.answer_headers(head.headers)
         await self._responder.send(head.status, headers, body)
 
+    def _note_pause(self) -> None:
+        now = now_s()
+        if self._last_at:
+            pause_s = now - self._last_at
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self._last_at = now
+
     def _start(self, head: AnswerHead) -> None:
         if not self._responder.started:
+            self.first_at = now_s()
             headers = self._dialect.answer_headers(head.headers)
             self._responder.start(head.status, headers, None)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_sync.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_sync.py
@@ -21,8 +21,8 @@
 
 ASK_INTERVAL_S: Final = 0.2
 LEAST_INTERVAL_S: Final = 0.01  # between asks when requests wait
-REPLY_TIMEOUT_S: Final = 0.7  # below the time in which a leader is elected
-RETRY_S: Final = 0.1
+REPLY_TIMEOUT_S: Final = 0.5  # below the time in which a leader is elected
+RETRY_S: Final = 0.05
 SYNC_ERRORS: Final = (*STREAM_ERRORS, WireError)
 
 Compose = Callable[[int], SyncAsk]
@@ -130,7 +130,6 @@
             if not self._in_step:
                 self._in_step = True
                 self._log.write('sync', 'in step', leader=vm, term=reply.term)
-            self._leader = vm
             self._apply(reply)
 
     def _apply(self, reply: SyncReply) -> None:
