--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_engines.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_engines.py
@@ -10,7 +10,9 @@
 from ._engine import MAX_COMING, EngineState
 from ._label import AdapterLabel
 
-CROWDED: Final = 0.5  # of an engine's slots taken; then copies help
+CROWDED: Final = 0.2  # of an engine's slots taken; then copies help
+MUCH_LESS: Final = 0.6  # of the load of those that hold an adapter
+RUNNING_BURDEN: Final = 0.5  # for each request that runs, in requests/s
 STORE_BURDEN: Final = 1.0  # what a load from the store counts, in requests/s
 SILENT_S: Final = 2.7  # two heartbeats that did not come
 COMING_BURDEN: Final = 0.5  # for each adapter on its way, in requests/s
@@ -106,9 +108,17 @@
         )
 
     def is_crowded(self, name: Name) -> bool:
-        """Return whether all engines that hold an adapter are crowded."""
-        loads = [_crowding(engine) for engine in self.holders(name)]
-        return bool(loads) and min(loads) > CROWDED
+        """Return whether a copy of an adapter would spread its load."""
+        holders = self.holders(name)
+        least = min((_crowding(one) for one in holders), default=0)
+        if least <= CROWDED:
+            return False
+        others = [
+            _crowding(engine)
+            for engine in self
+            if engine not in holders and self.is_usable(engine)
+        ]
+        return bool(others) and min(others) < MUCH_LESS * least
 
     def demand_here(self, label: AdapterLabel, now: float) -> float:
         """Return the demand that falls to each engine with an adapter."""
@@ -131,8 +141,7 @@
         burden = COMING_BURDEN * engine.coming(now)
         if not engine.held_lately(name):
             burden += STORE_BURDEN
-        if _crowding(engine) > CROWDED:
-            burden += engine.spec.slots
+        burden += RUNNING_BURDEN * sum(engine.running.values())
         return burden + self._burdens.get(engine.target, 0)
 
     def _sum_uses(self, uses: list[AdapterUse]) -> None:
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
@@ -24,8 +24,8 @@
 MAX_LOADS_IN_FLIGHT: Final = 8  # over all engines; beyond, all get slower
 MODEL_LOADS_IN_FLIGHT: Final = 2
 WISH_TTL_S: Final = 1.0  # entry VMs repeat what they still wait for
-TOP_ADAPTERS: Final = 12  # that may have more than one copy
-MOVE_RATIO: Final = 4.0  # demand over that of the victim, for a second copy
+TOP_ADAPTERS: Final = 24  # that may have more than one copy
+MOVE_RATIO: Final = 2.0  # demand over that of the victim, for a second copy
 USES_TTL_S: Final = 3.0
 SHUT_TTL_S: Final = 0.6  # entry VMs say it again meanwhile
 
--- a/packages/lovagemast-core/src/lovagemast_core/deployment/_model.py
+++ b/packages/lovagemast-core/src/lovagemast_core/deployment/_model.py
@@ -31,6 +31,7 @@
     splits: tuple[Split, ...]
     timeout_s: float
     objective_s: float  # latency objective, to the first event of a stream
+    gap_s: float  # longest pause between events; 0 without a promise
     priority: int  # 0 is the most urgent
     max_attempts: int  # targets that one request may be sent to
     open: bool  # needs no key
--- a/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
@@ -1,5 +1,6 @@
 """What an entry VM decides: which target, whether to retry, to refuse."""
 
+from ._batch import BatchLimit
 from ._choice import (
     Candidate,
     Choice,
@@ -15,6 +16,7 @@
 from ._view import FleetView, KnownTarget
 
 __all__ = [
+    'BatchLimit',
     'Candidate',
     'Choice',
     'ColdLimiter',
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -194,6 +194,9 @@
             return self._broke(broken.detail)
         if head.status < SERVER_FAILURE:
             self._state.health.succeeded(self._target, now_s())
+        if is_stream and self._job.route.gap_s:
+            paused = self._relay.longest_pause_s > self._job.route.gap_s
+            self._state.batch.note(self._target, paused=paused)
         return Ended(End.DONE, str(head.status))
 
     async def _pass_whole(
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_calls.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_calls.py
@@ -274,12 +274,22 @@
         most = self._job.pool.max_connections * CONNECTIONS_PART / entries
         if state.work.running_at(target) >= max(2, int(most)):
             return False
+        if self._is_crowded(known, now):
+            return False
         if not known.is_cold(now):
             return True
         per_s = self._job.pool.cold_per_s
         share = Share(state.view.rank, entries)
         return state.cold.may_send(target, per_s, share, now)
 
+    def _is_crowded(self, known: KnownTarget, now: float) -> bool:
+        if self._job.pool.engine is None:
+            return False
+        state = self._state
+        load = state.work.load_of(known, state.view.entries, now)
+        target = known.record.target
+        return load >= state.batch.limit(target, self._job.priority)
+
 
 def _pause_s(choice: NoChoice, now: float) -> float:
     """Return how long to wait before targets are looked at again."""
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -153,6 +153,7 @@
             state.tokens.add(lot, now)
         if reply.targets:
             state.health.forget(set(state.view.targets))
+            state.batch.forget(set(state.view.targets))
         state.announce_news()
 
     def _use_config(self) -> None:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
@@ -7,6 +7,7 @@
 
 from lovagemast_core.deployment import RouteSpec
 from lovagemast_core.entry import (
+    BatchLimit,
     ColdLimiter,
     FleetView,
     RetryAllowance,
@@ -41,6 +42,7 @@
         self.work = WorkBook()
         self.pool = TargetPool()
         self.cold = ColdLimiter()
+        self.batch = BatchLimit()
         self.retries = RetryAllowance(
             cfg.retry_ratio,
             cfg.retry_slack,
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -21,6 +21,7 @@
         (Split('pool', 1.0),),
         timeout_s=1.0,
         objective_s=0.1,
+        gap_s=0.3,
         priority=0,
         max_attempts=2,
         open=False,
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 from lovagemast_core import PublishedState
 from lovagemast_core.entry import (
+    BatchLimit,
     Choice,
     ColdLimiter,
     EventCutter,
@@ -222,3 +223,30 @@
         known = KnownTarget(record, {}, NOW)
         assert known.is_cold(NOW + 1.5)
         assert not known.is_cold(NOW + 2.5)
+
+
+class TestBatchLimit:
+    def test_pauses_lower_it(self) -> None:
+        """An engine whose streams pause too long gets fewer requests."""
+        batch = BatchLimit()
+        before = batch.limit('t1', 0)
+        for _stream in range(10):
+            batch.note('t1', paused=True)
+        assert batch.limit('t1', 0) < before
+
+    def test_settles_at_few_pauses(self) -> None:
+        """Where pauses come with load, few streams pause in the end."""
+        batch = BatchLimit()
+        paused = 0
+        for _stream in range(4_000):
+            late = batch.limit('t1', 0) > 0.4
+            batch.note('t1', paused=late)
+            paused += late
+        assert paused < 0.15 * 4_000
+
+    def test_urgent_requests_find_room(self) -> None:
+        """The limit is higher for the more urgent."""
+        batch = BatchLimit()
+        limits = [batch.limit('t1', priority) for priority in range(4)]
+        assert limits == sorted(limits, reverse=True)
+        assert limits[0] > limits[3]
