--- a/packages/lovagemast-core/src/lovagemast_core/entry/_batch.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_batch.py
@@ -10,11 +10,11 @@
 
 from .._types import TargetName
 
-START: Final = 0.5  # of an engine's slots
-LOWEST: Final = 0.2
+START: Final = 0.75  # of an engine's slots
+LOWEST: Final = 0.5
 HIGHEST: Final = 1.0
-FALL: Final = 0.01  # for a stream that paused too long
-RISE: Final = 0.001  # for one that did not: one in eleven may pause
+FALL: Final = 0.005  # for a stream that paused too long
+RISE: Final = 0.001  # for one that did not: one in six may pause
 LATE_FALL: Final = 0.06  # of the limit, for each rank of less urgency
 
 
