--- a/packages/lovagemast-core/src/lovagemast_core/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/__init__.py
@@ -61,16 +61,8 @@
     TargetProbed,
     Tick,
 )
-from ._fleet import FleetConfig, FleetIndex, PoolKind, read_fleet
 from ._messages import Entry, PeerMessage, TargetFacts
 from ._node import Node
-from ._operations import (
-    grant_key,
-    keep_operations,
-    set_draining,
-    set_zone,
-    withdraw_key,
-)
 from ._policy import (
     DEFAULT_POLICY,
     Policy,
@@ -78,10 +70,22 @@
     least_demand,
     least_recent,
 )
-from ._published import InvariantError
-from ._replicastate import StoredLog
-from ._roster import RosterEntry
-from ._schema import (
+from ._state import AdapterVersion, PublishedState, StateSnapshot
+from ._status import Status, TargetStatus, VmStatus
+from ._timeline import EventKind, TimelineEvent
+from ._types import AdapterRef, Priority, Reason, Refusal, Run
+from .agreement._published import InvariantError
+from .agreement._replicastate import StoredLog
+from .agreement._roster import RosterEntry
+from .fleet._fleet import FleetConfig, FleetIndex, PoolKind, read_fleet
+from .fleet._operations import (
+    grant_key,
+    keep_operations,
+    set_draining,
+    set_zone,
+    withdraw_key,
+)
+from .fleet._schema import (
     Fault,
     Field,
     Schema,
@@ -90,11 +94,7 @@
     read,
     to_document,
 )
-from ._state import AdapterVersion, PublishedState, StateSnapshot
-from ._status import Status, TargetStatus, VmStatus
-from ._template import Expansion, expand
-from ._timeline import EventKind, TimelineEvent
-from ._types import AdapterRef, Priority, Reason, Refusal, Run
+from .fleet._template import Expansion, expand
 
 __all__ = [
     'DEFAULT_POLICY',
--- a/packages/lovagemast-core/src/lovagemast_core/_commands.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_commands.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from ._roster import Roster
+from .agreement._roster import Roster
 
 
 class ApplyConfig(NamedTuple):
--- a/packages/lovagemast-core/src/lovagemast_core/_config.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_config.py
@@ -3,8 +3,8 @@
 from typing import NamedTuple
 
 from ._policy import DEFAULT_POLICY, Policy
-from ._replicastate import StoredLog
-from ._roster import RosterEntry
+from .agreement._replicastate import StoredLog
+from .agreement._roster import RosterEntry
 
 
 class NodeConfig(NamedTuple):
--- a/packages/lovagemast-core/src/lovagemast_core/_messages.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_messages.py
@@ -4,7 +4,6 @@
 from typing import NamedTuple
 
 from ._commands import Command, Outcome
-from ._roster import RosterEntry
 from ._state import PublishedState, StateSnapshot
 from ._types import (
     AccountName,
@@ -14,6 +13,7 @@
     TargetName,
     VmName,
 )
+from .agreement._roster import RosterEntry
 
 
 class Entry(NamedTuple):
--- a/packages/lovagemast-core/src/lovagemast_core/_node.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_node.py
@@ -24,13 +24,13 @@
     TargetProbed,
     Tick,
 )
-from ._fleet import PoolKind
 from ._inbox import Inbox
 from ._parts import NodeParts
-from ._replicastate import ReplicaStatus
 from ._state import PublishedState
 from ._status import Status, read_status
 from ._types import Reason, Refusal, VmName
+from .agreement._replicastate import ReplicaStatus
+from .fleet._fleet import PoolKind
 
 OPERATOR_TIMEOUT_S: Final = 5.0
 
--- a/packages/lovagemast-core/src/lovagemast_core/_parts.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_parts.py
@@ -4,21 +4,21 @@
 from collections.abc import Iterable
 from typing import Final
 
-from ._agreement import Agreement
 from ._config import NodeConfig
-from ._crashwatch import CrashWatch
-from ._directory import Directory
-from ._loadgate import STORE_ACCOUNT, LoadGate, store_limits
 from ._messages import TargetFacts, TargetNews
 from ._outbox import Outbox
-from ._owner import OwnerController
-from ._ownership import OwnershipController
-from ._placer import Placer
-from ._rates import Limits, RateController
-from ._requests import RequestController
-from ._shares import ASK_S, ShareHolder
 from ._timeline import EventKind
 from ._types import AccountName, VmName
+from .agreement._agreement import Agreement
+from .ownership._crashwatch import CrashWatch
+from .ownership._loadgate import STORE_ACCOUNT, LoadGate, store_limits
+from .ownership._owner import OwnerController
+from .ownership._ownership import OwnershipController
+from .placement._directory import Directory
+from .placement._placer import Placer
+from .rates._rates import Limits, RateController
+from .rates._shares import ASK_S, ShareHolder
+from .requests._requests import RequestController
 
 SUMMARY_S: Final = 0.25
 HOUSEKEEPING_S: Final = 1.0
--- a/packages/lovagemast-core/src/lovagemast_core/_policy.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_policy.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
-from ._adaptercache import Slot
-from ._directory import KnownTarget
-from ._placement import LeastDelay, Placement, Wish
+from .ownership._adaptercache import Slot
+from .placement._directory import KnownTarget
+from .placement._placement import LeastDelay, Placement, Wish
 
 EvictionOrder = Callable[[Slot, float], float]
 
--- a/packages/lovagemast-core/src/lovagemast_core/_state.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_state.py
@@ -22,7 +22,7 @@
     SetRoster,
     SetZoneOut,
 )
-from ._roster import Roster, find_entry, without_vm
+from .agreement._roster import Roster, find_entry, without_vm
 
 MAX_OPERATIONS: Final = 20_000
 CLAIM_RETENTION_S: Final = 86_400.0
--- a/packages/lovagemast-core/src/lovagemast_core/_status.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_status.py
@@ -3,10 +3,10 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from ._agreement import Agreement
-from ._directory import Directory
-from ._roster import RosterEntry
 from ._types import VmName
+from .agreement._agreement import Agreement
+from .agreement._roster import RosterEntry
+from .placement._directory import Directory
 
 
 class VmStatus(NamedTuple):
--- a/packages/lovagemast-core/src/lovagemast_core/_agreement.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_agreement.py
@@ -2,17 +2,17 @@
 
 from typing import Final
 
-from ._commands import Outcome
-from ._config import NodeConfig
+from .._commands import Outcome
+from .._config import NodeConfig
+from .._messages import Entry, Heartbeat, Publish, VmHello
+from .._outbox import Outbox
+from .._types import VmName
 from ._leader import LeaderController
 from ._membership import Membership
-from ._messages import Entry, Heartbeat, Publish, VmHello
-from ._outbox import Outbox
 from ._proposals import ProposalController
 from ._published import PublishedController
 from ._replica import Replica
 from ._roster import RosterEntry, find_entry
-from ._types import VmName
 
 HELLO_S: Final = 0.5
 LAG_S: Final = 1.0  # after which any VM passes the published state on
--- a/packages/lovagemast-core/src/lovagemast_core/_election.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_election.py
@@ -1,15 +1,23 @@
 """Leader election with pre-vote."""
 
 from collections.abc import Callable
-from typing import Final
+from typing import Final, NamedTuple
 
-from ._messages import VoteAsk, VoteReply
-from ._outbox import Outbox
+from .._messages import VoteAsk, VoteReply
+from .._outbox import Outbox
 from ._progress import majority_of
 from ._replicastate import ReplicaState, Role, vm_of
 
-ELECTION_TIMEOUT_S: Final = 0.6
-ELECTION_SPREAD_S: Final = 0.4
+
+class Timing(NamedTuple):
+    """How soon silence of a leader is noticed; all in s."""
+
+    heartbeat_s: float = 0.15
+    timeout_s: float = 0.9
+    spread_s: float = 0.6  # candidates wait up to this much longer
+
+
+DEFAULT_TIMING: Final = Timing()
 
 
 class Election:
@@ -24,8 +32,10 @@
         replica: ReplicaState,
         outbox: Outbox,
         on_won: Callable[[float], None],
+        timing: Timing,
         now: float,
     ) -> None:
+        self._timing = timing
         self._replica = replica
         self._outbox = outbox
         self._on_won = on_won
@@ -34,15 +44,15 @@
         # it votes for nobody else until that leader's lease has run out.
         self._leader_heard_at = now
         if replica.log.is_empty:
-            self._leader_heard_at = now - ELECTION_TIMEOUT_S
+            self._leader_heard_at = now - timing.timeout_s
         self._due_at = now
         self.postpone(now)
         outbox.call_at(self._due_at, self._on_timer)
 
     def postpone(self, now: float) -> None:
         """Wait a whole election timeout from now on."""
-        wait = ELECTION_TIMEOUT_S
-        wait += self._outbox.rng.random() * ELECTION_SPREAD_S
+        wait = self._timing.timeout_s
+        wait += self._outbox.rng.random() * self._timing.spread_s
         self._due_at = now + wait
 
     def heard_leader(self, now: float) -> None:
@@ -53,7 +63,7 @@
     def on_ask(self, ask: VoteAsk, now: float) -> None:
         """Answer a candidate."""
         replica = self._replica
-        follows = now - self._leader_heard_at < ELECTION_TIMEOUT_S
+        follows = now - self._leader_heard_at < self._timing.timeout_s
         granted = False
         if not replica.is_leader() and not follows:
             if not ask.pre and ask.term > replica.term:
--- a/packages/lovagemast-core/src/lovagemast_core/_follower.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_follower.py
@@ -1,8 +1,8 @@
 """A follower's side of replication."""
 
-from ._effects import SavedSnapshot
+from .._effects import SavedSnapshot
+from .._messages import AppendEntries, AppendReply, InstallSnapshot
 from ._election import Election
-from ._messages import AppendEntries, AppendReply, InstallSnapshot
 from ._replicastate import ReplicaState, Role, vm_of
 
 
--- a/packages/lovagemast-core/src/lovagemast_core/_leader.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_leader.py
@@ -3,15 +3,15 @@
 from collections.abc import Callable
 from typing import Final
 
-from ._commands import Outcome, SetRoster
+from .._commands import Outcome, SetRoster
+from .._messages import ShareAsk
+from .._outbox import Outbox
+from .._types import VmName
+from ..rates._shares import ShareAllocator
 from ._membership import Membership
-from ._messages import ShareAsk
-from ._outbox import Outbox
 from ._proposals import ProposalController
 from ._replica import Replica
 from ._roster import Roster, RosterEntry, next_roster, with_entry
-from ._shares import ShareAllocator
-from ._types import VmName
 
 STEP_S: Final = 0.25
 ROSTER_TIMEOUT_S: Final = 2.0
--- a/packages/lovagemast-core/src/lovagemast_core/_leadership.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_leadership.py
@@ -3,10 +3,11 @@
 from collections.abc import Callable
 from typing import Final
 
-from ._commands import Command, NoOp, SetVoters
-from ._election import ELECTION_TIMEOUT_S
-from ._messages import AppendEntries, AppendReply, InstallSnapshot
-from ._outbox import Outbox, Timer
+from .._commands import Command, NoOp, SetVoters
+from .._messages import AppendEntries, AppendReply, InstallSnapshot
+from .._outbox import Outbox, Timer
+from .._timeline import EventKind
+from ._election import Timing
 from ._progress import (
     MAX_ENTRIES_PER_MESSAGE,
     Progress,
@@ -14,9 +15,7 @@
     quorum_time,
 )
 from ._replicastate import ReplicaState, Role, vm_of
-from ._timeline import EventKind
 
-HEARTBEAT_S: Final = 0.12
 LOST_VOTER_S: Final = 6.0  # silence after which a surplus voter is removed
 
 
@@ -28,8 +27,10 @@
         replica: ReplicaState,
         outbox: Outbox,
         step_down: Callable[[int, float], None],
+        timing: Timing,
         voters_wanted: int | None = None,
     ) -> None:
+        self._timing = timing
         self._voters_wanted = voters_wanted
         self._replica = replica
         self._outbox = outbox
@@ -132,7 +133,7 @@
         replica = self._replica
         if not replica.is_leader():
             return
-        if now - self.quorum_heard_at(now) > ELECTION_TIMEOUT_S:
+        if now - self.quorum_heard_at(now) > self._timing.timeout_s:
             self._step_down(replica.term, now)
             replica.flush()
             return
@@ -140,7 +141,7 @@
         self._replicate(now, heartbeat=True)
         replica.flush()
         self._timer = self._outbox.call_at(
-            now + HEARTBEAT_S,
+            now + self._timing.heartbeat_s,
             self._on_heartbeat_timer,
         )
 
--- a/packages/lovagemast-core/src/lovagemast_core/_log.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_log.py
@@ -1,8 +1,8 @@
 """The replicated log in memory: entries after the last snapshot."""
 
-from ._commands import SetVoters
-from ._effects import SavedSnapshot
-from ._messages import Entry
+from .._commands import SetVoters
+from .._effects import SavedSnapshot
+from .._messages import Entry
 
 
 class ReplicatedLog:
--- a/packages/lovagemast-core/src/lovagemast_core/_membership.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_membership.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
-from ._messages import Heartbeat
-from ._outbox import Outbox
-from ._types import VmName
+from .._messages import Heartbeat
+from .._outbox import Outbox
+from .._types import VmName
 
 HEARTBEAT_S: Final = 0.5
 ALIVE_S: Final = 1.8  # silence after which a VM counts as dead
--- a/packages/lovagemast-core/src/lovagemast_core/_proposals.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_proposals.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable
 from typing import Final
 
-from ._commands import Command, Outcome, Unavailable
-from ._messages import Entry, ProposalDone, Propose
-from ._outbox import Outbox, Timer
+from .._commands import Command, Outcome, Unavailable
+from .._messages import Entry, ProposalDone, Propose
+from .._outbox import Outbox, Timer
+from .._types import VmName
 from ._replica import Replica
-from ._types import VmName
 
 RESEND_S: Final = 0.4
 OnOutcome = Callable[[Outcome, float], None]
--- a/packages/lovagemast-core/src/lovagemast_core/_published.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_published.py
@@ -2,14 +2,14 @@
 
 import json
 
-from ._fleet import FleetConfig, FleetIndex, read_fleet
+from .._messages import Publish
+from .._outbox import Outbox
+from .._state import PublishedState
+from .._timeline import EventKind
+from .._types import VmName
+from ..fleet._fleet import FleetConfig, FleetIndex, read_fleet
 from ._membership import Membership
-from ._messages import Publish
-from ._outbox import Outbox
 from ._roster import RosterEntry
-from ._state import PublishedState
-from ._timeline import EventKind
-from ._types import VmName
 
 
 class InvariantError(Exception):
--- a/packages/lovagemast-core/src/lovagemast_core/_replica.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_replica.py
@@ -8,11 +8,8 @@
 
 from typing import Final
 
-from ._commands import Command, SetVoters
-from ._election import Election
-from ._follower import Follower
-from ._leadership import Leadership
-from ._messages import (
+from .._commands import Command, SetVoters
+from .._messages import (
     AppendEntries,
     AppendReply,
     InstallSnapshot,
@@ -21,7 +18,12 @@
     VoteAsk,
     VoteReply,
 )
-from ._outbox import Outbox
+from .._outbox import Outbox
+from .._state import PublishedState
+from .._types import VmName
+from ._election import DEFAULT_TIMING, Election, Timing
+from ._follower import Follower
+from ._leadership import Leadership
 from ._replicastate import (
     OnApplied,
     ReplicaState,
@@ -29,8 +31,6 @@
     StoredLog,
     vm_of,
 )
-from ._state import PublishedState
-from ._types import VmName
 
 HELLO_S: Final = 0.3
 
@@ -48,17 +48,25 @@
         *,
         may_bootstrap: bool = True,
         voters_wanted: int | None = None,
+        timing: Timing = DEFAULT_TIMING,
     ) -> None:
         self._outbox = outbox
         self._may_bootstrap = may_bootstrap
         self._control_vms = control_vms
         self._empty_peers: dict[VmName, str] = {}
         self._state = ReplicaState(stored, outbox, on_applied)
-        self._election = Election(self._state, outbox, self._on_won, now)
+        self._election = Election(
+            self._state,
+            outbox,
+            self._on_won,
+            timing,
+            now,
+        )
         self._leadership = Leadership(
             self._state,
             outbox,
             self._election.step_down,
+            timing,
             voters_wanted,
         )
         self._follower = Follower(self._state, self._election)
--- a/packages/lovagemast-core/src/lovagemast_core/_replicastate.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_replicastate.py
@@ -4,14 +4,14 @@
 from enum import Enum
 from typing import Final, NamedTuple
 
-from ._commands import Command, Outcome
-from ._effects import HardState, SavedSnapshot
+from .._commands import Command, Outcome
+from .._effects import HardState, SavedSnapshot
+from .._messages import Entry
+from .._outbox import Outbox
+from .._state import ReplicatedState
+from .._types import VmName
 from ._log import ReplicatedLog
-from ._messages import Entry
-from ._outbox import Outbox
-from ._state import ReplicatedState
 from ._syncgate import SyncGate
-from ._types import VmName
 
 COMPACT_AFTER: Final = 256  # entries
 
--- a/packages/lovagemast-core/src/lovagemast_core/_roster.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_roster.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
-from ._types import VmName, ZoneName
+from .._types import VmName, ZoneName
 
 FLOOR_PART: Final = 0.3  # of each account's rate, kept by VMs in isolation
 
--- a/packages/lovagemast-core/src/lovagemast_core/_syncgate.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_syncgate.py
@@ -3,10 +3,10 @@
 from collections import deque
 from typing import NamedTuple
 
-from ._effects import HardState, PersistLog, SavedSnapshot
-from ._messages import Entry, PeerMessage
-from ._outbox import Outbox
-from ._types import VmName
+from .._effects import HardState, PersistLog, SavedSnapshot
+from .._messages import Entry, PeerMessage
+from .._outbox import Outbox
+from .._types import VmName
 
 
 class _Batch(NamedTuple):
--- a/packages/lovagemast-core/src/lovagemast_core/control/_config.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_config.py
@@ -2,8 +2,8 @@
 
 from typing import NamedTuple
 
-from .._replicastate import StoredLog
 from .._types import VmName
+from ..agreement._replicastate import StoredLog
 
 
 class ControlConfig(NamedTuple):
--- a/packages/lovagemast-core/src/lovagemast_core/control/_node.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_node.py
@@ -8,11 +8,12 @@
 from .._effects import PersistLog, SendPeer
 from .._messages import Entry, PeerMessage, ProposalDone, Propose
 from .._outbox import Outbox
-from .._proposals import ProposalController
-from .._replica import Replica
 from .._state import PublishedState
 from .._types import TargetName, VmName
 from ..adapters import OrderOutcome, TargetReport
+from ..agreement._election import Timing
+from ..agreement._proposals import ProposalController
+from ..agreement._replica import Replica
 from ..deployment import DeploymentIndex
 from ..targets import SyncAsk, SyncReply, TargetHeartbeat
 from ._config import ControlConfig
@@ -29,6 +30,8 @@
 
 STEP_S: Final = 0.05  # between looks at what is due
 UNKNOWN_AGE_S: Final = 1e9
+# A leader's silence stops orders and tokens: it is noticed sooner here.
+TIMING: Final = Timing(heartbeat_s=0.12, timeout_s=0.6, spread_s=0.4)
 BOOT_BITS: Final = 64
 COMMAND_TIMEOUT_S: Final = 1.5  # an operator asks elsewhere by then
 FIRST_TERM: Final = 1  # of a group that has just been formed
@@ -69,6 +72,7 @@
             now,
             may_bootstrap=cfg.bootstrap,
             voters_wanted=cfg.voters_wanted,
+            timing=TIMING,
         )
         self._proposals = ProposalController(
             self._outbox,
--- a/packages/lovagemast-core/src/lovagemast_core/control/_reads.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_reads.py
@@ -2,7 +2,7 @@
 
 from typing import Final, NamedTuple
 
-from .._replica import Replica
+from ..agreement._replica import Replica
 from ._effects import ReadDone
 
 READ_TIMEOUT_S: Final = 1.5  # an operator asks elsewhere by then
--- /dev/null
+++ b/packages/lovagemast-core/src/lovagemast_core/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet as operators describe it: documents and templates."""
--- a/packages/lovagemast-core/src/lovagemast_core/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/fleet/_fleet.py
@@ -4,8 +4,8 @@
 from fnmatch import fnmatchcase
 from typing import Annotated, NamedTuple
 
+from .._types import AccountName, Priority, ZoneName
 from ._schema import Fault, Field, Path, read
-from ._types import AccountName, Priority, ZoneName
 
 
 class PoolKind(StrEnum):
--- /dev/null
+++ b/packages/lovagemast-core/src/lovagemast_core/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""One owner for each target: leases, tickets, orders, recovery."""
--- a/packages/lovagemast-core/src/lovagemast_core/_crashwatch.py
+++ b/packages/lovagemast-core/src/lovagemast_core/ownership/_crashwatch.py
@@ -2,15 +2,15 @@
 
 from typing import Final
 
-from ._commands import CrashNoted, Outcome, ReportCrash
-from ._effects import ProbeTarget
-from ._messages import TicketClosed, TicketReturn
-from ._outbox import Outbox
+from .._commands import CrashNoted, Outcome, ReportCrash
+from .._effects import ProbeTarget
+from .._messages import TicketClosed, TicketReturn
+from .._outbox import Outbox
+from .._timeline import EventKind
+from .._types import AttemptId, TargetName, VmName
+from ..agreement._proposals import ProposalController
 from ._ownedtarget import OwnedTarget
-from ._proposals import ProposalController
-from ._timeline import EventKind
 from ._turnqueue import HeldTicket
-from ._types import AttemptId, TargetName, VmName
 
 PROBE_AGAIN_S: Final = 0.1
 CRASH_REPORT_S: Final = 1.5
--- a/packages/lovagemast-core/src/lovagemast_core/_fairqueue.py
+++ b/packages/lovagemast-core/src/lovagemast_core/ownership/_fairqueue.py
@@ -3,7 +3,7 @@
 import heapq
 from typing import Final, NamedTuple
 
-from ._types import AccountName, AttemptId, Priority
+from .._types import AccountName, AttemptId, Priority
 
 MAX_WAIT_BEHIND_S: Final = 20.0  # a lower priority then goes first
 
--- a/packages/lovagemast-core/src/lovagemast_core/_leases.py
+++ b/packages/lovagemast-core/src/lovagemast_core/ownership/_leases.py
@@ -9,12 +9,12 @@
 
 from typing import Final, NamedTuple
 
-from ._messages import FenceSeen, LeaseAsk, LeaseRelease, LeaseReply
-from ._outbox import Outbox
-from ._progress import majority_of
-from ._shares import CLOCK_DRIFT
-from ._timeline import EventKind
-from ._types import TargetName, VmName
+from .._messages import FenceSeen, LeaseAsk, LeaseRelease, LeaseReply
+from .._outbox import Outbox
+from .._timeline import EventKind
+from .._types import TargetName, VmName
+from ..agreement._progress import majority_of
+from ..rates._shares import CLOCK_DRIFT
 
 LEASE_S: Final = 3.0
 RENEW_S: Final = 0.8
--- a/packages/lovagemast-core/src/lovagemast_core/_loadgate.py
+++ b/packages/lovagemast-core/src/lovagemast_core/ownership/_loadgate.py
@@ -5,9 +5,9 @@
 from enum import Enum
 from typing import Final, NamedTuple
 
-from ._fleet import Store
-from ._rates import Limits, RateController, Spent
-from ._types import TargetName
+from .._types import TargetName
+from ..fleet._fleet import Store
+from ..rates._rates import Limits, RateController, Spent
 
 STORE_ACCOUNT: Final = '~weight-store'  # no client account can have this name
 PERMIT_PATIENCE_S: Final = 30.0  # a new ask would lose its place
--- a/packages/lovagemast-core/src/lovagemast_core/_orders.py
+++ b/packages/lovagemast-core/src/lovagemast_core/ownership/_orders.py
@@ -3,15 +3,15 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
+from .._effects import OrderTarget
+from .._events import OrderAnswered, TargetProbed
+from .._messages import TicketRefuse
+from .._outbox import Outbox
+from .._timeline import EventKind
+from .._types import Reason, TargetName
 from ._adaptercache import SlotState
-from ._effects import OrderTarget
-from ._events import OrderAnswered, TargetProbed
 from ._loadgate import Load, LoadGate, LoadStart
-from ._messages import TicketRefuse
-from ._outbox import Outbox
 from ._ownedtarget import OwnedTarget
-from ._timeline import EventKind
-from ._types import Reason, TargetName
 
 ORDER_TIMEOUT_S: Final = 5.0
 
--- a/packages/lovagemast-core/src/lovagemast_core/_ownedtarget.py
+++ b/packages/lovagemast-core/src/lovagemast_core/ownership/_ownedtarget.py
@@ -2,12 +2,12 @@
 
 from typing import Final
 
+from .._messages import Ending, TargetFacts, TargetSummary, Ticket
+from .._policy import EvictionOrder
+from .._types import AttemptId, VmName
 from ._adaptercache import AdapterCache, SlotState
 from ._limit import ConcurrencyLimit
-from ._messages import Ending, TargetFacts, TargetSummary, Ticket
-from ._policy import EvictionOrder
 from ._turnqueue import HeldTicket, TurnQueue
-from ._types import AttemptId, VmName
 
 MAX_CALL_S: Final = 120.0  # longest life of a granted ticket
 MAX_LOAD_TRIES: Final = 2
--- a/packages/lovagemast-core/src/lovagemast_core/_owner.py
+++ b/packages/lovagemast-core/src/lovagemast_core/ownership/_owner.py
@@ -3,12 +3,8 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
-from ._crashwatch import CrashWatch
-from ._events import OrderAnswered, ProbeFailure, TargetProbed
-from ._fleet import Pool, PoolKind
-from ._leases import Lease
-from ._membership import Membership
-from ._messages import (
+from .._events import OrderAnswered, ProbeFailure, TargetProbed
+from .._messages import (
     Ending,
     RunningReply,
     Summaries,
@@ -19,15 +15,19 @@
     TicketRefuse,
     TicketReturn,
 )
+from .._outbox import Outbox
+from .._policy import EvictionOrder
+from .._timeline import EventKind
+from .._types import Reason, TargetName, VmName, ZoneName
+from ..agreement._membership import Membership
+from ..fleet._fleet import Pool, PoolKind
+from ..placement._summaries import SummaryDiffer
+from ._crashwatch import CrashWatch
+from ._leases import Lease
 from ._orders import ORDER_TIMEOUT_S, OrderController
-from ._outbox import Outbox
 from ._ownedtarget import MAX_CALL_S, OwnedTarget
-from ._policy import EvictionOrder
 from ._recovery import RECONCILE_S, RecoveryController
-from ._summaries import SummaryDiffer
-from ._timeline import EventKind
 from ._turnqueue import HeldTicket
-from ._types import Reason, TargetName, VmName, ZoneName
 
 PROBE_S: Final = 1.0
 DEAD_VM_S: Final = 10.0
--- a/packages/lovagemast-core/src/lovagemast_core/_ownership.py
+++ b/packages/lovagemast-core/src/lovagemast_core/ownership/_ownership.py
@@ -2,16 +2,16 @@
 
 from typing import Final
 
-from ._directory import Directory
+from .._messages import LeaseAsk, LeaseRelease, LeaseReply
+from .._outbox import Outbox
+from .._types import TargetName, VmName
+from ..agreement._membership import Membership
+from ..agreement._published import PublishedController
+from ..agreement._roster import RosterEntry, find_entry, zone_mates
+from ..placement._directory import Directory
+from ..placement._placement import rendezvous
 from ._leases import RENEW_S, Electorate, Lease, LeaseHolder, LeaseVoter
-from ._membership import Membership
-from ._messages import LeaseAsk, LeaseRelease, LeaseReply
-from ._outbox import Outbox
 from ._owner import OwnerController
-from ._placement import rendezvous
-from ._published import PublishedController
-from ._roster import RosterEntry, find_entry, zone_mates
-from ._types import TargetName, VmName
 
 REBALANCE_AFTER_S: Final = 5.0
 
--- a/packages/lovagemast-core/src/lovagemast_core/_recovery.py
+++ b/packages/lovagemast-core/src/lovagemast_core/ownership/_recovery.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
-from ._membership import Membership
-from ._messages import Ending, RunningAsk, RunningReply
-from ._outbox import Outbox
+from .._messages import Ending, RunningAsk, RunningReply
+from .._outbox import Outbox
+from .._types import AttemptId, VmName
+from ..agreement._membership import Membership
 from ._ownedtarget import MAX_CALL_S, OwnedTarget
-from ._types import AttemptId, VmName
 
 RECONCILE_S: Final = 2.0
 RECOVERY_S: Final = 0.6  # wait for VMs that are alive to say what they run
--- a/packages/lovagemast-core/src/lovagemast_core/_turnqueue.py
+++ b/packages/lovagemast-core/src/lovagemast_core/ownership/_turnqueue.py
@@ -2,10 +2,10 @@
 
 from collections import deque
 
+from .._messages import Ticket
+from .._types import AttemptId, VmName
 from ._adaptercache import Slot
 from ._fairqueue import FairQueue, Waiting
-from ._messages import Ticket
-from ._types import AttemptId, VmName
 
 
 class HeldTicket:
--- a/packages/lovagemast-core/src/lovagemast_core/_directory.py
+++ b/packages/lovagemast-core/src/lovagemast_core/placement/_directory.py
@@ -2,8 +2,8 @@
 
 from typing import Final
 
-from ._messages import TargetFacts, TargetSummary
-from ._types import TargetName, VmName
+from .._messages import TargetFacts, TargetSummary
+from .._types import TargetName, VmName
 
 SUMMARY_VALID_S: Final = 2.0
 FACTS_VALID_S: Final = 15.0
--- a/packages/lovagemast-core/src/lovagemast_core/_placement.py
+++ b/packages/lovagemast-core/src/lovagemast_core/placement/_placement.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterable
 from typing import Final, NamedTuple, Protocol
 
+from .._types import TargetName, ZoneName
 from ._directory import KnownTarget
-from ._types import TargetName, ZoneName
 
 LOAD_S: Final = 2.0  # least cost of an adapter load, stalls behind it included
 LOAD_WEIGHT: Final = 2.0  # a load delays those that queue behind it, too
--- a/packages/lovagemast-core/src/lovagemast_core/_placer.py
+++ b/packages/lovagemast-core/src/lovagemast_core/placement/_placer.py
@@ -3,12 +3,12 @@
 from collections import OrderedDict
 from typing import Final
 
+from .._types import TargetName, ZoneName
+from ..agreement._membership import Membership
+from ..agreement._published import PublishedController
+from ..requests._flight import Flight
 from ._directory import Directory, KnownTarget
-from ._flight import Flight
-from ._membership import Membership
 from ._placement import Placement, Wish
-from ._published import PublishedController
-from ._types import TargetName, ZoneName
 
 MAX_PREFIXES: Final = 4096
 
--- a/packages/lovagemast-core/src/lovagemast_core/_summaries.py
+++ b/packages/lovagemast-core/src/lovagemast_core/placement/_summaries.py
@@ -7,8 +7,8 @@
 
 from typing import Final
 
-from ._messages import TargetSummary
-from ._types import TargetName
+from .._messages import TargetSummary
+from .._types import TargetName
 
 REPEAT_S: Final = 0.7  # well below the time for which summaries are valid
 LIST_AGAIN_S: Final = 5.0
--- /dev/null
+++ b/packages/lovagemast-core/src/lovagemast_core/rates/__init__.py
@@ -0,0 +1,1 @@
+"""Shares of rates, and buckets that VMs lend each other tokens from."""
--- a/packages/lovagemast-core/src/lovagemast_core/_rates.py
+++ b/packages/lovagemast-core/src/lovagemast_core/rates/_rates.py
@@ -9,11 +9,11 @@
 from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
+from .._messages import TokenAsk, TokenGrant, TokenSettle
+from .._outbox import Outbox, Timer
+from .._types import AccountName, VmName
 from ._bucket import Charge, TokenBucket
-from ._messages import TokenAsk, TokenGrant, TokenSettle
-from ._outbox import Outbox, Timer
 from ._shares import CLOCK_DRIFT, ShareHolder
-from ._types import AccountName, VmName
 
 LOAN_S: Final = 1.0
 ASK_AGAIN_S: Final = 0.06
--- a/packages/lovagemast-core/src/lovagemast_core/_shares.py
+++ b/packages/lovagemast-core/src/lovagemast_core/rates/_shares.py
@@ -9,11 +9,11 @@
 
 from typing import Final, NamedTuple
 
-from ._messages import ShareAsk, ShareGrant
-from ._outbox import Outbox
-from ._roster import FLOOR_PART
-from ._timeline import EventKind
-from ._types import VmName
+from .._messages import ShareAsk, ShareGrant
+from .._outbox import Outbox
+from .._timeline import EventKind
+from .._types import VmName
+from ..agreement._roster import FLOOR_PART
 
 LEASE_S: Final = 4.0
 ASK_S: Final = 0.7
--- a/packages/lovagemast-core/src/lovagemast_core/_answers.py
+++ b/packages/lovagemast-core/src/lovagemast_core/requests/_answers.py
@@ -3,16 +3,16 @@
 from collections.abc import Callable
 from typing import Final
 
+from .._effects import CancelCall
+from .._events import CallFailure
+from .._messages import Ending, TicketClosed
+from .._outbox import Outbox
+from .._timeline import EventKind
+from .._types import AttemptId, Reason, Refusal, Run
 from ._attempts import AttemptBook
-from ._effects import CancelCall
-from ._events import CallFailure
 from ._flight import Attempt, AttemptState, Flight
-from ._messages import Ending, TicketClosed
-from ._outbox import Outbox
 from ._relay import Relay
 from ._retry import MAX_ATTEMPTS, RetryBudget
-from ._timeline import EventKind
-from ._types import AttemptId, Reason, Refusal, Run
 
 VERDICT_S: Final = 2.5  # wait for the owner's word on a broken call
 FIRST_RETRYABLE_STATUS: Final = 500
--- a/packages/lovagemast-core/src/lovagemast_core/_attempts.py
+++ b/packages/lovagemast-core/src/lovagemast_core/requests/_attempts.py
@@ -1,15 +1,15 @@
 """The attempts of this VM that have not ended."""
 
-from ._flight import Attempt, AttemptState, Flight
-from ._messages import (
+from .._messages import (
     Ending,
     RunningAsk,
     RunningReply,
     Ticket,
     TicketReturn,
 )
-from ._outbox import Outbox
-from ._types import AttemptId, Priority, TargetName, VmName
+from .._outbox import Outbox
+from .._types import AttemptId, Priority, TargetName, VmName
+from ._flight import Attempt, AttemptState, Flight
 
 
 class AttemptBook:
--- a/packages/lovagemast-core/src/lovagemast_core/_claims.py
+++ b/packages/lovagemast-core/src/lovagemast_core/requests/_claims.py
@@ -8,18 +8,18 @@
 from collections.abc import Callable
 from typing import Final
 
-from ._commands import (
+from .._commands import (
     AlreadyClaimed,
     ClaimCall,
     Claimed,
     FinishCall,
     Outcome,
 )
-from ._effects import AnswerStored
+from .._effects import AnswerStored
+from .._types import Reason, Refusal, Run
+from ..agreement._proposals import ProposalController
 from ._filters import FilterChain, Verdict
 from ._flight import Flight
-from ._proposals import ProposalController
-from ._types import Reason, Refusal, Run
 
 CLAIM_TIMEOUT_S: Final = 3.0
 FINISH_TIMEOUT_S: Final = 60.0
--- a/packages/lovagemast-core/src/lovagemast_core/_dispatch.py
+++ b/packages/lovagemast-core/src/lovagemast_core/requests/_dispatch.py
@@ -2,24 +2,24 @@
 
 from typing import Final
 
-from ._answers import AnswerController
-from ._attempts import AttemptBook
-from ._effects import CancelCall, OpenCall
-from ._flight import Attempt, AttemptState, Flight
-from ._messages import (
+from .._effects import CancelCall, OpenCall
+from .._messages import (
     Ending,
     TicketAsk,
     TicketGrant,
     TicketRefuse,
     TicketReturn,
 )
-from ._outbox import Outbox
-from ._placer import Placer
-from ._published import PublishedController
+from .._outbox import Outbox
+from .._timeline import EventKind
+from .._types import Reason, Refusal, VmName
+from ..agreement._published import PublishedController
+from ..placement._placer import Placer
+from ._answers import AnswerController
+from ._attempts import AttemptBook
+from ._flight import Attempt, AttemptState, Flight
 from ._relay import Relay
 from ._retry import MAX_ATTEMPTS, RetryBudget
-from ._timeline import EventKind
-from ._types import Reason, Refusal, VmName
 
 CHECK_ASK_S: Final = 0.5
 PLACE_AGAIN_S: Final = 0.1
--- a/packages/lovagemast-core/src/lovagemast_core/_filters.py
+++ b/packages/lovagemast-core/src/lovagemast_core/requests/_filters.py
@@ -7,13 +7,13 @@
 from enum import Enum
 from typing import Final, Protocol
 
-from ._fleet import PoolKind, Route
+from .._outbox import Outbox
+from .._timeline import EventKind
+from .._types import AdapterRef, Reason, Refusal
+from ..agreement._published import PublishedController
+from ..fleet._fleet import PoolKind, Route
+from ..rates._rates import RateController, Spent
 from ._flight import Flight
-from ._outbox import Outbox
-from ._published import PublishedController
-from ._rates import RateController, Spent
-from ._timeline import EventKind
-from ._types import AdapterRef, Reason, Refusal
 
 RATE_PATIENCE_S: Final = 1.0  # a few round trips between VMs
 
--- a/packages/lovagemast-core/src/lovagemast_core/_flight.py
+++ b/packages/lovagemast-core/src/lovagemast_core/requests/_flight.py
@@ -2,18 +2,18 @@
 
 from enum import Enum
 
-from ._events import CallerRequest
-from ._fleet import Account, Pool, PoolKind, Route
-from ._messages import Ticket, TicketClosed, TicketGrant
-from ._outbox import Timer
-from ._rates import Spent
-from ._types import (
+from .._events import CallerRequest
+from .._messages import Ticket, TicketClosed, TicketGrant
+from .._outbox import Timer
+from .._types import (
     AdapterRef,
     AttemptId,
     Refusal,
     TargetName,
     VmName,
 )
+from ..fleet._fleet import Account, Pool, PoolKind, Route
+from ..rates._rates import Spent
 
 
 class AttemptState(Enum):
--- a/packages/lovagemast-core/src/lovagemast_core/_relay.py
+++ b/packages/lovagemast-core/src/lovagemast_core/requests/_relay.py
@@ -3,19 +3,19 @@
 from collections.abc import Callable
 from typing import Final
 
-from ._claims import MAX_STORED_BODY, ClaimFilter
-from ._effects import (
+from .._effects import (
     AnswerChunk,
     AnswerEnd,
     AnswerHead,
     AnswerRefusal,
     AnswerStored,
 )
+from .._outbox import Outbox
+from .._timeline import EventKind
+from .._types import Refusal, Run
+from ..rates._rates import RateController
+from ._claims import MAX_STORED_BODY, ClaimFilter
 from ._flight import Attempt, Flight
-from ._outbox import Outbox
-from ._rates import RateController
-from ._timeline import EventKind
-from ._types import Refusal, Run
 
 MIN_CHARGE: Final = 0  # tokens, for a request that did not run
 
--- a/packages/lovagemast-core/src/lovagemast_core/_requests.py
+++ b/packages/lovagemast-core/src/lovagemast_core/requests/_requests.py
@@ -2,10 +2,17 @@
 
 from typing import Final
 
+from .._effects import AnswerStored
+from .._events import CallerRequest
+from .._outbox import Outbox
+from .._timeline import EventKind
+from .._types import Reason, Refusal, RequestId
+from ..agreement._proposals import ProposalController
+from ..agreement._published import PublishedController
+from ..placement._placer import Placer
+from ..rates._rates import RateController
 from ._claims import ClaimFilter
 from ._dispatch import Dispatcher
-from ._effects import AnswerStored
-from ._events import CallerRequest
 from ._filters import (
     FilterChain,
     KeyFilter,
@@ -14,14 +21,7 @@
     RouteFilter,
 )
 from ._flight import AttemptState, Flight
-from ._outbox import Outbox
-from ._placer import Placer
-from ._proposals import ProposalController
-from ._published import PublishedController
-from ._rates import RateController
 from ._relay import Relay
-from ._timeline import EventKind
-from ._types import Reason, Refusal, RequestId
 
 DRAIN_GRACE_S: Final = 2.0  # for the balancer to notice that readyz fails
 
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_calls.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_calls.py
@@ -84,6 +84,7 @@
             reason=refused.reason,
             path=self._req.path,
             sends=self._delivery.sends if self._delivery else 0,
+            target=self._delivery.target if self._delivery else '',
             started=self._responder.started,
             age_s=round(state.view.age(now_s()), 3),
             revision=state.view.published.revision,
@@ -116,6 +117,7 @@
         self._tried: set[str] = set()
         self._runs = 0
         self.sends = 0
+        self.target = ''  # that had the request last
 
     @property
     def may_have_run(self) -> bool:
@@ -140,13 +142,14 @@
 
     async def _attempt(self, candidate: Candidate) -> Ended:
         attempt = Attempt(self._state, self._job, candidate, self._relay)
+        self.target = candidate.target
         self.sends += 1
         self._runs += 1
         chosen_at = now_s()
         ended = await attempt.run(last_try=not self._could_run_again())
         if not attempt.was_sent:
             self._runs -= 1
-        target = candidate.known.record.target
+        target = candidate.target
         self._state.log.write(
             'request',
             ended.end.value,
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -148,12 +148,25 @@
             return web.json_response(
                 _whole(document, chat, text, tokens),
             )
+        return await self._stream(http, document, chat, words, tokens)
+
+    async def _stream(
+        self,
+        http: web.Request,
+        document: dict[str, Any],
+        chat: bool,
+        words: AsyncIterator[str],
+        left: int,
+    ) -> web.StreamResponse:
         response = web.StreamResponse(
             headers={'Content-Type': 'text/event-stream'},
         )
         await response.prepare(http)
+        answer_id = _new_id()
         async for word in words:
-            event = json.dumps(_part(document, chat, word))
+            left -= 1
+            part = _part(document, chat, word, last=left == 0)
+            event = json.dumps({**part, 'id': answer_id})
             await response.write(f'data: {event}\n\n'.encode())
             if self.faults.get('break_streams'):
                 self._drop(http)
@@ -191,8 +204,18 @@
         raise asyncio.CancelledError
 
 
-def _part(document: dict[str, Any], chat: bool, word: str) -> dict[str, Any]:
-    choice: dict[str, Any] = {'index': 0, 'finish_reason': None}
+def _part(
+    document: dict[str, Any],
+    chat: bool,
+    word: str,
+    *,
+    last: bool,
+) -> dict[str, Any]:
+    """Return one chunk of a stream; the last one says why it ends."""
+    choice: dict[str, Any] = {
+        'index': 0,
+        'finish_reason': 'length' if last else None,
+    }
     if chat:
         choice['delta'] = {'role': 'assistant', 'content': word}
     else:
@@ -222,13 +245,17 @@
     return {**_envelope(document, kind, choice), 'usage': usage}
 
 
+def _new_id() -> str:
+    return f'cmpl-{secrets.token_hex(6)}'
+
+
 def _envelope(
     document: dict[str, Any],
     kind: str,
     choice: dict[str, Any],
 ) -> dict[str, Any]:
     return {
-        'id': f'cmpl-{secrets.token_hex(6)}',
+        'id': _new_id(),
         'object': kind,
         'created': int(time.time()),
         'model': document['model'],
--- /dev/null
+++ b/tests/platformworker.py
@@ -0,0 +1,163 @@
+"""A worker of the platform's kind, small enough for tests.
+
+It announces itself, holds adapters as ordered, and answers requests with a
+stream of events, or plainly where no model is asked for.
+"""
+
+import asyncio
+import json
+import time
+from typing import Any
+from urllib.error import HTTPError
+from urllib.request import Request, urlopen
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+HEARTBEAT_S = 0.3
+EVENTS = 6
+EVENT_S = 0.02
+
+
+class Worker:
+    """One worker and what it was asked to do."""
+
+    def __init__(
+        self, name: str, service: str, port: int, control: str
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.address = f'127.0.0.1:{port}'
+        self.port = port
+        self.control = control
+        self.adapters: dict[str, int] = {}
+        self.sequence = 0
+        self.beats = 0
+        self.state = 'ready'
+        self.runs: list[CIMultiDict[str]] = []
+        self.orders: list[dict[str, Any]] = []
+        self.break_after: int | None = None  # events, of the next stream
+        self.born = int(time.time() * 1000)
+
+    def app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application()
+        app.router.add_get('/report', self._report)
+        app.router.add_post('/order', self._order)
+        app.router.add_route('*', '/{path:.*}', self._run)
+        return app
+
+    async def serve(self) -> None:
+        """Serve and send heartbeats until cancelled."""
+        runner = web.AppRunner(self.app(), access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, '127.0.0.1', self.port).start()
+        try:
+            while True:
+                await asyncio.to_thread(self._beat)
+                await asyncio.sleep(HEARTBEAT_S)
+        finally:
+            await runner.cleanup()
+
+    def _beat(self) -> None:
+        self.beats += 1
+        body = {
+            'service': self.service,
+            'address': self.address,
+            'zone': 'z1',
+            'version': 'v1',
+            'slots': 8,
+            'state': self.state,
+            'coldRemainingMs': 0,
+            'sequence': self.beats,
+            'born': self.born,
+            'models': self._models(),
+        }
+        put(f'http://{self.control}/instances/{self.name}', body)
+
+    def _models(self) -> list[dict[str, Any]]:
+        labels = [f'{name}@{number}' for name, number in self.adapters.items()]
+        return [{'name': 'm', 'version': 1, 'adapters': labels}]
+
+    async def _report(self, http: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                'models': self._models(),
+                'busy': False,
+                'sequence': self.sequence,
+                'running': 0,
+                'queued': 0,
+            },
+        )
+
+    async def _order(self, http: web.Request) -> web.Response:
+        order = await http.json()
+        self.orders.append(order)
+        if order['precondition'] != self.sequence:
+            return web.Response(status=409)
+        self.sequence += 1
+        if order['operation'] == 'load':
+            self.adapters[order['adapter']] = order.get('version', 1)
+        else:
+            self.adapters.pop(order['adapter'], None)
+        return web.Response(status=202)
+
+    async def _run(self, http: web.Request) -> web.StreamResponse:
+        headers = http.headers
+        own = {
+            'X-Request-Id': headers.get('X-Request-Id', ''),
+            'X-Server-Load': f'{len(self.runs)},0,8',
+        }
+        if headers.get('X-Expect-Instance') != self.name:
+            return web.Response(status=421, headers=own)
+        _model, _, adapter = headers.get('X-Model', '').partition('/')
+        if adapter and adapter not in self.adapters:
+            return web.Response(status=421, headers=own)
+        body = (await http.read()).decode()
+        self.runs.append(CIMultiDict(headers, body=body))
+        own['X-Server-Stamp'] = self.name
+        if not adapter:
+            return web.Response(body=http.path.encode(), headers=own)
+        return await self._stream(http, own)
+
+    async def _stream(
+        self,
+        http: web.Request,
+        own: dict[str, str],
+    ) -> web.StreamResponse:
+        first = int(http.headers.get('Last-Event-Id', '0')) + 1
+        own['Content-Type'] = 'text/event-stream'
+        response = web.StreamResponse(headers=own)
+        await response.prepare(http)
+        for number in range(first, EVENTS + 1):
+            if self.break_after is not None and number > self.break_after:
+                self.break_after = None
+                assert http.transport
+                http.transport.abort()
+                raise asyncio.CancelledError
+            await asyncio.sleep(EVENT_S)
+            await response.write(b'id: %d\ndata: e%d\n\n' % (number, number))
+        await response.write_eof()
+        return response
+
+
+def put(url: str, body: object, method: str = 'PUT') -> int:
+    """Send a document; return the status, 0 if there was no answer.
+
+    A redirect is followed, as the platform's own callers do.
+    """
+    data = json.dumps(body).encode()
+    for _hop in range(3):
+        req = Request(url, data=data, method=method)
+        req.add_header('Content-Type', 'application/json')
+        try:
+            with urlopen(req, timeout=2) as answer:
+                return int(answer.status)
+        except HTTPError as exc:
+            where = exc.headers.get('Location')
+            if not where:
+                return exc.code
+            url = where
+        except OSError:
+            return 0
+    return 0
--- a/tests/test_bucket.py
+++ b/tests/test_bucket.py
@@ -2,7 +2,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
-from lovagemast_core._bucket import TokenBucket
+from lovagemast_core.rates._bucket import TokenBucket
 
 RATE = 10.0
 CAP = 50.0
--- a/tests/test_fairqueue.py
+++ b/tests/test_fairqueue.py
@@ -1,7 +1,11 @@
 """Tests of fair queueing."""
 
 from lovagemast_core import Priority
-from lovagemast_core._fairqueue import MAX_WAIT_BEHIND_S, FairQueue, Waiting
+from lovagemast_core.ownership._fairqueue import (
+    MAX_WAIT_BEHIND_S,
+    FairQueue,
+    Waiting,
+)
 
 
 def waiting(
--- a/tests/test_ownedtarget.py
+++ b/tests/test_ownedtarget.py
@@ -3,7 +3,7 @@
 import pytest
 from lovagemast_core import Priority, TargetFacts, least_demand
 from lovagemast_core._messages import Ending, Ticket
-from lovagemast_core._ownedtarget import PROOF_S, OwnedTarget
+from lovagemast_core.ownership._ownedtarget import PROOF_S, OwnedTarget
 
 FACTS = TargetFacts('t', 'z', 'lm', 'a:1', 'i0', 1, 2, 4)
 
--- a/tests/test_tcp.py
+++ b/tests/test_tcp.py
@@ -111,13 +111,17 @@
         )
         assert whole.usage
         assert whole.usage.completion_tokens == 4
-        parts = client.chat.completions.create(
+        stream = client.chat.completions.create(
             model=MODEL,
             messages=messages,
             max_tokens=4,
             stream=True,
         )
-        assert len(list(parts)) == 4
+        parts = list(stream)
+        assert len(parts) == 4
+        assert len({part.id for part in parts}) == 1
+        reasons = [part.choices[0].finish_reason for part in parts]
+        assert reasons == [None, None, None, 'length']
         assert MODEL in {model.id for model in client.models.list()}
 
     def test_openai_client_errors(self, fleet: Fleet) -> None:
