--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_calls.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_calls.py
@@ -76,6 +76,7 @@
     async def _refuse(self, refused: Refused) -> None:
         state = self._state
         request_id = self._facts.request_id if self._facts else ''
+        state.metrics.refused(refused.status)
         state.log.write(
             'request',
             'refused',
@@ -150,6 +151,10 @@
         if not attempt.was_sent:
             self._runs -= 1
         target = candidate.target
+        metrics = self._state.metrics
+        metrics.attempted(ended.end.name, chosen_at - self._job.arrived)
+        if ended.end is End.DONE:
+            metrics.answered(now_s() - self._job.arrived)
         self._state.log.write(
             'request',
             ended.end.value,
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -34,6 +34,7 @@
 from ._dialect import ControlDialect
 from ._engines import EngineClient
 from ._lines import LineLog
+from ._metrics import ControlMetrics, MetricsPage
 from ._operators import OperatorApi
 from ._peers import (
     STREAM_ERRORS,
@@ -62,6 +63,7 @@
         self._cfg = cfg
         self._dialect = dialect
         self._log = LineLog(cfg.name)
+        metrics = ControlMetrics()
         self._store = LogStore.open(Path(cfg.data_dir), cfg.vm)
         self._node = ControlNode(
             ControlConfig(
@@ -83,6 +85,7 @@
             self._node,
             self._perform,
             self._log,
+            metrics,
         )
         self._links = PeerLinks(cfg.vm, cfg.peer_port, self._log)
         self._entries = EntryService(self._on_ask, self._log)
@@ -92,6 +95,7 @@
             self._on_broken,
         )
         self._engines = EngineClient(cfg.vm, dialect, self._log)
+        self._metrics = metrics
         self._batches: asyncio.Queue[PersistLog] = asyncio.Queue()
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
@@ -118,6 +122,8 @@
             self._cfg.peer_port,
         )
         await self._http.listen(*split_address(self._cfg.control))
+        page = MetricsPage(self._metrics.registry, self._log)
+        await page.listen(self._cfg.metrics)
         self._spawn(self._write_log())
         self._spawn(self._push_news())
         self._tick()
@@ -162,6 +168,7 @@
         }
 
     def _note_leader(self, noticed: LeaderNoticed) -> None:
+        self._metrics.leader_noticed()
         self._log.write(
             'agree',
             'leader',
@@ -227,6 +234,7 @@
 
     async def _send_order(self, order: Order) -> None:
         outcome = await self._engines.send(order)
+        self._metrics.ordered(outcome.result.value)
         self._node.on_order_answered(outcome, now_s())
         self._perform()
 
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -19,6 +19,7 @@
 from ._dialect import EdgeDialect
 from ._entrystate import EntryState
 from ._lines import LineLog
+from ._metrics import MetricsPage
 from ._settings import EntrySettings
 from ._sync import SyncClient
 
@@ -67,6 +68,8 @@
         self._log.write('entry', 'start', zone=self._cfg.zone)
         await self._health.listen(*split_address(self._cfg.ready))
         await self._front.listen(*split_address(self._cfg.front))
+        page = MetricsPage(self._state.metrics.registry, self._log)
+        await page.listen(self._cfg.metrics)
         sync = asyncio.create_task(self._sync.run())
         await self._draining.wait()
         await self._drain()
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
@@ -18,6 +18,7 @@
 from ..http import TargetPool
 from ._dialect import EdgeDialect
 from ._lines import LineLog
+from ._metrics import EntryMetrics
 from ._settings import EntrySettings
 from ._work import WorkBook
 
@@ -43,6 +44,7 @@
         self.pool = TargetPool()
         self.cold = ColdLimiter()
         self.batch = BatchLimit()
+        self.metrics = EntryMetrics()
         self.retries = RetryAllowance(
             cfg.retry_ratio,
             cfg.retry_slack,
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_operators.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_operators.py
@@ -27,6 +27,7 @@
     ZoneCall,
 )
 from ._lines import LineLog
+from ._metrics import ControlMetrics
 from ._settings import ControlSettings
 
 OK: Final = 200
@@ -53,7 +54,9 @@
         node: ControlNode,
         perform: Callable[[], None],
         log: LineLog,
+        metrics: ControlMetrics,
     ) -> None:
+        self._metrics = metrics
         self._cfg = cfg
         self._dialect = dialect
         self._node = node
@@ -155,6 +158,7 @@
         self._perform()
         outcome = await fut
         status = _status_of(outcome)
+        self._metrics.changed(now_s() - started)
         fields = change._asdict()
         fields.pop('document', None)
         self._log.write(
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_settings.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_settings.py
@@ -14,6 +14,7 @@
     zone: str
     front: str  # address for callers
     ready: str  # address for the balancer's health checks
+    metrics: str  # address for metrics, empty for none
     seeds: tuple[str, ...]  # IP addresses of control VMs
     peer_port: int
     key_age_s: float | None
@@ -33,6 +34,7 @@
     name: str
     zone: str
     control: str  # address for targets and operators
+    metrics: str  # address for metrics, empty for none
     seeds: tuple[str, ...]  # IP addresses of control VMs
     peer_port: int
     data_dir: str
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -288,6 +288,21 @@
         assert found[-1]['revision'] >= 1
 
 
+class TestMetrics:
+    @pytest.mark.parametrize(
+        ('host', 'name'),
+        [
+            ('127.0.0.1', 'lovagemast_answered_seconds_count'),
+            (CONTROL[0], 'lovagemast_orders_total'),
+        ],
+    )
+    def test_counters(self, site: Site, host: str, name: str) -> None:
+        """Each process serves its counters and histograms."""
+        answer = urllib3.request('GET', f'http://{host}:9464/metrics')
+        assert answer.status == 200
+        assert name in answer.data.decode()
+
+
 class TestFailures:
     def test_leader_is_killed(self, site: Site) -> None:
         """Callers are served while another control VM takes over."""
