--- a/packages/lovagemast-core/src/lovagemast_core/agreement/_replica.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_replica.py
@@ -139,6 +139,7 @@
         match message:
             case VoteAsk():
                 self._election.on_ask(message, now)
+                self._take_back(message.candidate, now)
             case VoteReply():
                 self._election.on_reply(message, now)
             case AppendEntries():
@@ -151,6 +152,11 @@
                 self._on_hello(sender, message, now)
         self._state.flush()
 
+    def _take_back(self, candidate: str, now: float) -> None:
+        """Let a voter join again that was removed without its knowledge."""
+        if self.is_leader() and candidate not in self._state.voters:
+            self._leadership.add_learner(candidate, now)
+
     def _on_won(self, now: float) -> None:
         self._leadership.start(now)
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -343,3 +343,19 @@
         second = node.on_ask(ask, cluster.now)
         assert second.targets == ()
         assert second.present == ('t1',)
+
+
+class TestVoters:
+    def test_removed_voter_returns(self) -> None:
+        """A voter that was removed while cut off votes again later."""
+        cluster = Cluster((*VMS, 'c4'))
+        cluster.run(4.0)
+        leader = cluster.leader()
+        assert len(cluster.nodes[leader].replica.voter_vms) == 4
+        lost = next(vm for vm in cluster.nodes if vm != leader)
+        cluster.cut.add(lost)
+        cluster.run(8.0)
+        assert lost not in cluster.nodes[leader].replica.voter_vms
+        cluster.cut.clear()
+        cluster.run(6.0)
+        assert lost in cluster.nodes[cluster.leader()].replica.voter_vms
