--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -108,6 +108,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._on_term)
         loop.add_signal_handler(signal.SIGHUP, self._on_hup)
+        self._log.unblock()
         self._log.write(
             'control',
             'start',
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -65,6 +65,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._on_term)
         loop.add_signal_handler(signal.SIGHUP, self._on_hup)
+        self._log.unblock()
         self._log.write('entry', 'start', zone=self._cfg.zone)
         await self._health.listen(*split_address(self._cfg.ready))
         await self._front.listen(*split_address(self._cfg.front))
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_lines.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_lines.py
@@ -22,6 +22,9 @@
         self._second = 0
         self._lines = 0
         self.dropped = 0
+
+    def unblock(self) -> None:
+        """Let no write wait for whoever reads standard output."""
         try:
             os.set_blocking(STDOUT, False)
         except OSError as exc:
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,239 @@
+"""Tests of a request's end: what was not run, what may have run."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+from lovagemast_core import PublishedState
+from lovagemast_core.deployment import (
+    AccountSpec,
+    CallKind,
+    Deployment,
+    DeploymentIndex,
+    PoolSpec,
+    RouteSpec,
+    Split,
+)
+from lovagemast_core.targets import SyncReply, TargetRecord
+from lovagemast_node.fleet import EntrySettings
+from lovagemast_node.fleet._calls import Call
+from lovagemast_node.fleet._clock import now_s
+from lovagemast_node.fleet._entrystate import EntryState
+from lovagemast_node.fleet._lines import LineLog
+from lovagemast_node.http import (
+    HttpRequest,
+    HttpServer,
+    Responder,
+    ServerLimits,
+)
+from lovagemast_platform._edge import PlatformEdge
+
+HOST = '127.0.0.1'
+CFG = EntrySettings(
+    vm='e1',
+    zone='z1',
+    front='',
+    ready='',
+    metrics='',
+    seeds=(),
+    peer_port=0,
+    key_age_s=4.3,
+    drain_grace_s=8.0,
+    retry_ratio=0.2,
+    retry_slack=50.0,
+    retry_window_s=10.0,
+    cold_slack=5.0,
+    memory_mb=300,
+    quota_slack=0.0,
+)
+
+Play = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+def make_index(kind: CallKind) -> DeploymentIndex:
+    """Return a deployment with one route and one account."""
+    route = RouteSpec(
+        'r1',
+        'h',
+        '/x/',
+        kind,
+        (Split('p', 1.0),),
+        timeout_s=2.0,
+        objective_s=0.2,
+        gap_s=0.3,
+        priority=0,
+        max_attempts=2,
+        open=False,
+        resumable=False,
+    )
+    account = AccountSpec('acme', ('k1',), None, 0.0, 0.0, False, 1.0)
+    pool = PoolSpec('p', '/health', 100, 0.0, 0.0)
+    return DeploymentIndex(
+        Deployment(3, (route,), (pool,), (account,)),
+    )
+
+
+class Target:
+    """A target that plays the same part for each request."""
+
+    def __init__(self, play: Play) -> None:
+        self.requests = 0
+        self._play = play
+
+    async def serve(self) -> int:
+        """Listen and return the port."""
+        server = await asyncio.start_server(self._on_connection, HOST, 0)
+        return int(server.sockets[0].getsockname()[1])
+
+    async def _on_connection(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        try:
+            await reader.readuntil(b'\r\n\r\n')
+        except asyncio.IncompleteReadError:
+            return
+        self.requests += 1
+        await self._play(reader, writer)
+        await writer.drain()
+        writer.close()
+
+
+def answer(head: bytes) -> Play:
+    """Return a play that answers with a head and no body."""
+
+    async def play(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(b'HTTP/1.1 ' + head + b'\r\nContent-Length: 0\r\n\r\n')
+
+    return play
+
+
+async def break_off(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Close the connection without an answer."""
+
+
+FULL = answer(b'503 Full\r\nX-Not-Executed: 1')
+FAILED = answer(b'500 Failed\r\nX-Server-Stamp: s')
+FORGED = answer(b'200 OK')
+GOOD = answer(b'200 OK\r\nX-Server-Stamp: s')
+
+
+async def status_of(
+    kind: CallKind,
+    targets: list[Target],
+    *,
+    key: bytes = b'k1',
+    path: str = '/x/a',
+    age_s: float = 0.0,
+) -> int:
+    """Return the status that a caller gets."""
+    state = EntryState(CFG, PlatformEdge(), LineLog('e1'), lambda: None)
+    records = [
+        TargetRecord(
+            f't{number}',
+            'p',
+            f'{HOST}:{await target.serve()}',
+            'z1',
+            1,
+            8,
+            leaving=False,
+            cold_s=0.0,
+        )
+        for number, target in enumerate(targets)
+    ]
+    reply = SyncReply(1, True, 'c', 1, 0.0, PublishedState(1, 3))
+    reply = reply._replace(targets=tuple(records))
+    state.view.apply(reply, now_s() - age_s, now_s())
+    state.view.set_index(make_index(kind))
+
+    async def handle(req: HttpRequest, responder: Responder) -> None:
+        await Call(state, req, responder).run()
+
+    server = HttpServer(handle, ServerLimits(), lambda: None)
+    await server.listen(HOST, 0)
+    assert server._listener
+    port = server._listener.sockets[0].getsockname()[1]
+    reader, writer = await asyncio.open_connection(HOST, port)
+    writer.write(
+        b'GET %b HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\n'
+        b'X-Deadline-Ms: 2000\r\nAuthorization: Bearer %b\r\n\r\n'
+        % (path.encode(), key),
+    )
+    line = await reader.readline()
+    writer.close()
+    return int(line.split()[1])
+
+
+class TestEnds:
+    @pytest.mark.parametrize(
+        ('kind', 'play', 'status', 'most'),
+        [
+            (CallKind.SAFE, GOOD, 200, 1),
+            (CallKind.UNSAFE, GOOD, 200, 1),
+            (CallKind.SAFE, FULL, 503, 5),
+            (CallKind.UNSAFE, FULL, 503, 5),
+            (CallKind.SAFE, break_off, 502, 2),
+            (CallKind.UNSAFE, break_off, 502, 1),
+            (CallKind.SAFE, FAILED, 500, 2),
+            (CallKind.UNSAFE, FAILED, 500, 1),
+            (CallKind.UNSAFE, FORGED, 502, 1),
+            (CallKind.STREAM, break_off, 502, 1),
+        ],
+    )
+    def test_status_and_sends(
+        self,
+        kind: CallKind,
+        play: Play,
+        status: int,
+        most: int,
+    ) -> None:
+        """A refusal says "not run" only of what no target ran."""
+        targets = [Target(play), Target(play)]
+        assert asyncio.run(status_of(kind, targets)) == status
+        assert sum(target.requests for target in targets) <= most
+
+    def test_nothing_listens(self) -> None:
+        """Without any target, the request is refused as not run."""
+        assert asyncio.run(status_of(CallKind.UNSAFE, [])) == 503
+
+    def test_failed_then_served(self) -> None:
+        """An idempotent request is served by another target."""
+        targets = [Target(break_off), Target(GOOD)]
+        assert asyncio.run(status_of(CallKind.SAFE, targets)) == 200
+
+
+class TestDenials:
+    @pytest.mark.parametrize(
+        ('key', 'path', 'age_s', 'status'),
+        [
+            (b'wrong', '/x/a', 0.0, 401),
+            (b'k1', '/y/a', 0.0, 404),
+            (b'wrong', '/x/a', 2.0, 503),
+            (b'k1', '/y/a', 2.0, 503),
+            (b'k1', '/x/a', 2.0, 200),
+            (b'k1', '/x/a', 4.4, 503),
+        ],
+    )
+    def test_denied_only_in_touch(
+        self,
+        key: bytes,
+        path: str,
+        age_s: float,
+        status: int,
+    ) -> None:
+        """A VM that may be behind denies nothing; known keys last a while."""
+        played = status_of(
+            CallKind.SAFE,
+            [Target(GOOD)],
+            key=key,
+            path=path,
+            age_s=age_s,
+        )
+        assert asyncio.run(played) == status
