--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_engines.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_engines.py
@@ -10,7 +10,7 @@
 from ._engine import MAX_COMING, EngineState
 from ._label import AdapterLabel
 
-CROWDED: Final = 0.2  # of an engine's slots taken; then copies help
+CROWDED: Final = 0.3  # of an engine's slots taken; then copies help
 MUCH_LESS: Final = 0.6  # of the load of those that hold an adapter
 RUNNING_BURDEN: Final = 0.5  # for each request that runs, in requests/s
 STORE_BURDEN: Final = 1.0  # what a load from the store counts, in requests/s
