A torn last write is dropped whichever of its sectors were lost

Cause: several frames went out in one write, and a frame with a lost header but a written payload counted as damage of what was acknowledged: the process would never have started again. One write is one frame now; damage counts only if a whole frame follows. The eight new cases failed before; damage in the middle still stops the process.

--- a/packages/lovagemast-node/src/lovagemast_node/_storage.py
+++ b/packages/lovagemast-node/src/lovagemast_node/_storage.py
@@ -1,11 +1,12 @@
 """The write-ahead log of a control VM.
 
 One file holds a header frame with the replica's identity, then one frame
-for each batch. A frame is a header (payload length, CRC of the payload,
-CRC of the header) and the payload: records with their lengths. A frame
-cut short at the end of the file was never acknowledged and is dropped;
-any other damage stops the process. A snapshot starts a new file, which
-replaces the old one once it is synced.
+for each write. A frame is a header (payload length, CRC of the payload,
+CRC of the header) and the payload: records with their lengths. A write is
+synced before the next one begins, so that only the last frame can be torn,
+in any of its parts: a damaged frame with no whole one after it was never
+acknowledged and is dropped; any other damage stops the process. A snapshot
+starts a new file, which replaces the old one once it is synced.
 """
 
 import os
@@ -77,16 +78,16 @@
 
     def write(self, batches: Iterable[PersistLog]) -> None:
         """Write some batches and return once they are synced."""
-        frames = bytearray()
+        records: list[LogRecord] = []
         for batch in batches:
             self._mirror.apply(batch)
             if batch.snapshot:
-                frames.clear()
+                records.clear()
                 self._start_file()
             else:
-                frames += _frame(_records(batch))
-        if frames:
-            self._file.write(frames)
+                records.extend(_records(batch))
+        if records:
+            self._file.write(_frame(records))
             os.fdatasync(self._file.fileno())
 
     def close(self) -> None:
@@ -186,22 +187,29 @@
 
 
 def _payload_at(content: bytes, position: int) -> bytes | None:
-    rest = len(content) - position
-    if rest < _HEADER.size:
+    """Return a frame's payload, ``None`` if the frame was never whole.
+
+    Raises :exc:`DamagedLogError` if a whole frame follows a damaged one.
+    """
+    payload = _whole_payload(content, position)
+    if payload is not None:
+        return payload
+    for later in range(position + 1, len(content) - _HEADER.size + 1):
+        if _whole_payload(content, later):
+            raise DamagedLogError(f'damaged frame at byte {position}')
+    return None
+
+
+def _whole_payload(content: bytes, position: int) -> bytes | None:
+    if len(content) - position < _HEADER.size:
         return None
     length, payload_crc, header_crc = _HEADER.unpack_from(content, position)
+    if not length or header_crc != _header_crc(length, payload_crc):
+        return None
     start = position + _HEADER.size
-    if header_crc != _header_crc(length, payload_crc):
-        if not any(content[position:]):
-            return None
-        raise DamagedLogError(f'bad frame header at byte {position}')
     payload = content[start : start + length]
-    if len(payload) < length:
+    if len(payload) < length or zlib.crc32(payload) != payload_crc:
         return None
-    if zlib.crc32(payload) != payload_crc:
-        if start + length == len(content):
-            return None
-        raise DamagedLogError(f'bad checksum at byte {position}')
     return payload
 
 
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -120,6 +120,28 @@
         path.write_bytes(path.read_bytes() + bytes(64))
         assert len(reopen(folder).stored.entries) == 6
 
+    @pytest.mark.parametrize('first', [0, 4, 12, 30])
+    @pytest.mark.parametrize('fill', [b'\x00', b'\xa5'])
+    def test_any_part_of_the_last_write_may_be_lost(
+        self,
+        folder: Path,
+        first: int,
+        fill: bytes,
+    ) -> None:
+        """Sectors of an unsynced write are lost in any order."""
+        path = folder / FILE_NAME
+        whole = path.read_bytes()
+        store = reopen(folder)
+        store.write([batch(4, 7, 1), batch(5, 8, 1)])
+        store.close()
+        content = bytearray(path.read_bytes())
+        start = len(whole) + first
+        content[start : start + 20] = fill * 20
+        path.write_bytes(bytes(content))
+        entries = reopen(folder).stored.entries
+        indexes = [entry.log_index for entry in entries]
+        assert indexes == [1, 2, 3, 4, 5, 6]
+
     @pytest.mark.parametrize('position', [3, 30, 90, 120])
     def test_damage_in_the_middle_stops(
         self,
