--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
@@ -21,7 +21,10 @@
 
 ADAPTER_LOAD_S: Final = 0.27
 RECENT_LOAD_S: Final = 0.03  # of an adapter that the engine held lately
-MAX_LOADS_IN_FLIGHT: Final = 8  # over all engines; beyond, all get slower
+# Loads on their way from the store, over all engines; beyond, all get
+# slower. A store for more engines carries more.
+LEAST_LOADS_IN_FLIGHT: Final = 8
+LOADS_FOR_EACH_ENGINE: Final = 1.34
 MODEL_LOADS_IN_FLIGHT: Final = 2
 WISH_TTL_S: Final = 1.0  # entry VMs repeat what they still wait for
 TOP_ADAPTERS: Final = 24  # that may have more than one copy
@@ -116,7 +119,7 @@
         self.engines.refresh([use for uses in fresh for use in uses], now)
         orders = self._model_orders(term, now)
         for name in (*self._wanted(now), *self._copies(now)):
-            if self.engines.in_flight(now) >= MAX_LOADS_IN_FLIGHT:
+            if self.engines.in_flight(now) >= self._loads_allowed():
                 break
             order = self._order_for(name, term, now)
             if order:
@@ -146,6 +149,10 @@
         engine.reported(report, now)
         return True
 
+    def _loads_allowed(self) -> int:
+        scaled = int(LOADS_FOR_EACH_ENGINE * len(self.engines.by_target))
+        return max(LEAST_LOADS_IN_FLIGHT, scaled)
+
     def _model_orders(self, term: int, now: float) -> list[Order]:
         loading = sum(bool(one.model_due) for one in self.engines)
         empty = [
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -144,3 +144,25 @@
             holder.wait(fleet.account, -cost, now)
         spent = sum(cost for at, cost in fleet.spent if at > 110.0)
         assert spent >= 0.9 * rate * 50
+
+    def test_rare_requests_waste_nothing(self) -> None:
+        """With many VMs, tokens do not lie idle in each of them."""
+        rate = 20_000.0
+        fleet = Fleet(rate, 60)
+        accounts = {fleet.account.name: fleet.account}
+        rng = random.Random(5)
+        now = 100.0
+        refused = 0
+        for _step in range(2_000):
+            now += 0.05  # 20 requests a second, 0.8 of the rate
+            holder = rng.choice(fleet.holders)
+            cost = rng.uniform(400, 1_200)
+            holder.note_demand(fleet.account, cost, now)
+            holder.wait(fleet.account, cost, now)
+            for one in fleet.holders:
+                wishes = one.wishes(accounts, 60, now)
+                for lot in fleet.issuer.issue(wishes, accounts, now):
+                    one.add(lot, now)
+            refused += not holder.spend(fleet.account, cost, now)
+            holder.wait(fleet.account, -cost, now)
+        assert refused < 0.02 * 2_000
