--- a/packages/lovagemast-core/src/lovagemast_core/quota/_holder.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quota/_holder.py
@@ -13,8 +13,6 @@
 SLACK_PART: Final = 0.4  # held by all entry VMs together
 SHORT_S: Final = 0.3
 SCARCE_S: Final = 2.0
-AHEAD_REQUESTS: Final = 2.0  # fewer are not worth holding tokens for
-COST_WEIGHT: Final = 0.1  # of the newest request in the mean cost
 LEAST_RATE: Final = 1.0  # tokens a second
 LOT_TTL_S: Final = 4.0  # a lower limit binds once older lots have expired
 
@@ -26,7 +24,6 @@
         self.lots: list[tuple[float, float]] = []  # granted at, tokens
         self.demand = 0.0  # tokens a second
         self.demand_at = now
-        self.mean_cost = 0.0  # tokens a request
         self.waiting = 0.0  # tokens that requests wait for
         self.short_at = float('-inf')  # s, when the bucket was last empty
         self.granted = 0.0  # tokens a second
@@ -41,8 +38,6 @@
     def note_demand(self, tokens: float, now: float) -> None:
         decay = math.exp(-(now - self.demand_at) / DEMAND_WINDOW_S)
         self.demand = self.demand * decay + tokens / DEMAND_WINDOW_S
-        weight = COST_WEIGHT if self.mean_cost else 1
-        self.mean_cost += weight * (tokens - self.mean_cost)
         self.demand_at = now
 
     def note_grant(self, tokens: float, now: float) -> None:
@@ -119,8 +114,7 @@
             state.expire(now)
             ceiling = account.rate * RATE_PART + self._slack * SLACK_PART
             wanted = min(state.demand_now(now) * HOLD_S, ceiling / entries)
-            scarce = now - state.short_at < SCARCE_S
-            if scarce or wanted < AHEAD_REQUESTS * state.mean_cost:
+            if now - state.short_at < SCARCE_S:
                 wanted = 0  # tokens held ahead would lie idle and expire
             wanted += state.waiting - state.held()
             if wanted > 0:
