Entry VMs ignore a leader of an earlier term

Cause, by reading: a leader that was replaced unnoticed (frozen, cut off) still answers an entry VM that turns to it, and its older records of targets took the place of newer ones, a leaving target among them. The test failed before.

--- a/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
@@ -53,8 +53,12 @@
         """Apply a leader's reply; return whether the configuration is new.
 
         ``asked_at`` is when the ask was sent that the reply names: what
-        the reply confirms held at that time, less the quorum's age.
+        the reply confirms held at that time, less the quorum's age. A
+        leader of an earlier term, which does not know yet that it was
+        replaced, is ignored.
         """
+        if reply.term < self.term:
+            return False
         newer = self._apply_published(reply.published, now)
         confirmed = asked_at - max(0.0, reply.quorum_age_s)
         self.confirmed_at = max(self.confirmed_at, confirmed)
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -166,3 +166,14 @@
         view = FleetView()
         view.apply(make_reply(published=published), 1.0, 1.0)
         assert view.least_version('m', 'a1', now) == least
+
+    def test_former_leader_changes_nothing(self) -> None:
+        """A reply of an earlier term brings no older targets back."""
+        view = FleetView()
+        leaving = make_record('t1')._replace(leaving=True)
+        newer = make_reply(term=5, targets=(leaving,), present=('t1',))
+        view.apply(newer, 1.0, 1.0)
+        older = make_reply(targets=(make_record('t1'),), present=('t1',))
+        view.apply(older, 9.0, 9.0)
+        assert view.targets['t1'].record.leaving
+        assert view.age(9.0) > 7.0
