Bound the prompts that an engine has yet to read

Cause: streams pause when many prompts reach one engine at once. Ruled out: batch size (16 to 24 running: 5 of 100 without a burst, 24 to 54 with one). Change: the prompt tokens that an engine has to read are limited, evenly over entry VMs, with a limit that follows the pauses.

--- a/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
@@ -12,6 +12,7 @@
 )
 from ._health import TargetHealth
 from ._limits import ColdLimiter, RetryAllowance, Share
+from ._prefill import PrefillLimit
 from ._stream import EventCutter
 from ._view import FleetView, KnownTarget
 
@@ -25,6 +26,7 @@
     'KnownTarget',
     'Need',
     'NoChoice',
+    'PrefillLimit',
     'RetryAllowance',
     'Share',
     'TargetHealth',
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -60,6 +60,7 @@
         self._candidate = candidate
         self._relay = relay
         self._target = candidate.known.record.target
+        self._unread = 0.0  # prompt tokens that the target has yet to read
         self.was_sent = False
 
     async def run(self, *, last_try: bool) -> Ended:
@@ -90,6 +91,7 @@
             ended = await self._exchange(conn, last_try=last_try)
             whole = ended.end is End.DONE
         finally:
+            self._note_read()
             if whole:
                 self._state.pool.release(conn, now_s())
             else:
@@ -108,6 +110,7 @@
             return Ended(End.NOT_RUN, 'keys could not be confirmed')
         state.cold.note_sent(self._target, now)
         self.was_sent = True
+        self._note_unread()
         conn.send(
             self._encode(now),
             self._job.facts.request_id.encode('latin-1'),
@@ -130,6 +133,18 @@
             return self._broke('not the answer of the target')
         return await self._pass_on(conn, event)
 
+    def _note_unread(self) -> None:
+        if self._job.pool.engine:
+            self._unread = self._job.facts.prompt_tokens
+            self._state.prefill.sent(self._target, self._unread)
+
+    def _note_read(self) -> None:
+        """Make room for other prompts at the target."""
+        if self._unread:
+            self._state.prefill.begun(self._target, self._unread)
+            self._unread = 0.0
+            self._state.announce_news()
+
     def _encode(self, now: float) -> bytes:
         job = self._job
         label = self._candidate.label
@@ -197,6 +212,7 @@
         if is_stream and self._job.route.gap_s:
             paused = self._relay.longest_pause_s > self._job.route.gap_s
             self._state.batch.note(self._target, paused=paused)
+            self._state.prefill.note(self._target, paused=paused)
         return Ended(End.DONE, str(head.status))
 
     async def _pass_whole(
@@ -224,6 +240,7 @@
         while True:
             event = await conn.event()
             if isinstance(event, AnswerData):
+                self._note_read()
                 await self._relay.pass_events(head, event.chunk)
             elif isinstance(event, AnswerEnd):
                 await self._relay.end_stream(head)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_calls.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_calls.py
@@ -28,6 +28,7 @@
 PART_TO_WAIT: Final = 0.3  # of the time that the caller waits
 RETRY_SOON_S: Final = 0.2
 LOAD_S: Final = 0.4  # of an adapter, and the way to the leader
+UNREAD_COST: Final = 0.1  # of prompts at the limit, in parts of a full target
 CONNECTIONS_PART: Final = 0.9  # of a target's limit, over all entry VMs
 
 
@@ -267,7 +268,7 @@
         state = self._state
         terms = Terms(
             state.health,
-            lambda known: state.work.load_of(known, state.view.entries, now),
+            lambda known: self._load_of(known, now),
             lambda known: self._may_send(known, now),
             frozenset(self._tried),
             state.cfg.zone,
@@ -275,6 +276,13 @@
         candidates = find_candidates(state.view, self._need, now)
         return choose_target(candidates, terms, now)
 
+    def _load_of(self, known: KnownTarget, now: float) -> float:
+        state = self._state
+        entries = state.view.entries
+        load = state.work.load_of(known, entries, now)
+        unread = state.prefill.part_used(known.record.target, entries)
+        return load + UNREAD_COST * unread
+
     def _may_send(self, known: KnownTarget, now: float) -> bool:
         state = self._state
         entries = state.view.entries
@@ -284,6 +292,9 @@
             return False
         if self._is_crowded(known, now):
             return False
+        tokens = self._job.facts.prompt_tokens
+        if not state.prefill.may_send(target, tokens, entries):
+            return False
         if not known.is_cold(now):
             return True
         per_s = self._job.pool.cold_per_s
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -158,6 +158,7 @@
         if reply.targets:
             state.health.forget(set(state.view.targets))
             state.batch.forget(set(state.view.targets))
+            state.prefill.forget(set(state.view.targets))
         state.announce_news()
 
     def _use_config(self) -> None:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
@@ -10,6 +10,7 @@
     BatchLimit,
     ColdLimiter,
     FleetView,
+    PrefillLimit,
     RetryAllowance,
     TargetHealth,
 )
@@ -44,6 +45,7 @@
         self.pool = TargetPool()
         self.cold = ColdLimiter()
         self.batch = BatchLimit()
+        self.prefill = PrefillLimit()
         self.metrics = EntryMetrics()
         self.retries = RetryAllowance(
             cfg.retry_ratio,
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -13,6 +13,7 @@
     KnownTarget,
     Need,
     NoChoice,
+    PrefillLimit,
     RetryAllowance,
     Share,
     TargetHealth,
@@ -250,3 +251,59 @@
         limits = [batch.limit('t1', priority) for priority in range(4)]
         assert limits == sorted(limits, reverse=True)
         assert limits[0] > limits[3]
+
+
+PROMPT_TOKENS = 1_000.0
+READ_PER_S = 38_000.0  # prompt tokens that the played engine reads
+ENTRIES = 6
+
+
+def play_burst(limits: list[PrefillLimit], requests: int) -> float:
+    """Send a burst to an engine; return its longest run of reading, in s."""
+    waiting = [index % len(limits) for index in range(requests)]
+    unread: list[int] = []
+    longest = 0.0
+    while waiting or unread:
+        for index in list(waiting):
+            if limits[index].may_send('t1', PROMPT_TOKENS, len(limits)):
+                limits[index].sent('t1', PROMPT_TOKENS)
+                waiting.remove(index)
+                unread.append(index)
+        longest = max(longest, len(unread) * PROMPT_TOKENS / READ_PER_S)
+        limits[unread.pop(0)].begun('t1', PROMPT_TOKENS)
+    return longest
+
+
+class TestPrefillLimit:
+    def test_burst_is_spread(self) -> None:
+        """A burst over all entry VMs leaves an engine little to read."""
+        limits = [PrefillLimit() for _entry in range(ENTRIES)]
+        assert play_burst(limits, 60) < 0.2
+
+    def test_one_is_always_allowed(self) -> None:
+        """A prompt beyond the limit is sent when nothing else is unread."""
+        limit = PrefillLimit()
+        assert limit.may_send('t1', 1e6, ENTRIES)
+        limit.sent('t1', 1e6)
+        assert not limit.may_send('t1', 1.0, ENTRIES)
+        limit.begun('t1', 1e6)
+        assert limit.may_send('t1', 1.0, ENTRIES)
+
+    @pytest.mark.parametrize(('paused', 'allowed'), [(True, 1), (False, 3)])
+    def test_follows_pauses(self, paused: bool, allowed: int) -> None:
+        """Pauses lower the limit of an engine, their absence raises it."""
+        limit = PrefillLimit()
+        for _stream in range(100):
+            limit.note('t1', paused=paused)
+        sent = 0
+        while limit.may_send('t1', PROMPT_TOKENS, 3):
+            limit.sent('t1', PROMPT_TOKENS)
+            sent += 1
+        assert sent == allowed
+
+    def test_part_used(self) -> None:
+        """What is unread counts against this VM's share of the limit."""
+        limit = PrefillLimit()
+        limit.sent('t1', PROMPT_TOKENS)
+        assert limit.part_used('t1', ENTRIES) == pytest.approx(1.0)
+        assert limit.part_used('t2', ENTRIES) == 0
