--- a/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
@@ -11,6 +11,7 @@
     find_candidates,
 )
 from ._health import TargetHealth
+from ._leadersearch import LeaderSearch
 from ._limits import ColdLimiter, RetryAllowance, Share
 from ._prefill import PrefillLimit
 from ._stream import EventCutter
@@ -24,6 +25,7 @@
     'EventCutter',
     'FleetView',
     'KnownTarget',
+    'LeaderSearch',
     'Need',
     'NoChoice',
     'PrefillLimit',
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_sync.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_sync.py
@@ -6,6 +6,7 @@
 
 from grpclib.client import Channel
 from grpclib.client import Stream as ClientStream
+from lovagemast_core.entry import LeaderSearch
 from lovagemast_core.targets import SyncAsk, SyncReply
 from lovagemast_wire import (
     EntriesStub,
@@ -46,8 +47,7 @@
         self._compose = compose
         self._on_reply = on_reply
         self._log = log
-        self._leader = ''
-        self._turn = 0
+        self._search = LeaderSearch()
         self._ask = 0
         self._sent: dict[int, float] = {}
         self._wake = asyncio.Event()
@@ -60,22 +60,14 @@
     async def run(self) -> None:
         """Stay in step until cancelled."""
         while True:
-            vm = self._next_vm()
+            vm = self._search.next_vm(self._vms(), now_s())
             try:
                 await self._follow(vm)
             except SYNC_ERRORS as exc:
+                self._search.failed(vm, now_s())
                 self._note_lost(vm, repr(exc))
             await asyncio.sleep(RETRY_S)
 
-    def _next_vm(self) -> str:
-        if self._leader:
-            vm = self._leader
-            self._leader = ''
-            return vm
-        vms = self._vms()
-        self._turn += 1
-        return vms[self._turn % len(vms)]
-
     def _note_lost(self, vm: str, cause: str) -> None:
         if self._in_step:
             self._log.write('sync', 'leader lost', leader=vm, cause=cause)
@@ -123,8 +115,9 @@
                 self._note_lost(vm, 'stream ended')
                 return
             reply = from_wire(SyncReply, message)
+            self._search.answered(vm)
             if not reply.leads:
-                self._leader = reply.leader
+                self._search.hint(reply.leader)
                 self._note_lost(vm, 'does not lead')
                 return
             if not self._in_step:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -11,6 +11,7 @@
     EventCutter,
     FleetView,
     KnownTarget,
+    LeaderSearch,
     Need,
     NoChoice,
     PrefillLimit,
@@ -307,3 +308,37 @@
         limit.sent('t1', PROMPT_TOKENS)
         assert limit.part_used('t1', ENTRIES) == pytest.approx(1.0)
         assert limit.part_used('t2', ENTRIES) == 0
+
+
+class TestLeaderSearch:
+    def test_hint_is_followed(self) -> None:
+        """The VM that is named as the leader is asked next, once."""
+        search = LeaderSearch()
+        search.hint('c3')
+        vms = ('c1', 'c2', 'c3')
+        assert search.next_vm(vms, NOW) == 'c3'
+        assert {search.next_vm(vms, NOW) for _try in range(3)} == set(vms)
+
+    def test_silent_leader_is_left_alone(self) -> None:
+        """While others still name a silent leader, it is not asked again."""
+        search = LeaderSearch()
+        search.failed('c1', NOW)
+        asked = set()
+        for step in range(20):
+            search.hint('c1')
+            asked.add(search.next_vm(('c1', 'c2', 'c3'), NOW + 0.05 * step))
+        assert asked == {'c2', 'c3'}
+
+    def test_suspicion_ends(self) -> None:
+        """A VM that was silent is asked again after a while."""
+        search = LeaderSearch()
+        search.failed('c1', NOW)
+        search.hint('c1')
+        assert search.next_vm(('c1', 'c2'), NOW + 3.0) == 'c1'
+
+    def test_all_silent(self) -> None:
+        """Of VMs that are all silent, the one asked longest ago is next."""
+        search = LeaderSearch()
+        search.failed('c1', NOW)
+        search.failed('c2', NOW - 0.5)
+        assert search.next_vm(('c1', 'c2'), NOW) == 'c2'
