Give back tokens of what did not run; waiting requests get tokens first

Cause: accounts were refused below their rate. Around changes of leader, accounts at a quarter of their rate were refused, as entry VMs held too little ahead; and what they asked for ahead emptied the bucket, which then counted as a shortage. Tried and not kept: holding 2.5 s of demand ahead alone. Change: refunds, with the age of the first grant; wishes name apart what waits and what is held ahead; the last quarter of a bucket is for what waits; a shortage is told only to those whose requests wait; sizes follow overage and window of the operators' settings.

--- a/packages/lovagemast-core/src/lovagemast_core/control/_config.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_config.py
@@ -4,6 +4,7 @@
 
 from .._types import VmName
 from ..agreement._replicastate import StoredLog
+from ..quota import QuotaBounds
 
 
 class ControlConfig(NamedTuple):
@@ -12,8 +13,7 @@
     ``seeds`` are the control VMs that form the group at the first start;
     ``bootstrap`` is true only then. ``voters_wanted`` is the number of
     replicas above which a silent one is removed for good. ``takeover_s`` is
-    how long engines must not hear two VMs that give orders. ``quota_slack``
-    is in tokens, above an account's rate and burst.
+    how long engines must not hear two VMs that give orders.
     """
 
     vm: VmName
@@ -22,5 +22,5 @@
     bootstrap: bool
     voters_wanted: int
     takeover_s: float
-    quota_slack: float
+    quota: QuotaBounds
     started_at: float  # s
--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -12,7 +12,7 @@
     TargetReport,
 )
 from ..deployment import DeploymentIndex
-from ..quota import ISSUE_LEASE_S, TokenIssuer
+from ..quota import ISSUE_LEASE_S, QuotaBounds, TokenIssuer
 from ..targets import (
     SyncAsk,
     SyncReply,
@@ -39,11 +39,11 @@
         vm: VmName,
         *,
         takeover_s: float,
-        quota_slack: float,
+        quota: QuotaBounds,
     ) -> None:
         self.registry = TargetRegistry()
         self.planner = AdapterPlanner()
-        self.issuer = TokenIssuer(quota_slack)
+        self.issuer = TokenIssuer(quota)
         self._vm = vm
         self._takeover_s = takeover_s
         self._term = 0
--- a/packages/lovagemast-core/src/lovagemast_core/control/_node.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_node.py
@@ -54,7 +54,7 @@
         self.fleet = FleetController(
             cfg.vm,
             takeover_s=cfg.takeover_s,
-            quota_slack=cfg.quota_slack,
+            quota=cfg.quota,
         )
         self._read_index = read_index
         self._outbox = Outbox(cfg.vm, rng)
--- a/packages/lovagemast-core/src/lovagemast_core/quota/_holder.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quota/_holder.py
@@ -6,15 +6,15 @@
 from .._types import AccountName
 from ..deployment import AccountSpec
 from ..targets import TokenLot, TokenWish
+from ._bounds import QuotaBounds
 
 DEMAND_WINDOW_S: Final = 2.0  # over which demand is averaged
-HOLD_S: Final = 1.5  # of demand, which bridges the election of a leader
-RATE_PART: Final = 0.9  # of a second's rate, held by all entry VMs together
-SLACK_PART: Final = 0.4  # held by all entry VMs together
+HOLD_S: Final = 2.5  # of demand, which bridges the election of a leader
 SHORT_S: Final = 0.3
 SCARCE_S: Final = 2.0
 LEAST_RATE: Final = 1.0  # tokens a second
 LOT_TTL_S: Final = 4.0  # a lower limit binds once older lots have expired
+RENEW_S: Final = 2.5  # age from which a lot is replaced before it expires
 
 
 class _Account:
@@ -35,6 +35,9 @@
     def held(self) -> float:
         return sum(tokens for _at, tokens in self.lots)
 
+    def fresh(self, now: float) -> float:
+        return sum(tokens for at, tokens in self.lots if now - at < RENEW_S)
+
     def note_demand(self, tokens: float, now: float) -> None:
         decay = math.exp(-(now - self.demand_at) / DEMAND_WINDOW_S)
         self.demand = self.demand * decay + tokens / DEMAND_WINDOW_S
@@ -53,8 +56,8 @@
 class TokenHolder:
     """Spends tokens for requests and says how many more are wanted."""
 
-    def __init__(self, slack: float) -> None:
-        self._slack = slack
+    def __init__(self, bounds: QuotaBounds) -> None:
+        self._bounds = bounds
         self._accounts: dict[AccountName, _Account] = {}
 
     def note_demand(
@@ -81,6 +84,21 @@
             state.lots.pop(0)
         return True
 
+    def refund(
+        self,
+        account: AccountSpec,
+        cost: float,
+        spent_at: float,
+        now: float,
+    ) -> None:
+        """Take back the cost of a request that no target ran.
+
+        The tokens expire as if they had been granted when they were spent.
+        """
+        if account.rate > 0 and now - spent_at < LOT_TTL_S:
+            state = self._account(account.name, now)
+            state.lots.insert(0, (spent_at, cost))
+
     def wait(self, account: AccountSpec, cost: float, now: float) -> None:
         """Count tokens that a request waits for, or no longer does."""
         self._account(account.name, now).waiting += cost
@@ -112,13 +130,16 @@
             if account is None or account.rate <= 0:
                 continue
             state.expire(now)
-            ceiling = account.rate * RATE_PART + self._slack * SLACK_PART
-            wanted = min(state.demand_now(now) * HOLD_S, ceiling / entries)
+            held = state.held()
+            needed = max(0.0, state.waiting - held)
+            room = self._bounds.held(account) / entries - held
+            wanted = state.demand_now(now) * HOLD_S
+            wanted += state.waiting - needed - state.fresh(now)
+            ahead = max(0.0, min(wanted, room))
             if now - state.short_at < SCARCE_S:
-                wanted = 0  # tokens held ahead would lie idle and expire
-            wanted += state.waiting - state.held()
-            if wanted > 0:
-                wishes.append(TokenWish(name, wanted))
+                ahead = 0.0  # what is held ahead would lie idle and expire
+            if needed + ahead > 0:
+                wishes.append(TokenWish(name, needed, ahead))
         return tuple(wishes)
 
     def wait_s(
--- a/packages/lovagemast-core/src/lovagemast_core/quota/_issuer.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quota/_issuer.py
@@ -16,12 +16,13 @@
 from .._types import AccountName
 from ..deployment import AccountSpec
 from ..targets import TokenLot, TokenWish
+from ._bounds import QuotaBounds
 
-BURST_PART: Final = 0.9  # the rest is for what entry VMs hold
-SLACK_PART: Final = 0.5
 # Below the election timeout by more than the start of a bucket is worth.
 ISSUE_LEASE_S: Final = 0.35
 START_S: Final = 0.25  # of an account's rate
+# Of a bucket, kept for requests that wait somewhere.
+KEPT_PART: Final = 0.25
 
 
 class _Bucket:
@@ -31,10 +32,9 @@
         self.tokens = account.rate * START_S
         self.filled_at = now  # s
 
-    def fill(self, account: AccountSpec, slack: float, now: float) -> None:
-        capacity = account.burst * BURST_PART + slack * SLACK_PART
+    def fill(self, account: AccountSpec, most: float, now: float) -> None:
         grown = self.tokens + account.rate * max(0.0, now - self.filled_at)
-        self.tokens = min(capacity, grown)
+        self.tokens = min(most, grown)
         self.filled_at = now
 
     def take(self, wanted: float) -> float:
@@ -44,14 +44,10 @@
 
 
 class TokenIssuer:
-    """Hands out tokens while this VM leads.
+    """Hands out tokens while this VM leads."""
 
-    ``slack`` is in tokens, above rate and burst, for requests that are large
-    beside a small account's burst.
-    """
-
-    def __init__(self, slack: float) -> None:
-        self._slack = slack
+    def __init__(self, bounds: QuotaBounds) -> None:
+        self._bounds = bounds
         self._buckets: dict[AccountName, _Bucket] = {}
 
     def restart(self) -> None:
@@ -67,15 +63,20 @@
         """Return the tokens that an entry VM gets for its wishes."""
         for account in accounts.values():
             if account.rate > 0:
-                self._bucket(account, now).fill(account, self._slack, now)
+                most = self._bounds.bucket(account)
+                self._bucket(account, now).fill(account, most, now)
         lots = []
         for wish in wishes:
             known = accounts.get(wish.account)
             if known is None or known.rate <= 0:
                 continue
-            taken = self._bucket(known, now).take(wish.tokens)
+            bucket = self._bucket(known, now)
+            taken = bucket.take(wish.tokens)
             short = taken < wish.tokens
-            lots.append(TokenLot(wish.account, taken, short))
+            kept = KEPT_PART * self._bounds.bucket(known)
+            taken += bucket.take(min(wish.ahead, bucket.tokens - kept))
+            if taken > 0 or short:
+                lots.append(TokenLot(wish.account, taken, short))
         return tuple(lots)
 
     def _bucket(self, account: AccountSpec, now: float) -> _Bucket:
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
@@ -7,10 +7,14 @@
 
 
 class TokenWish(NamedTuple):
-    """Tokens of a client account that an entry VM asks for."""
+    """Tokens of a client account that an entry VM asks for.
+
+    ``tokens`` are for requests that wait, ``ahead`` for requests to come.
+    """
 
     account: AccountName
     tokens: float
+    ahead: float = 0.0
 
 
 class AdapterWish(NamedTuple):
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_admission.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_admission.py
@@ -48,6 +48,7 @@
     account: AccountSpec | None
     arrived: float
     deadline: float
+    cost: float = 0.0  # charged to the account, in its unit
 
     @property
     def account_name(self) -> str | None:
@@ -90,14 +91,24 @@
         pool = index.pools.get(self._state.pick_pool(route))
         if pool is None:
             return Refused(503, 'the route has no pool', RETRY_SOON_S)
-        refused = await self._charge(account, route, facts)
+        cost = _cost(account, facts)
+        refused = await self._charge(account, route, cost)
         if refused:
             return refused
         timeout_s = route.timeout_s
         if facts.deadline_s is not None:
             timeout_s = min(timeout_s, facts.deadline_s)
         deadline = arrived + timeout_s
-        return Admitted(req, facts, route, pool, account, arrived, deadline)
+        return Admitted(
+            req,
+            facts,
+            route,
+            pool,
+            account,
+            arrived,
+            deadline,
+            cost,
+        )
 
     def _check_key(
         self,
@@ -124,13 +135,10 @@
         self,
         account: AccountSpec | None,
         route: RouteSpec,
-        facts: CallFacts,
+        cost: float,
     ) -> Refused | None:
         if account is None or account.rate <= 0:
             return None
-        cost = 1.0
-        if account.by_tokens:
-            cost = facts.tokens or account.default_tokens
         holder = self._state.tokens
         holder.note_demand(account, cost, now_s())
         if holder.spend(account, cost, now_s()):
@@ -185,3 +193,11 @@
                 break
             await state.wait_for_news(POLL_S)
         return state.view.index
+
+
+def _cost(account: AccountSpec | None, facts: CallFacts) -> float:
+    if account is None:
+        return 0.0
+    if account.by_tokens:
+        return facts.tokens or account.default_tokens
+    return 1.0
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_calls.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_calls.py
@@ -57,10 +57,19 @@
             return
         relay = Relay(self._responder, self._state.dialect)
         self._delivery = Delivery(self._state, job, relay)
-        refused = await self._deliver(self._delivery, job)
+        try:
+            refused = await self._deliver(self._delivery, job)
+        finally:
+            self._refund(self._delivery, job)
         if refused:
             await self._refuse(refused)
 
+    def _refund(self, delivery: 'Delivery', job: Admitted) -> None:
+        """Give back what a request was charged that no target ran."""
+        if job.account and not delivery.may_have_run:
+            tokens = self._state.tokens
+            tokens.refund(job.account, job.cost, job.arrived, now_s())
+
     async def _deliver(
         self,
         delivery: 'Delivery',
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -73,7 +73,7 @@
                 cfg.bootstrap,
                 cfg.voters_wanted,
                 cfg.takeover_s,
-                cfg.quota_slack,
+                cfg.quota,
                 now_s(),
             ),
             self._read_index,
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
@@ -40,7 +40,7 @@
         self.ask_leader = ask_leader
         self.view = FleetView()
         self.health = TargetHealth()
-        self.tokens = TokenHolder(cfg.quota_slack)
+        self.tokens = TokenHolder(cfg.quota)
         self.work = WorkBook()
         self.pool = TargetPool()
         self.cold = ColdLimiter()
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_settings.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_settings.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from lovagemast_core.quota import QuotaBounds
+
 
 class EntrySettings(NamedTuple):
     """What an entry VM needs to know at its start.
@@ -22,9 +24,7 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
-    cold_slack: float  # requests above a cold target's rate
-    memory_mb: int
-    quota_slack: float  # tokens above an account's rate and burst
+    quota: QuotaBounds
 
 
 class ControlSettings(NamedTuple):
@@ -42,4 +42,4 @@
     voters_wanted: int
     takeover_s: float
     drain_grace_s: float
-    quota_slack: float  # tokens above an account's rate and burst
+    quota: QuotaBounds
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -14,6 +14,7 @@
     RouteSpec,
     Split,
 )
+from lovagemast_core.quota import QuotaBounds
 from lovagemast_core.targets import SyncReply, TargetRecord
 from lovagemast_node.fleet import EntrySettings
 from lovagemast_node.fleet._calls import Call
@@ -42,9 +43,7 @@
     retry_ratio=0.2,
     retry_slack=50.0,
     retry_window_s=10.0,
-    cold_slack=5.0,
-    memory_mb=300,
-    quota_slack=0.0,
+    quota=QuotaBounds(0.0, 1.0, 0.0),
 )
 
 Play = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -6,12 +6,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from lovagemast_core.deployment import AccountSpec
-from lovagemast_core.quota import TokenHolder, TokenIssuer
+from lovagemast_core.quota import QuotaBounds, TokenHolder, TokenIssuer
 from lovagemast_core.targets import TokenLot, TokenWish
 
 SLACK = 17_000.0
 WINDOW_S = 8.0
 OVERAGE = 1.1
+BOUNDS = QuotaBounds(0.1, WINDOW_S, SLACK)
+STRICT = QuotaBounds(0.0, WINDOW_S, 0.0)
 STEP_S = 0.1
 
 
@@ -25,8 +27,8 @@
 
     def __init__(self, rate: float, vms: int) -> None:
         self.account = make_account(rate)
-        self.issuer = TokenIssuer(SLACK)
-        self.holders = [TokenHolder(SLACK) for _vm in range(vms)]
+        self.issuer = TokenIssuer(BOUNDS)
+        self.holders = [TokenHolder(BOUNDS) for _vm in range(vms)]
         self.spent: list[tuple[float, float]] = []
         self.leaderless_until = 0.0
 
@@ -90,37 +92,82 @@
 class TestHolder:
     def test_lot_expires(self) -> None:
         """Tokens that were not spent in time are gone."""
-        holder = TokenHolder(SLACK)
+        holder = TokenHolder(BOUNDS)
         account = make_account(1_000.0)
         holder.add(TokenLot('acme', 500.0), 10.0)
         assert not holder.spend(account, 400.0, 14.5)
 
     def test_waiting_request_is_wished_for(self) -> None:
         """A request larger than the usual holding is asked for whole."""
-        holder = TokenHolder(0.0)
+        holder = TokenHolder(STRICT)
         account = make_account(1_000.0)
         holder.wait(account, 5_000.0, 10.0)
         wishes = holder.wishes({'acme': account}, 6, 10.0)
         assert wishes[0].tokens == pytest.approx(5_000.0)
 
+    def test_refund_can_be_spent_again(self) -> None:
+        """What a request was charged that did not run is not lost."""
+        holder = TokenHolder(STRICT)
+        account = make_account(1_000.0)
+        holder.add(TokenLot('acme', 500.0), 10.0)
+        assert holder.spend(account, 500.0, 10.0)
+        assert not holder.spend(account, 400.0, 11.0)
+        holder.refund(account, 500.0, 10.0, 11.0)
+        assert holder.spend(account, 400.0, 11.0)
+
+    def test_refund_expires(self) -> None:
+        """Tokens do not live longer because they were refunded."""
+        holder = TokenHolder(STRICT)
+        account = make_account(1_000.0)
+        holder.refund(account, 500.0, 10.0, 11.0)
+        assert not holder.spend(account, 400.0, 14.5)
+
     def test_no_limit(self) -> None:
         """An account without a rate is never held back."""
         account = make_account(0.0)
-        assert TokenHolder(SLACK).spend(account, 1e9, 10.0)
+        assert TokenHolder(BOUNDS).spend(account, 1e9, 10.0)
 
     def test_empty_bucket_is_told(self) -> None:
         """A VM learns that the bucket had less than it asked for."""
-        issuer = TokenIssuer(0.0)
+        issuer = TokenIssuer(STRICT)
         account = make_account(1_000.0)
         accounts = {account.name: account}
         wishes = (TokenWish(account.name, 5_000.0),)
-        holder = TokenHolder(0.0)
+        holder = TokenHolder(STRICT)
         for lot in issuer.issue(wishes, accounts, 10.0):
             holder.add(lot, 10.0)
         assert holder.is_short(account, 10.0)
         assert not holder.is_short(account, 11.0)
 
 
+class TestIssuer:
+    def test_waiting_requests_go_first(self) -> None:
+        """The last quarter of a bucket is not held ahead."""
+        issuer = TokenIssuer(STRICT)
+        account = make_account(1_000.0)
+        accounts = {account.name: account}
+        issuer.issue((), accounts, 10.0)
+        kept = 0.25 * STRICT.bucket(account)
+        greedy = TokenWish(account.name, 0.0, 1_000.0)
+        lots = issuer.issue((greedy,), accounts, 10.0)
+        assert lots[0].tokens == pytest.approx(250.0 - kept)
+        assert not issuer.issue((greedy,), accounts, 10.0)
+        needy = TokenWish(account.name, kept, 0.0)
+        lots = issuer.issue((needy,), accounts, 10.0)
+        assert lots[0].tokens == pytest.approx(kept)
+
+    def test_no_shortage_for_what_is_ahead(self) -> None:
+        """A bucket that serves all who wait is not called empty."""
+        issuer = TokenIssuer(STRICT)
+        account = make_account(1_000.0)
+        accounts = {account.name: account}
+        issuer.issue((), accounts, 10.0)
+        wish = TokenWish(account.name, 10.0, 5_000.0)
+        lots = issuer.issue((wish,), accounts, 20.0)
+        assert not lots[0].short
+        assert lots[0].tokens > 10.0
+
+
 class TestScarcity:
     def test_scarce_tokens_are_used(self) -> None:
         """Under twice the rate, nearly all of the rate is spent."""
@@ -166,3 +213,34 @@
             refused += not holder.spend(fleet.account, cost, now)
             holder.wait(fleet.account, -cost, now)
         assert refused < 0.02 * 2_000
+
+
+class TestBridge:
+    @pytest.mark.parametrize('rate', [8_000.0, 20_000.0, 50_000.0])
+    def test_election_refuses_nothing(self, rate: float) -> None:
+        """Half of the rate is served while a leader is replaced."""
+        fleet = Fleet(rate, 6)
+        rng = random.Random(7)
+        now = 100.0
+        asked = 0
+        served = 0
+        accounts = {fleet.account.name: fleet.account}
+        for step in range(200):
+            now += 0.05
+            if step == 100:
+                fleet.issuer.restart()
+                fleet.leaderless_until = now + 1.0
+            holder = rng.choice(fleet.holders)
+            cost = rate * 0.05 * rng.uniform(0.2, 0.8)
+            holder.note_demand(fleet.account, cost, now)
+            spent = holder.spend(fleet.account, cost, now)
+            if step >= 60:  # the first requests find no tokens yet
+                served += spent
+                asked += 1
+            if now < fleet.leaderless_until:
+                continue
+            for one in fleet.holders:
+                wishes = one.wishes(accounts, 6, now)
+                for lot in fleet.issuer.issue(wishes, accounts, now):
+                    one.add(lot, now)
+        assert served >= 0.97 * asked
