Send orders through holders that stay when the leader changes

Change: each engine has a holder among the control VMs, drawn by rendezvous hashing from a replicated list; the leader decides, the holder sends. Only a holder's own loss makes its engines wait. Also: an entry VM ignored the hint at a leader that had been down before it was elected (in step at 46.5 s, elected at 45.3 s): hints of a newer term are followed.

--- a/packages/lovagemast-core/src/lovagemast_core/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/__init__.py
@@ -70,7 +70,13 @@
     least_demand,
     least_recent,
 )
-from ._state import AdapterVersion, PublishedState, StateSnapshot
+from ._state import (
+    AdapterVersion,
+    HolderSet,
+    HolderState,
+    PublishedState,
+    StateSnapshot,
+)
 from ._status import Status, TargetStatus, VmStatus
 from ._timeline import EventKind, TimelineEvent
 from ._types import AdapterRef, Priority, Reason, Refusal, Run
@@ -134,6 +140,8 @@
     'FleetConfig',
     'FleetIndex',
     'HardState',
+    'HolderSet',
+    'HolderState',
     'InvariantError',
     'LogSynced',
     'NameVersion',
--- a/packages/lovagemast-core/src/lovagemast_core/_commands.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_commands.py
@@ -80,6 +80,17 @@
     at: float  # s
 
 
+class SetHolders(NamedTuple):
+    """Replaces the VMs that send orders, if the epoch is as expected.
+
+    The same VMs again confirm that no former holder's order can arrive any
+    more.
+    """
+
+    expected: int
+    vms: tuple[str, ...]
+
+
 class SetVoters(NamedTuple):
     """Changes the voting replicas by one."""
 
@@ -102,6 +113,7 @@
     | ClaimCall
     | FinishCall
     | ReportCrash
+    | SetHolders
     | SetVoters
     | NoOp
 )
--- a/packages/lovagemast-core/src/lovagemast_core/_messages.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_messages.py
@@ -13,6 +13,7 @@
     TargetName,
     VmName,
 )
+from .adapters._orders import Order, OrderOutcome
 from .agreement._roster import RosterEntry
 
 
@@ -333,6 +334,26 @@
     tickets: tuple[Ticket, ...]
 
 
+class RelayHello(NamedTuple):
+    """Tells the leader that a control VM can send orders for it."""
+
+    clock: float  # s, by the sender's clock; comes back in each order
+
+
+class RelayOrder(NamedTuple):
+    """Asks a control VM to send an order to an engine."""
+
+    order: Order
+    term: int
+    clock: float  # of the newest hello
+
+
+class RelayDone(NamedTuple):
+    """Says what came of a :class:`RelayOrder`."""
+
+    outcome: OrderOutcome
+
+
 PeerMessage = (
     VoteAsk
     | VoteReply
@@ -362,4 +383,7 @@
     | TicketClosed
     | RunningAsk
     | RunningReply
+    | RelayHello
+    | RelayOrder
+    | RelayDone
 )
--- a/packages/lovagemast-core/src/lovagemast_core/_state.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_state.py
@@ -19,6 +19,7 @@
     PutConfig,
     RemoveVm,
     ReportCrash,
+    SetHolders,
     SetRoster,
     SetZoneOut,
 )
@@ -81,6 +82,23 @@
     adapter_versions: tuple[AdapterVersion, ...] = ()
 
 
+class HolderSet(NamedTuple):
+    """Control VMs that sent orders to engines."""
+
+    vms: tuple[str, ...]
+
+
+class HolderState(NamedTuple):
+    """The control VMs that send orders to engines.
+
+    ``former`` are lists whose orders may still be on their way.
+    """
+
+    epoch: int = 0  # rises with every change of ``vms``
+    vms: tuple[str, ...] = ()
+    former: tuple[HolderSet, ...] = ()
+
+
 class StateSnapshot(NamedTuple):
     """The whole replicated state."""
 
@@ -88,6 +106,7 @@
     operations: tuple[Operation, ...] = ()
     claims: tuple[Claim, ...] = ()
     suspicions: tuple[Suspicion, ...] = ()
+    holders: HolderState = HolderState()
 
 
 class ReplicatedState:
@@ -95,6 +114,7 @@
 
     def __init__(self) -> None:
         self.published = PublishedState()
+        self.holders = HolderState()
         self._operations: dict[str, Operation] = {}
         self._claims: dict[str, Claim] = {}
         self._suspicions: dict[str, Suspicion] = {}
@@ -108,6 +128,7 @@
             ClaimCall: self._claim,
             FinishCall: self._finish,
             ReportCrash: self._report_crash,
+            SetHolders: self._set_holders,
         }
 
     def apply(self, command: Command) -> Outcome:
@@ -124,11 +145,13 @@
             tuple(self._operations.values()),
             tuple(self._claims.values()),
             tuple(self._suspicions.values()),
+            self.holders,
         )
 
     def restore(self, snapshot: StateSnapshot) -> None:
         """Replace the whole state."""
         self.published = snapshot.published
+        self.holders = snapshot.holders
         self._operations = {done.op_id: done for done in snapshot.operations}
         self._claims = {claim.claim: claim for claim in snapshot.claims}
         self._suspicions = {
@@ -209,6 +232,17 @@
         self._publish(roster=without_vm(self.published.roster, command.vm))
         return Applied(self.published.revision)
 
+    def _set_holders(self, command: SetHolders) -> Outcome:
+        held = self.holders
+        if command.expected != held.epoch:
+            return Conflict('holders have changed', self.published.revision)
+        if command.vms == held.vms:
+            self.holders = held._replace(former=())
+        else:
+            former = (*held.former, HolderSet(held.vms)) if held.vms else ()
+            self.holders = HolderState(held.epoch + 1, command.vms, former)
+        return Applied(self.published.revision)
+
     def _claim(self, command: ClaimCall) -> Outcome:
         self._expire_claims(command.at)
         known = self._claims.get(command.claim)
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_engine.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_engine.py
@@ -67,7 +67,7 @@
     def new_order(
         self,
         label: AdapterLabel,
-        term: int,
+        fence: int,
         *,
         load: bool,
     ) -> Order:
@@ -80,7 +80,7 @@
             label.adapter,
             label.version,
             self.sequence or 0,
-            term,
+            fence,
         )
 
     def is_free(self, now: float) -> bool:
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_engines.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_engines.py
@@ -28,6 +28,7 @@
     def __init__(self, demand: DemandMeter) -> None:
         self.by_target: dict[TargetName, EngineState] = {}
         self.newest: dict[Name, int] = {}
+        self.blocked: frozenset[TargetName] = frozenset()
         self.zones_out: frozenset[ZoneName] = frozenset()
         self._demand = demand
         self._holders: dict[Name, list[EngineState]] = {}
@@ -133,11 +134,15 @@
             engine
             for engine in self
             if model in engine.models
-            and engine.is_free(now)
+            and self.may_order(engine, now)
             and self.is_usable(engine)
             and engine.coming(now) < MAX_COMING
         ]
 
+    def may_order(self, engine: EngineState, now: float) -> bool:
+        """Return whether an engine can take an order at this moment."""
+        return engine.is_free(now) and engine.target not in self.blocked
+
     def burden(self, engine: EngineState, name: Name, now: float) -> float:
         """Return what speaks against an engine, in requests a second."""
         burden = COMING_BURDEN * engine.coming(now)
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_orders.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_orders.py
@@ -22,7 +22,7 @@
     adapter: str  # empty for the model itself
     version: int
     precondition: int
-    term: int  # fencing token
+    fence: int  # fencing token
 
     @property
     def label(self) -> AdapterLabel:
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
@@ -29,6 +29,7 @@
 WISH_TTL_S: Final = 1.0  # entry VMs repeat what they still wait for
 TOP_ADAPTERS: Final = 24  # that may have more than one copy
 LEAST_COPY_RATE: Final = 0.5  # requests/s for each holder, with the copy
+NONE_BLOCKED: Final[frozenset[TargetName]] = frozenset()
 MOVE_RATIO: Final = 2.0  # demand over that of the victim, for a second copy
 USES_TTL_S: Final = 3.0
 SHUT_TTL_S: Final = 0.6  # entry VMs say it again meanwhile
@@ -112,17 +113,26 @@
         due = [one for one in self.engines if one.wants_report(now)]
         return [engine for engine in due if not engine.beat.leaving]
 
-    def plan(self, term: int, now: float) -> list[Order]:
-        """Return the orders to send now, one for each engine at most."""
+    def plan(
+        self,
+        fence: int,
+        now: float,
+        blocked: frozenset[TargetName] = NONE_BLOCKED,
+    ) -> list[Order]:
+        """Return the orders to send now, one for each engine at most.
+
+        Engines that are ``blocked`` get none for the moment.
+        """
+        self.engines.blocked = blocked
         fresh = [
             uses for at, uses in self._uses.values() if now - at < USES_TTL_S
         ]
         self.engines.refresh([use for uses in fresh for use in uses], now)
-        orders = self._model_orders(term, now)
+        orders = self._model_orders(fence, now)
         for name in (*self._wanted(now), *self._copies(now)):
             if self.engines.in_flight(now) >= self._loads_allowed():
                 break
-            order = self._order_for(name, term, now)
+            order = self._order_for(name, fence, now)
             if order:
                 self.engines.by_target[order.target].sent(order)
                 orders.append(order)
@@ -154,19 +164,19 @@
         scaled = int(LOADS_FOR_EACH_ENGINE * len(self.engines.by_target))
         return max(LEAST_LOADS_IN_FLIGHT, scaled)
 
-    def _model_orders(self, term: int, now: float) -> list[Order]:
+    def _model_orders(self, fence: int, now: float) -> list[Order]:
         loading = sum(bool(one.model_due) for one in self.engines)
         empty = [
             engine
             for engine in self.engines
             if engine.is_empty()
-            and engine.is_free(now)
+            and self.engines.may_order(engine, now)
             and not engine.beat.leaving
         ]
         orders = []
         for engine in empty[: max(0, MODEL_LOADS_IN_FLIGHT - loading)]:
             label = AdapterLabel(engine.spec.models[0].name, '')
-            order = engine.new_order(label, term, load=True)
+            order = engine.new_order(label, fence, load=True)
             engine.sent(order)
             orders.append(order)
         return orders
@@ -199,12 +209,12 @@
         copies = len(self.engines.holders(name)) + 1
         return self.demand.rate(name, now) >= LEAST_COPY_RATE * copies
 
-    def _order_for(self, name: Name, term: int, now: float) -> Order | None:
+    def _order_for(self, name: Name, fence: int, now: float) -> Order | None:
         usable = self.engines.usable_for(name[0], now)
         fresh = [engine for engine in usable if not engine.holds(name)]
         fresh.sort(key=lambda one: self.engines.burden(one, name, now))
         for engine in fresh:
-            order = self._load_or_unload(engine, name, term, now)
+            order = self._load_or_unload(engine, name, fence, now)
             if order:
                 return order
         if self.engines.is_held(name):
@@ -212,17 +222,17 @@
         outdated = [engine for engine in usable if engine.holds(name)]
         if not outdated:
             return None
-        return outdated[0].new_order(self._label(name), term, load=True)
+        return outdated[0].new_order(self._label(name), fence, load=True)
 
     def _load_or_unload(
         self,
         engine: EngineState,
         name: Name,
-        term: int,
+        fence: int,
         now: float,
     ) -> Order | None:
         if engine.places_taken(now) < engine.spec.adapter_slots:
-            return engine.new_order(self._label(name), term, load=True)
+            return engine.new_order(self._label(name), fence, load=True)
         victim = self._victim(engine, now)
         if victim is None:
             return None
@@ -231,7 +241,7 @@
         loss = self.engines.demand_here(victim, now)
         if self.engines.is_held(name) and gain < MOVE_RATIO * loss:
             return None
-        return engine.new_order(victim, term, load=False)
+        return engine.new_order(victim, fence, load=False)
 
     def _victim(self, engine: EngineState, now: float) -> AdapterLabel | None:
         settled = [
--- a/packages/lovagemast-core/src/lovagemast_core/agreement/_replica.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_replica.py
@@ -19,7 +19,7 @@
     VoteReply,
 )
 from .._outbox import Outbox
-from .._state import PublishedState
+from .._state import HolderState, PublishedState
 from .._types import VmName
 from ._election import DEFAULT_TIMING, Election, Timing
 from ._follower import Follower
@@ -92,6 +92,11 @@
         """Return the published part of the applied state."""
         return self._state.machine.published
 
+    @property
+    def holders(self) -> HolderState:
+        """Return the VMs that send orders, as far as was applied."""
+        return self._state.machine.holders
+
     def is_leader(self) -> bool:
         """Return whether this replica leads its term."""
         return self._state.is_leader()
--- a/packages/lovagemast-core/src/lovagemast_core/control/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/__init__.py
@@ -11,6 +11,7 @@
     SendOrder,
 )
 from ._fleet import LEASE_S, FleetController
+from ._holders import HolderHealth, OrderHolders
 from ._node import ControlNode
 
 __all__ = [
@@ -21,7 +22,9 @@
     'ControlEffect',
     'ControlNode',
     'FleetController',
+    'HolderHealth',
     'LeaderNoticed',
+    'OrderHolders',
     'PushNews',
     'ReadDone',
     'SendOrder',
--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -20,18 +20,19 @@
     TargetRecord,
     TargetRegistry,
 )
+from ._holders import HolderHealth, OrderHolders
+from ._relays import OrderRelays
 
 # Below the election timeout, so that no other VM leads meanwhile.
 LEASE_S: Final = 0.5
 ENTRY_SILENT_S: Final = 2.0
-TAKEOVER_MARGIN_S: Final = 0.2
 
 
 class FleetController:
     """Serves entry VMs and engines while this VM leads a term.
 
     Tokens and orders are given out only within the leader's lease. Orders
-    begin once no order of an earlier leader can be on its way any more.
+    go through the VMs that hold the engines.
     """
 
     def __init__(
@@ -45,10 +46,11 @@
         self.planner = AdapterPlanner()
         self.issuer = TokenIssuer(quota)
         self._vm = vm
-        self._takeover_s = takeover_s
+        self.holders = OrderHolders(takeover_s)
+        self.health = HolderHealth()
+        self.relays = OrderRelays()
         self._term = 0
         self._led_since = 0.0
-        self._wait_s = 0.0
         self._entries: dict[VmName, float] = {}
         self._index: DeploymentIndex | None = None
         self._published = PublishedState()
@@ -58,15 +60,19 @@
         """Return the term that is led, or was led last."""
         return self._term
 
-    def lead(self, term: int, now: float, *, succeeds: bool) -> None:
-        """Begin a term; ``succeeds`` tells that another VM led before."""
+    def lead(
+        self,
+        term: int,
+        control: tuple[VmName, ...],
+        now: float,
+    ) -> None:
+        """Begin a term with the control VMs that vote."""
         if term == self._term:
             return
         self._term = term
         self._led_since = now
-        self._wait_s = 0.0
-        if succeeds:
-            self._wait_s = self._takeover_s + TAKEOVER_MARGIN_S
+        self.health.restart(control, now)
+        self.relays.restart()
         self.registry.restart()
         self.planner.restart()
         self.issuer.restart()
@@ -158,7 +164,7 @@
             entries=len(self._entries),
             rank=sorted(self._entries).index(ask.vm) if known_vm else 0,
             led_s=now - self._led_since,
-            orders_in_s=max(0.0, self._led_since + self._wait_s - now),
+            orders_in_s=self._orders_in(now),
         )
 
     def expire(self, now: float) -> list[TargetName]:
@@ -170,10 +176,15 @@
 
     def plan(self, quorum_age_s: float, now: float) -> list[Order]:
         """Return the orders to send now."""
-        waited = now - self._led_since
-        if quorum_age_s > LEASE_S or waited < self._wait_s:
+        if quorum_age_s > LEASE_S:
             return []
-        orders = self.planner.plan(self._term, now)
+        blocked = frozenset(
+            engine.target
+            for engine in self.planner.engines
+            if self._wait_of(engine.target, now) > 0
+        )
+        fence = self.holders.fence(self._term)
+        orders = self.planner.plan(fence, now, blocked)
         for order in orders:
             if not order.load:
                 self.registry.touch(order.target)
@@ -189,6 +200,20 @@
         if self.planner.reported(report, now):
             self.registry.touch(report.target)
 
+    def _wait_of(self, target: TargetName, now: float) -> float:
+        """Return how long an engine gets no order, in s."""
+        holder = self.holders.holder(target)
+        if holder == self._vm or self.relays.can_send(holder, now):
+            return self.holders.wait_s(target, now)
+        return self.holders.replacement_s
+
+    def _orders_in(self, now: float) -> float:
+        """Return how long until some engine may get an order, in s."""
+        waits = [
+            self._wait_of(engine.target, now) for engine in self.planner.engines
+        ]
+        return min(waits, default=0.0)
+
     def _follow_engine(
         self,
         beat: TargetHeartbeat,
--- a/packages/lovagemast-core/src/lovagemast_core/control/_node.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_node.py
@@ -4,13 +4,21 @@
 from collections.abc import Callable
 from typing import Final
 
-from .._commands import Command, NoOp, Outcome
+from .._commands import Command, Outcome
 from .._effects import PersistLog, SendPeer
-from .._messages import Entry, PeerMessage, ProposalDone, Propose
+from .._messages import (
+    Entry,
+    PeerMessage,
+    ProposalDone,
+    Propose,
+    RelayDone,
+    RelayHello,
+    RelayOrder,
+)
 from .._outbox import Outbox
 from .._state import PublishedState
 from .._types import TargetName, VmName
-from ..adapters import OrderOutcome, TargetReport
+from ..adapters import Order, OrderOutcome, TargetReport
 from ..agreement._election import Timing
 from ..agreement._proposals import ProposalController
 from ..agreement._replica import Replica
@@ -27,6 +35,7 @@
 )
 from ._fleet import LEASE_S, FleetController
 from ._reads import ConfirmedReads
+from ._relays import HELLO_S, RelayedOrders
 
 STEP_S: Final = 0.05  # between looks at what is due
 UNKNOWN_AGE_S: Final = 1e9
@@ -34,7 +43,6 @@
 TIMING: Final = Timing(heartbeat_s=0.12, timeout_s=0.6, spread_s=0.4)
 BOOT_BITS: Final = 64
 COMMAND_TIMEOUT_S: Final = 1.5  # an operator asks elsewhere by then
-FIRST_TERM: Final = 1  # of a group that has just been formed
 
 ReadIndex = Callable[[str], DeploymentIndex | None]
 
@@ -60,8 +68,8 @@
         self._outbox = Outbox(cfg.vm, rng)
         self._effects: list[ControlEffect] = []
         self._reads = ConfirmedReads()
-        self._last_leader = ''
-        self._previous_leader = ''
+        self._relayed = RelayedOrders()
+        self._hello_at = now
         self._noticed = ('', -1)
         self._published_seen = PublishedState()
         self.replica = Replica(
@@ -181,10 +189,13 @@
         return reply._replace(control=self.replica.voter_vms)
 
     def on_order_answered(self, outcome: OrderOutcome, now: float) -> None:
-        """Take the outcome of an order."""
-        self.fleet.on_order_answered(outcome, now)
-        self._plan(now)
-        self._effects.append(PushNews(urgent=False))
+        """Take the outcome of an order that this VM sent."""
+        asker = self._relayed.asker_of(outcome.order)
+        if asker:
+            self._outbox.send(asker, RelayDone(outcome))
+            self._after(now)
+            return
+        self._take_outcome(outcome, now)
 
     def on_report(self, report: TargetReport, now: float) -> None:
         """Take an engine's report."""
@@ -197,8 +208,14 @@
         self._effects = []
         return effects
 
+    def _take_outcome(self, outcome: OrderOutcome, now: float) -> None:
+        self.fleet.on_order_answered(outcome, now)
+        self._plan(now)
+        self._effects.append(PushNews(urgent=False))
+
     def _step(self, now: float) -> None:
         if self.serves():
+            self._keep_holders(now)
             if self.fleet.expire(now):
                 self._effects.append(PushNews(urgent=False))
             for engine in self.fleet.planner.reports_due(now):
@@ -207,13 +224,61 @@
                     AskReport(engine.target, engine.beat.address),
                 )
             self._plan(now)
+        elif self.leader and now >= self._hello_at:
+            self._hello_at = now + HELLO_S
+            self._outbox.send(self.leader, RelayHello(now))
         self._outbox.call_at(now + STEP_S, self._step)
 
+    def _keep_holders(self, now: float) -> None:
+        """Replace silent holders; give up orders that they had."""
+        self.fleet.health.heard(self.vm, now)
+        change = self.fleet.holders.propose(
+            self.replica.voter_vms,
+            self.fleet.health,
+            now,
+        )
+        if change:
+            self.replica.propose(change, now)
+        for outcome in self.fleet.relays.expire(now):
+            self._take_outcome(outcome, now)
+
     def _plan(self, now: float) -> None:
         if not self.serves():
             return
-        orders = self.fleet.plan(self.quorum_age(now), now)
-        self._effects.extend(SendOrder(order) for order in orders)
+        for order in self.fleet.plan(self.quorum_age(now), now):
+            self._send_order(order, now)
+
+    def _send_order(self, order: Order, now: float) -> None:
+        holder = self.fleet.holders.holder(order.target)
+        if holder == self.vm:
+            self._effects.append(SendOrder(order))
+            return
+        term = self.replica.term
+        message = self.fleet.relays.order(holder, order, term, now)
+        self._outbox.send(holder, message)
+
+    def _on_hello(self, sender: VmName, hello: RelayHello, now: float) -> None:
+        if self.serves():
+            self.fleet.relays.on_hello(sender, hello, now)
+            self.fleet.health.heard(sender, now)
+
+    def _on_relay(
+        self,
+        sender: VmName,
+        message: RelayOrder,
+        now: float,
+    ) -> None:
+        term = self.replica.term
+        refused = self._relayed.accept(sender, message, term, now)
+        if refused:
+            self._outbox.send(sender, RelayDone(refused))
+        else:
+            self._effects.append(SendOrder(message.order))
+
+    def _on_relayed(self, done: RelayDone, now: float) -> None:
+        outcome = self.fleet.relays.on_done(done)
+        if outcome:
+            self._take_outcome(outcome, now)
 
     def _receive(
         self,
@@ -221,12 +286,19 @@
         message: PeerMessage,
         now: float,
     ) -> None:
-        if isinstance(message, Propose):
-            self._proposals.on_propose(sender, message, now)
-        elif isinstance(message, ProposalDone):
-            self._proposals.on_done(message, now)
-        else:
-            self.replica.receive(sender, message, now)
+        match message:
+            case Propose():
+                self._proposals.on_propose(sender, message, now)
+            case ProposalDone():
+                self._proposals.on_done(message, now)
+            case RelayHello():
+                self._on_hello(sender, message, now)
+            case RelayOrder():
+                self._on_relay(sender, message, now)
+            case RelayDone():
+                self._on_relayed(message, now)
+            case _:
+                self.replica.receive(sender, message, now)
 
     def _run_timers(self, now: float) -> None:
         callback = self._outbox.pop_due(now)
@@ -239,6 +311,7 @@
             message = self._outbox.local.popleft()
             self._receive(self.vm, message, now)
         self._notice_leader(now)
+        self.fleet.holders.follow(self.replica.holders, now)
         self._follow_published(now)
         self._effects.extend(self._reads.settle(self.replica, now))
         self._effects.extend(
@@ -249,9 +322,8 @@
 
     def _notice_leader(self, now: float) -> None:
         if self.serves() and self.fleet.term != self.replica.term:
-            first = self.replica.term == FIRST_TERM
-            succeeds = not first and self._previous_leader != self.vm
-            self.fleet.lead(self.replica.term, now, succeeds=succeeds)
+            control = self.replica.voter_vms
+            self.fleet.lead(self.replica.term, control, now)
             self._proposals.forget_log()
             self.fleet.follow_published(self.published, self.index)
         noticed = (self.leader, self.replica.term)
@@ -270,8 +342,5 @@
         if self.serves():
             self._effects.append(PushNews(urgent=True))
 
-    def _on_applied(self, entry: Entry, outcome: Outcome, now: float) -> None:
-        if isinstance(entry.command, NoOp):
-            self._previous_leader = self._last_leader
-            self._last_leader = entry.command.leader.partition('#')[0]
+    def _on_applied(self, entry: Entry, outcome: Outcome, _now: float) -> None:
         self._proposals.on_applied(entry, outcome)
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_leadersearch.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_leadersearch.py
@@ -5,7 +5,7 @@
 to it costs a timeout.
 """
 
-from typing import Final
+from typing import Final, NamedTuple
 
 from .._types import VmName
 
@@ -13,21 +13,34 @@
 NEVER: Final = float('-inf')
 
 
+class _Failure(NamedTuple):
+    at: float  # s
+    term: int  # the newest that was known then
+
+
 class LeaderSearch:
     """Remembers hints at the leader and the VMs that did not answer."""
 
     def __init__(self) -> None:
         self._hint: VmName = ''
+        self._term = 0
         self._turn = 0
-        self._failed: dict[VmName, float] = {}
+        self._failed: dict[VmName, _Failure] = {}
 
-    def hint(self, vm: VmName) -> None:
-        """Take a control VM's word of who leads; empty if it knows none."""
+    def hint(self, vm: VmName, term: int) -> None:
+        """Take a control VM's word of who leads; empty if it knows none.
+
+        A VM that did not answer before it was elected is asked again.
+        """
+        self._term = max(self._term, term)
+        failure = self._failed.get(vm)
+        if failure and term > failure.term:
+            self._failed.pop(vm)
         self._hint = vm
 
     def failed(self, vm: VmName, now: float) -> None:
         """Note that a control VM did not answer."""
-        self._failed[vm] = now
+        self._failed[vm] = _Failure(now, self._term)
 
     def answered(self, vm: VmName) -> None:
         """Note that a control VM answered."""
@@ -41,9 +54,13 @@
             return hint
         sound = [vm for vm in vms if not self._is_suspect(vm, now)]
         if not sound:
-            return min(vms, key=lambda vm: self._failed.get(vm, NEVER))
+            return min(vms, key=self._failed_at)
         self._turn += 1
         return sound[self._turn % len(sound)]
 
     def _is_suspect(self, vm: VmName, now: float) -> bool:
-        return now - self._failed.get(vm, NEVER) < SUSPECT_S
+        return now - self._failed_at(vm) < SUSPECT_S
+
+    def _failed_at(self, vm: VmName) -> float:
+        failure = self._failed.get(vm)
+        return failure.at if failure else NEVER
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_engines.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_engines.py
@@ -62,7 +62,7 @@
             target=order.target,
             label=str(order.label),
             precondition=order.precondition,
-            term=order.term,
+            fence=order.fence,
             result=outcome.result.value,
             detail=outcome.detail,
         )
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_sync.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_sync.py
@@ -117,7 +117,7 @@
             reply = from_wire(SyncReply, message)
             self._search.answered(vm)
             if not reply.leads:
-                self._search.hint(reply.leader)
+                self._search.hint(reply.leader, reply.term)
                 self._note_lost(vm, 'does not lead')
                 return
             if not self._in_step:
