Trial: two loads in flight are kept for copies; the store's rate of models

Cause looked for: engines that come back idle get copies of popular adapters late, as requests that wait for rare ones use all loads.

--- a/packages/lovagemast-core/src/lovagemast_core/adapters/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/__init__.py
@@ -5,6 +5,7 @@
 from ._label import AdapterLabel
 from ._orders import Order, OrderOutcome, OrderResult, TargetReport
 from ._planner import AdapterPlanner
+from ._store import StoreRate
 
 __all__ = [
     'AdapterLabel',
@@ -14,5 +15,6 @@
     'Order',
     'OrderOutcome',
     'OrderResult',
+    'StoreRate',
     'TargetReport',
 ]
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
@@ -18,6 +18,7 @@
 from ._engines import EngineTable, Name
 from ._label import AdapterLabel
 from ._orders import Order, OrderOutcome, TargetReport
+from ._store import StoreRate
 
 ADAPTER_LOAD_S: Final = 0.27
 RECENT_LOAD_S: Final = 0.03  # of an adapter that the engine held lately
@@ -25,11 +26,11 @@
 # slower. A store for more engines carries more.
 LEAST_LOADS_IN_FLIGHT: Final = 8
 LOADS_FOR_EACH_ENGINE: Final = 1.34
-MODEL_LOADS_IN_FLIGHT: Final = 2
 WISH_TTL_S: Final = 1.0  # entry VMs repeat what they still wait for
 TOP_ADAPTERS: Final = 24  # that may have more than one copy
 LEAST_COPY_RATE: Final = 0.5  # requests/s for each holder, with the copy
 NONE_BLOCKED: Final[frozenset[TargetName]] = frozenset()
+COPIES_FIRST: Final = 2  # loads in flight that are kept for copies
 MOVE_RATIO: Final = 2.0  # demand over that of the victim, for a second copy
 USES_TTL_S: Final = 3.0
 SHUT_TTL_S: Final = 0.6  # entry VMs say it again meanwhile
@@ -41,6 +42,7 @@
     def __init__(self) -> None:
         self.demand = DemandMeter()
         self.engines = EngineTable(self.demand)
+        self._store = StoreRate()
         self._wishes: dict[Name, float] = {}  # when it was last wished for
         self._uses: dict[VmName, tuple[float, tuple[AdapterUse, ...]]] = {}
 
@@ -129,7 +131,7 @@
         ]
         self.engines.refresh([use for uses in fresh for use in uses], now)
         orders = self._model_orders(fence, now)
-        for name in (*self._wanted(now), *self._copies(now)):
+        for name in self._names_to_load(now):
             if self.engines.in_flight(now) >= self._loads_allowed():
                 break
             order = self._order_for(name, fence, now)
@@ -174,13 +176,29 @@
             and not engine.beat.leaving
         ]
         orders = []
-        for engine in empty[: max(0, MODEL_LOADS_IN_FLIGHT - loading)]:
+        for engine in empty:
+            if self._store.room(engine.spec, loading, now) < 1:
+                break
+            loading += 1
+            self._store.note(now)
             label = AdapterLabel(engine.spec.models[0].name, '')
             order = engine.new_order(label, fence, load=True)
             engine.sent(order)
             orders.append(order)
         return orders
 
+    def _names_to_load(self, now: float) -> list[Name]:
+        """Return adapters to load, the most urgent first.
+
+        A few copies go before what requests wait for: a copy of a popular
+        adapter relieves many requests, and under load there is always some
+        rare adapter that one request waits for.
+        """
+        copies = self._copies(now)
+        reserved = COPIES_FIRST - self.engines.copies_in_flight(now)
+        first = copies[: max(0, reserved)]
+        return [*first, *self._wanted(now), *copies[len(first) :]]
+
     def _wanted(self, now: float) -> list[Name]:
         """Return adapters that requests wait for, the most wanted first."""
         self._wishes = {
--- a/tests/controlcluster.py
+++ b/tests/controlcluster.py
@@ -88,6 +88,7 @@
         self.disks: dict[str, _Disk] = {}
         self.cut: set[str] = set()
         self.frozen: set[str] = set()
+        self.stalled: set[str] = set()  # VMs whose disks do not answer
         self.answers: dict[int, Outcome] = {}
         self.reads: dict[int, PublishedState | None] = {}
         self.orders: list[SentOrder] = []
@@ -131,7 +132,7 @@
             mail, self._mail = self._mail, []
             synced, self._synced = self._synced, []
             for vm, batch in synced:
-                if vm in self.frozen:
+                if vm in self.frozen | self.stalled:
                     self._synced.append((vm, batch))
                 else:
                     self.nodes[vm].synced(batch, self.now)
@@ -198,7 +199,8 @@
             case SendPeer():
                 self._mail.append((vm, effect.vm, effect.message))
             case PersistLog():
-                self.disks[vm].write(effect)
+                if vm not in self.stalled:
+                    self.disks[vm].write(effect)
                 self._synced.append((vm, effect.batch))
             case CommandDone():
                 self.answers[effect.call] = effect.outcome
--- a/tests/test_adapters.py
+++ b/tests/test_adapters.py
@@ -7,6 +7,7 @@
     Order,
     OrderOutcome,
     OrderResult,
+    StoreRate,
     TargetReport,
 )
 from lovagemast_core.deployment import EngineSpec, ModelSpec, PoolSpec
@@ -213,6 +214,26 @@
         assert bench.plan() == []
 
 
+class TestStoreRate:
+    @pytest.mark.parametrize('per_s', [0.2, 1.0, 3.9])
+    def test_loads_of_models_are_bounded(self, per_s: float) -> None:
+        """Many empty engines never load faster than the store allows."""
+        model = ModelSpec('m', 100.0, 2.0, 1.0)
+        spec = EngineSpec(8, 1_000, 120.0, SLOTS, per_s, 200.0, (model,))
+        rate = StoreRate()
+        begun: list[float] = []
+        for step in range(600):
+            now = 100.0 + 0.1 * step
+            in_flight = sum(now - at < 2.0 for at in begun)
+            for _load in range(rate.room(spec, in_flight, now)):
+                rate.note(now)
+                begun.append(now)
+        assert begun
+        for start in begun:
+            window = [at for at in begun if 0 <= at - start < 5.0]
+            assert len(window) <= max(1.0, per_s * 5.0)
+
+
 class TestPlaces:
     def test_engine_that_held_it_lately(self) -> None:
         """An adapter returns to the engine that loads it fast."""
@@ -259,6 +280,17 @@
         orders = bench.plan()
         assert [order.adapter for order in orders] == copies
 
+    def test_copies_are_not_starved(self) -> None:
+        """A crowded adapter is copied though many rare ones are waited for."""
+        bench = Bench()
+        home = bench.load('a1')
+        bench.wish('a1', 20.0)
+        for index in range(20):
+            bench.wish(f'rare{index}', 30.0)
+        use = AdapterUse(home, 'm/a1@0', 6, 0)
+        bench.planner.note_uses('vm', (use,), bench.now)
+        assert 'a1' in [order.adapter for order in bench.plan()]
+
     def test_goes_back_to_where_it_was(self) -> None:
         """An engine that held an adapter gets it again, though it has work."""
         bench = Bench()
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -89,6 +89,36 @@
         assert not any(node.serves() for node in cluster.nodes.values())
 
 
+class TestDisks:
+    def test_stalled_disk_stops_nobody(self, cluster: Cluster) -> None:
+        """The others acknowledge while the leader's disk does not answer.
+
+        What was acknowledged lasts, though that VM then loses its power.
+        """
+        leader = cluster.leader()
+        other = next(vm for vm in VMS if vm != leader)
+        cluster.stalled.add(leader)
+        cluster.change(leader, put(5))
+        cluster.run(1.6)
+        call = cluster.change(other, put(5))
+        cluster.run(0.6)
+        assert cluster.answers[call] == Applied(5)
+        cluster.stop(leader)
+        cluster.stalled.clear()
+        cluster.start(leader)
+        cluster.run(4.0)
+        assert cluster.nodes[leader].published.revision == 5
+
+    def test_nothing_is_acknowledged_unsynced(self, cluster: Cluster) -> None:
+        """With two of three disks stalled, no change is acknowledged."""
+        leader = cluster.leader()
+        others = [vm for vm in VMS if vm != leader]
+        cluster.stalled.update(others)
+        call = cluster.change(leader, put(5))
+        cluster.run(1.2)
+        assert call not in cluster.answers
+
+
 class TestReads:
     def test_read_is_the_newest(self, cluster: Cluster) -> None:
         """A read returns what was acknowledged before."""
