--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_engines.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_engines.py
@@ -76,14 +76,6 @@
         """Return how many adapters are on their way to engines."""
         return sum(engine.coming(now) for engine in self)
 
-    def copies_in_flight(self, now: float) -> int:
-        """Return how many adapters are on their way that others have."""
-        return sum(
-            due > now and len(self.holders(label.name)) > 1
-            for engine in self
-            for label, due in engine.ready_at.items()
-        )
-
     def is_current(self, label: AdapterLabel) -> bool:
         """Return whether no newer version was named."""
         return label.version >= self.newest.get(label.name, 0)
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
@@ -30,7 +30,6 @@
 TOP_ADAPTERS: Final = 24  # that may have more than one copy
 LEAST_COPY_RATE: Final = 0.5  # requests/s for each holder, with the copy
 NONE_BLOCKED: Final[frozenset[TargetName]] = frozenset()
-COPIES_FIRST: Final = 2  # loads in flight that are kept for copies
 MOVE_RATIO: Final = 2.0  # demand over that of the victim, for a second copy
 USES_TTL_S: Final = 3.0
 SHUT_TTL_S: Final = 0.6  # entry VMs say it again meanwhile
@@ -131,7 +130,7 @@
         ]
         self.engines.refresh([use for uses in fresh for use in uses], now)
         orders = self._model_orders(fence, now)
-        for name in self._names_to_load(now):
+        for name in (*self._wanted(now), *self._copies(now)):
             if self.engines.in_flight(now) >= self._loads_allowed():
                 break
             order = self._order_for(name, fence, now)
@@ -187,18 +186,6 @@
             orders.append(order)
         return orders
 
-    def _names_to_load(self, now: float) -> list[Name]:
-        """Return adapters to load, the most urgent first.
-
-        A few copies go before what requests wait for: a copy of a popular
-        adapter relieves many requests, and under load there is always some
-        rare adapter that one request waits for.
-        """
-        copies = self._copies(now)
-        reserved = COPIES_FIRST - self.engines.copies_in_flight(now)
-        first = copies[: max(0, reserved)]
-        return [*first, *self._wanted(now), *copies[len(first) :]]
-
     def _wanted(self, now: float) -> list[Name]:
         """Return adapters that requests wait for, the most wanted first."""
         self._wishes = {
