One clock for both daemons; pauses of a lost target; twins and dead fields go

Cause: the daemon of the project's own deployment read the steady clock, which stands still while a VM is suspended, so a lease looked fresh after it; a pause that spans a resumed stream was counted against the next target's limits. Ruled out: the platform's programs, which read the boot-time clock already. Change: both read one clock; the relay keeps the last target's pause apart. The check of the lease stands once in the operators' interface; fields that nothing read (urgent, was_read, opened) are gone.

--- a/packages/lovagemast-core/src/lovagemast_core/control/_effects.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_effects.py
@@ -39,8 +39,6 @@
 class PushNews(NamedTuple):
     """Something changed that entry VMs need to know."""
 
-    urgent: bool
-
 
 class LeaderNoticed(NamedTuple):
     """Another VM leads, or this one, or nobody that is known."""
--- a/packages/lovagemast-core/src/lovagemast_core/control/_node.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_node.py
@@ -171,12 +171,12 @@
         stamp = self.fleet.registry.stamp
         self.fleet.on_heartbeat(beat, now)
         if self.fleet.registry.stamp != stamp:
-            self._effects.append(PushNews(urgent=beat.leaving))
+            self._effects.append(PushNews())
 
     def on_departure(self, target: TargetName, now: float) -> None:
         """Take a target's leave."""
         self.fleet.on_departure(target, now)
-        self._effects.append(PushNews(urgent=True))
+        self._effects.append(PushNews())
 
     def on_ask(self, ask: SyncAsk, now: float) -> SyncReply:
         """Answer an entry VM."""
@@ -216,13 +216,13 @@
     def _take_outcome(self, outcome: OrderOutcome, now: float) -> None:
         self.fleet.on_order_answered(outcome, now)
         self._plan(now)
-        self._effects.append(PushNews(urgent=False))
+        self._effects.append(PushNews())
 
     def _step(self, now: float) -> None:
         if self.serves():
             self._keep_holders(now)
             if self.fleet.expire(now):
-                self._effects.append(PushNews(urgent=False))
+                self._effects.append(PushNews())
             for engine in self.fleet.planner.reports_due(now):
                 engine.report_due = now + 1.0
                 self._effects.append(
@@ -356,7 +356,7 @@
         self._published_seen = published
         self.fleet.follow_published(published, self.index)
         if self.serves():
-            self._effects.append(PushNews(urgent=True))
+            self._effects.append(PushNews())
 
     def _on_applied(self, entry: Entry, outcome: Outcome, _now: float) -> None:
         self._proposals.on_applied(entry, outcome)
--- a/packages/lovagemast-node/src/lovagemast_node/_nodetask.py
+++ b/packages/lovagemast-node/src/lovagemast_node/_nodetask.py
@@ -8,6 +8,7 @@
 
 from lovagemast_core import Effect, Event, Node, Tick
 
+from ._clock import now_s
 from ._logs import PartLogger
 
 _log = PartLogger.from_part('node')
@@ -22,14 +23,14 @@
 
 
 class Clock:
-    """Seconds since the epoch that never run backwards."""
+    """Seconds since the epoch that never run backwards or stand still."""
 
     def __init__(self) -> None:
-        self._offset = time.time() - time.monotonic()
+        self._offset = time.time() - now_s()
 
     def now(self) -> float:
         """Return the present time in s."""
-        return time.monotonic() + self._offset
+        return now_s() + self._offset
 
 
 class NodeTask:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_admission.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_admission.py
@@ -13,8 +13,8 @@
     RouteSpec,
 )
 
+from .._clock import now_s
 from ..http import HttpRequest, header_value
-from ._clock import now_s
 from ._dialect import CallFacts
 from ._entrystate import EntryState
 
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -6,6 +6,7 @@
 from lovagemast_core.deployment import CallKind
 from lovagemast_core.entry import Candidate
 
+from .._clock import now_s
 from ..http import (
     AnswerBroken,
     AnswerData,
@@ -16,7 +17,6 @@
     encode_head,
 )
 from ._admission import Admitted
-from ._clock import now_s
 from ._dialect import Outgoing, TargetHead
 from ._entrystate import EntryState
 from ._relay import Relay
@@ -210,7 +210,7 @@
         if head.status < SERVER_FAILURE:
             self._state.health.succeeded(self._target, now_s())
         if is_stream and self._job.route.gap_s:
-            paused = self._relay.longest_pause_s > self._job.route.gap_s
+            paused = self._relay.target_pause_s > self._job.route.gap_s
             self._state.batch.note(self._target, paused=paused)
             self._state.prefill.note(self._target, paused=paused)
         return Ended(End.DONE, str(head.status))
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_calls.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_calls.py
@@ -15,10 +15,10 @@
     find_candidates,
 )
 
+from .._clock import now_s
 from ..http import HttpRequest, Responder
 from ._admission import POLL_S, Admission, Admitted, Refused
 from ._attempt import Attempt, End, Ended
-from ._clock import now_s
 from ._dialect import CallFacts
 from ._entrystate import EntryState
 from ._relay import Relay
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -28,9 +28,9 @@
 from lovagemast_core.deployment import DeploymentIndex
 from lovagemast_core.targets import SyncAsk, SyncReply
 
+from .._clock import now_s
 from .._storage import LogStore
 from ..http import HttpServer, ServerLimits, split_address
-from ._clock import now_s
 from ._dialect import ControlDialect
 from ._engines import EngineClient
 from ._lines import LineLog
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_engines.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_engines.py
@@ -11,6 +11,7 @@
     TargetReport,
 )
 
+from .._clock import now_s
 from ..http import (
     AnswerBroken,
     AnswerData,
@@ -19,7 +20,6 @@
     TargetConnection,
     TargetPool,
 )
-from ._clock import now_s
 from ._dialect import ControlDialect
 from ._lines import LineLog
 
@@ -106,7 +106,7 @@
             async with asyncio.timeout(ORDER_TIMEOUT_S):
                 answer = await _read_answer(conn)
         except TimeoutError:
-            answer = AnswerBroken('no answer in time', was_read=False)
+            answer = AnswerBroken('no answer in time')
         if isinstance(answer, EngineAnswer):
             self._pool.release(conn, now_s())
         else:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -7,6 +7,7 @@
 from lovagemast_core.deployment import DeploymentIndex, EdgeLimits
 from lovagemast_core.targets import SyncAsk, SyncReply
 
+from .._clock import now_s
 from ..http import (
     HttpRequest,
     HttpServer,
@@ -15,7 +16,6 @@
     split_address,
 )
 from ._calls import Call
-from ._clock import now_s
 from ._dialect import EdgeDialect
 from ._entrystate import EntryState
 from ._lines import LineLog
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_operators.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_operators.py
@@ -14,8 +14,8 @@
 )
 from lovagemast_core.control import ControlNode
 
+from .._clock import now_s
 from ..http import Headers, HttpRequest, Responder
-from ._clock import now_s
 from ._dialect import (
     ControlCall,
     ControlDialect,
@@ -93,12 +93,19 @@
             await self._redirect(req, responder)
 
     async def _answer(self, call: ControlCall, responder: Responder) -> None:
+        if not isinstance(call, HeartbeatCall | DepartureCall):
+            await self._read_config(responder)
+            return
+        now = now_s()
+        if not self._node.has_lease(now):
+            await responder.send(UNAVAILABLE, RETRY_SOON)
+            return
         if isinstance(call, HeartbeatCall):
-            await self._take_heartbeat(call, responder)
-        elif isinstance(call, DepartureCall):
-            await self._take_departure(call, responder)
+            body = self._take_heartbeat(call, now)
         else:
-            await self._read_config(responder)
+            body = self._take_departure(call, now)
+        self._perform()
+        await responder.send(OK, JSON, body)
 
     async def _redirect(self, req: HttpRequest, responder: Responder) -> None:
         leader = self._node.leader
@@ -109,37 +116,18 @@
         where = f'http://{leader}:{port}{req.target}'
         await responder.send(REDIRECT, ((b'Location', where.encode()),))
 
-    async def _take_heartbeat(
-        self,
-        call: HeartbeatCall,
-        responder: Responder,
-    ) -> None:
-        now = now_s()
-        if not self._node.has_lease(now):
-            await responder.send(UNAVAILABLE, RETRY_SOON)
-            return
+    def _take_heartbeat(self, call: HeartbeatCall, now: float) -> bytes:
         if call.beat:
             known = self._node.fleet.registry.get(call.beat.target)
             if known is None or known.beat.leaving != call.beat.leaving:
                 self._log.write('target', 'heartbeat', **call.beat._asdict())
             self._node.on_heartbeat(call.beat, now)
-            self._perform()
-        body = self._dialect.heartbeat_answer(self._cfg.control)
-        await responder.send(OK, JSON, body)
+        return self._dialect.heartbeat_answer(self._cfg.control)
 
-    async def _take_departure(
-        self,
-        call: DepartureCall,
-        responder: Responder,
-    ) -> None:
-        now = now_s()
-        if not self._node.has_lease(now):
-            await responder.send(UNAVAILABLE, RETRY_SOON)
-            return
+    def _take_departure(self, call: DepartureCall, now: float) -> bytes:
         self._log.write('target', 'departed', target=call.target)
         self._node.on_departure(call.target, now)
-        self._perform()
-        await responder.send(OK, JSON, EMPTY)
+        return EMPTY
 
     async def _read_config(self, responder: Responder) -> None:
         call, fut = self._new_call()
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
@@ -24,7 +24,7 @@
     to_wire,
 )
 
-from ._clock import now_s
+from .._clock import now_s
 from ._lines import LineLog
 
 RECONNECT_S: Final = 0.2
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_relay.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_relay.py
@@ -2,8 +2,8 @@
 
 from lovagemast_core.entry import EventCutter
 
+from .._clock import now_s
 from ..http import AnswerHead, Responder
-from ._clock import now_s
 from ._dialect import EdgeDialect
 
 
@@ -16,6 +16,8 @@
         self._cutter = EventCutter()
         self.first_at: float | None = None  # s, when the answer began
         self.longest_pause_s = 0.0  # between events
+        self.target_pause_s = 0.0  # the same, of the last target alone
+        self._is_resumed = False
         self._last_at = 0.0
 
     @property
@@ -29,8 +31,13 @@
         return self._cutter.last_id
 
     def begin_stream(self) -> None:
-        """Expect the events of another target."""
+        """Expect the events of another target.
+
+        A pause before them is not one of that target's.
+        """
         self._cutter.restart()
+        self._is_resumed = self.started
+        self.target_pause_s = 0.0
 
     async def pass_events(self, head: AnswerHead, chunk: bytes) -> None:
         """Pass whole events on, and keep what is not whole yet."""
@@ -56,6 +63,9 @@
         if self._last_at:
             pause_s = now - self._last_at
             self.longest_pause_s = max(self.longest_pause_s, pause_s)
+            if not self._is_resumed:
+                self.target_pause_s = max(self.target_pause_s, pause_s)
+        self._is_resumed = False
         self._last_at = now
 
     def _start(self, head: AnswerHead) -> None:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_sync.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_sync.py
@@ -16,7 +16,7 @@
     to_wire,
 )
 
-from ._clock import now_s
+from .._clock import now_s
 from ._lines import LineLog
 from ._peers import CONNECT_TIMEOUT_S, STREAM_ERRORS
 
--- a/packages/lovagemast-node/src/lovagemast_node/http/_client.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_client.py
@@ -41,7 +41,6 @@
     """The connection ended, or sent what is no answer."""
 
     detail: str
-    was_read: bool  # whether anything of an answer had arrived
 
 
 class ConnectFailed(NamedTuple):
@@ -101,7 +100,6 @@
             self.is_reusable = False
             self.close()
             return
-        self._got_bytes = True
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
@@ -197,7 +195,6 @@
         self._is_chunked = False
         self._in_body = False
         self._skipping = False
-        self._got_bytes = False
 
     def _note_keep_alive(self, value: bytes) -> None:
         for part in value.split(b','):
@@ -212,7 +209,7 @@
     def _broken(self, detail: str) -> None:
         self._busy = False
         self.is_reusable = False
-        self._events.put_nowait(AnswerBroken(detail, self._got_bytes))
+        self._events.put_nowait(AnswerBroken(detail))
 
 
 class TargetPool:
@@ -220,7 +217,6 @@
 
     def __init__(self) -> None:
         self._idle: dict[str, deque[TargetConnection]] = defaultdict(deque)
-        self.opened = 0
 
     async def acquire(
         self,
@@ -249,7 +245,6 @@
                 )
         except (OSError, TimeoutError) as exc:
             return ConnectFailed(repr(exc))
-        self.opened += 1
         return conn
 
     def release(self, conn: TargetConnection, now: float) -> None:
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -16,9 +16,9 @@
 )
 from lovagemast_core.quota import QuotaBounds
 from lovagemast_core.targets import SyncReply, TargetRecord
+from lovagemast_node._clock import now_s
 from lovagemast_node.fleet import EntrySettings
 from lovagemast_node.fleet._calls import Call
-from lovagemast_node.fleet._clock import now_s
 from lovagemast_node.fleet._entrystate import EntryState
 from lovagemast_node.fleet._lines import LineLog
 from lovagemast_node.http import (
