Log changes of holders and orders that were not sent

Cause: a change of the holder list, and an order that its holder refused to send, left no line: a request that waited for its adapter could not be traced to them. Ruled out: lines of the engine client, which only name orders that went out. Change: 'agree: holders' and 'order: not sent', with epoch, fence and reason.

--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_orders.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_orders.py
@@ -46,6 +46,7 @@
     order: Order
     result: OrderResult
     detail: str = ''
+    was_sent: bool = True  # to the engine
 
 
 class TargetReport(NamedTuple):
--- a/packages/lovagemast-core/src/lovagemast_core/control/_effects.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_effects.py
@@ -6,7 +6,7 @@
 from .._effects import PersistLog, SendPeer
 from .._state import PublishedState
 from .._types import TargetName, VmName
-from ..adapters import Order
+from ..adapters import Order, OrderOutcome
 
 
 class CommandDone(NamedTuple):
@@ -47,6 +47,20 @@
     term: int
 
 
+class HoldersNoticed(NamedTuple):
+    """Other control VMs than before send the orders to engines."""
+
+    epoch: int
+    vms: tuple[VmName, ...]
+    former: int  # lists whose orders may still be on their way
+
+
+class OrderNotSent(NamedTuple):
+    """A holder did not send an order, or did not say what came of it."""
+
+    outcome: OrderOutcome
+
+
 ControlEffect = (
     SendPeer
     | PersistLog
@@ -56,4 +70,6 @@
     | AskReport
     | PushNews
     | LeaderNoticed
+    | HoldersNoticed
+    | OrderNotSent
 )
--- a/packages/lovagemast-core/src/lovagemast_core/control/_node.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_node.py
@@ -29,7 +29,9 @@
     AskReport,
     CommandDone,
     ControlEffect,
+    HoldersNoticed,
     LeaderNoticed,
+    OrderNotSent,
     PushNews,
     SendOrder,
 )
@@ -245,6 +247,7 @@
         if change:
             self.replica.propose(change, now)
         for outcome in self.fleet.relays.expire(now):
+            self._effects.append(OrderNotSent(outcome))
             self._take_outcome(outcome, now)
 
     def _plan(self, now: float) -> None:
@@ -293,8 +296,11 @@
 
     def _on_relayed(self, done: RelayDone, now: float) -> None:
         outcome = self.fleet.relays.on_done(done)
-        if outcome:
-            self._take_outcome(outcome, now)
+        if outcome is None:
+            return
+        if not outcome.was_sent:
+            self._effects.append(OrderNotSent(outcome))
+        self._take_outcome(outcome, now)
 
     def _receive(
         self,
@@ -327,7 +333,7 @@
             message = self._outbox.local.popleft()
             self._receive(self.vm, message, now)
         self._notice_leader(now)
-        self.fleet.holders.follow(self.replica.holders, now)
+        self._follow_holders(now)
         self._follow_published(now)
         self._effects.extend(self._reads.settle(self.replica, now))
         self._effects.extend(
@@ -336,6 +342,15 @@
             if isinstance(effect, (SendPeer, PersistLog))
         )
 
+    def _follow_holders(self, now: float) -> None:
+        agreed = self.replica.holders
+        if agreed == self.fleet.holders.state:
+            return
+        self.fleet.holders.follow(agreed, now)
+        former = len(agreed.former)
+        noticed = HoldersNoticed(agreed.epoch, agreed.vms, former)
+        self._effects.append(noticed)
+
     def _notice_leader(self, now: float) -> None:
         if self.serves() and self.fleet.term != self.replica.term:
             control = self.replica.voter_vms
--- a/packages/lovagemast-core/src/lovagemast_core/control/_relays.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_relays.py
@@ -91,7 +91,12 @@
         elif order.fence < self._highest.get(order.target, 0):
             reason = 'of an earlier holder list'
         if reason:
-            return OrderOutcome(order, OrderResult.REFUSED, reason)
+            return OrderOutcome(
+                order,
+                OrderResult.REFUSED,
+                reason,
+                was_sent=False,
+            )
         self._highest[order.target] = order.fence
         self._askers[order] = asker
         return None
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -20,7 +20,9 @@
     CommandDone,
     ControlConfig,
     ControlNode,
+    HoldersNoticed,
     LeaderNoticed,
+    OrderNotSent,
     PushNews,
     ReadDone,
     SendOrder,
@@ -166,6 +168,8 @@
             AskReport: lambda one: self._spawn(self._ask_report(one)),
             PushNews: lambda _one: self._push_wanted.set(),
             LeaderNoticed: self._note_leader,
+            HoldersNoticed: self._note_holders,
+            OrderNotSent: self._note_not_sent,
         }
 
     def _note_leader(self, noticed: LeaderNoticed) -> None:
@@ -178,6 +182,22 @@
             voters=self._node.replica.voter_vms,
         )
 
+    def _note_holders(self, noticed: HoldersNoticed) -> None:
+        self._log.write('agree', 'holders', **noticed._asdict())
+
+    def _note_not_sent(self, effect: OrderNotSent) -> None:
+        outcome = effect.outcome
+        self._metrics.ordered(outcome.result.value)
+        self._log.write(
+            'order',
+            'not sent',
+            target=outcome.order.target,
+            label=str(outcome.order.label),
+            fence=outcome.order.fence,
+            result=outcome.result.value,
+            detail=outcome.detail,
+        )
+
     def _plan_tick(self) -> None:
         if self._timer:
             self._timer.cancel()
--- a/tests/test_holders.py
+++ b/tests/test_holders.py
@@ -5,7 +5,10 @@
 
 import pytest
 from lovagemast_core import HolderSet, HolderState
+from lovagemast_core._messages import RelayDone, RelayHello, RelayOrder
+from lovagemast_core.adapters import Order, OrderOutcome, OrderResult
 from lovagemast_core.control import HolderHealth, OrderHolders
+from lovagemast_core.control._relays import OrderRelays, RelayedOrders
 
 from tests.controlcluster import TAKEOVER_S, VMS, Cluster, put
 
@@ -80,6 +83,52 @@
         assert traffic.ordered_since(cluster.now - 3.0) == set(ENGINES)
 
 
+class TestRelay:
+    @pytest.mark.parametrize(
+        ('term', 'clock', 'fence', 'detail'),
+        [
+            (3, NOW - 0.1, 9, ''),
+            (3, NOW - 0.7, 9, 'too late to be sent'),
+            (2, NOW - 0.1, 9, 'of an earlier term'),
+            (3, NOW - 0.1, 7, 'of an earlier holder list'),
+        ],
+    )
+    def test_stale_orders_are_not_sent(
+        self,
+        term: int,
+        clock: float,
+        fence: int,
+        detail: str,
+    ) -> None:
+        """A holder sends only what the present leader wants now."""
+        relayed = RelayedOrders()
+        first = Order('e1', 'e1:80', True, 'm', 'a1', 0, 0, 8)
+        assert relayed.accept('c1', RelayOrder(first, 3, NOW), 3, NOW) is None
+        order = first._replace(adapter='a2', fence=fence)
+        refused = relayed.accept('c1', RelayOrder(order, term, clock), 3, NOW)
+        assert (refused.detail if refused else '') == detail
+        assert (relayed.asker_of(order) == 'c1') is not bool(detail)
+
+    def test_lost_answer(self) -> None:
+        """An order whose holder falls silent may still take effect."""
+        relays = OrderRelays()
+        relays.on_hello('c2', RelayHello(5.0), NOW)
+        order = Order('e1', 'e1:80', True, 'm', 'a1', 0, 0, 8)
+        assert relays.order('c2', order, 3, NOW).clock == 5.0
+        assert not relays.expire(NOW + 1.0)
+        lost = relays.expire(NOW + 3.0)
+        assert [one.result for one in lost] == [OrderResult.UNKNOWN]
+        late = RelayDone(OrderOutcome(order, OrderResult.ACCEPTED))
+        assert relays.on_done(late) is None
+
+    @pytest.mark.parametrize(('age_s', 'can'), [(0.1, True), (0.5, False)])
+    def test_only_living_holders(self, age_s: float, can: bool) -> None:
+        """Orders go to holders that were heard a moment ago."""
+        relays = OrderRelays()
+        relays.on_hello('c2', RelayHello(5.0), NOW)
+        assert relays.can_send('c2', NOW + age_s) is can
+
+
 class TestElections:
     def test_orders_go_on(self) -> None:
         """After an election the engines of living holders wait for nobody."""
