Encode target records once for all entry VMs; pushes take turns

From 10.5 s on 15 targets are replaced; at 14 s the age of confirmations grows (0.2 -> 0.5 s) and from 16.0 s on leaders fall each second. The leader encodes all changed records (20 adapters each) for each of 61 entry VMs in one go, without a turn for its heartbeats: a new leader, which has to send all 33 records to all, falls at once. Change: one record and one message for all that ask together; pushes are spread over time, one entry VM after the other.

--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -1,6 +1,6 @@
 """The leader's controller: targets, adapters, tokens and entry VMs."""
 
-from typing import Final
+from typing import Final, NamedTuple
 
 from .._state import PublishedState
 from .._types import TargetName, VmName
@@ -14,6 +14,7 @@
 from ..deployment import DeploymentIndex
 from ..quota import ISSUE_LEASE_S, QuotaBounds, TokenIssuer
 from ..targets import (
+    Registered,
     SyncAsk,
     SyncReply,
     TargetHeartbeat,
@@ -26,6 +27,19 @@
 # Below the election timeout, so that no other VM leads meanwhile.
 LEASE_S: Final = 0.5
 ENTRY_SILENT_S: Final = 2.0
+# A record is made once for all entry VMs that ask within this long; times in
+# it are late by as much.
+RECORD_AGE_S: Final = 0.03
+
+
+class _KeptRecord(NamedTuple):
+    stamp: int
+    made_at: float  # s
+    record: TargetRecord
+
+    def is_fresh(self, stamp: int, now: float) -> bool:
+        """Return whether the record still says what is known."""
+        return self.stamp == stamp and now - self.made_at < RECORD_AGE_S
 
 
 class FleetController:
@@ -53,6 +67,7 @@
         self._led_since = 0.0
         self._orders_at = 0.0  # s, from when some engine gets orders
         self._entries: dict[VmName, float] = {}
+        self._records: dict[TargetName, _KeptRecord] = {}
         self._index: DeploymentIndex | None = None
         self._published = PublishedState()
 
@@ -74,6 +89,7 @@
         self._led_since = now
         self.health.restart(control, now)
         self.relays.restart()
+        self._records.clear()
         self.registry.restart()
         self.planner.restart()
         self.issuer.restart()
@@ -157,7 +173,7 @@
             published=published if published.version > ask.version else None,
             stamp=self.registry.stamp,
             targets=tuple(
-                self._record(one.beat, one.heard_at, now)
+                self._record(one, now)
                 for one in everything
                 if one.stamp > known
             ),
@@ -219,12 +235,18 @@
         pools = self._index.pools if self._index else {}
         self.planner.follow(beat, pools.get(beat.pool), heard_at)
 
-    def _record(
-        self,
-        beat: TargetHeartbeat,
-        heard_at: float,
-        now: float,
-    ) -> TargetRecord:
+    def _record(self, known: Registered, now: float) -> TargetRecord:
+        """Return a target's record, the same one to all that ask now."""
+        target = known.beat.target
+        kept = self._records.get(target)
+        if kept and kept.is_fresh(known.stamp, now):
+            return kept.record
+        made = self._make_record(known, now)
+        self._records[target] = _KeptRecord(known.stamp, now, made)
+        return made
+
+    def _make_record(self, known: Registered, now: float) -> TargetRecord:
+        beat = known.beat
         engine = self.planner.get(beat.target)
         return TargetRecord(
             beat.target,
@@ -234,7 +256,7 @@
             beat.incarnation,
             beat.slots,
             beat.leaving,
-            max(0.0, beat.cold_s - (now - heard_at)),
+            max(0.0, beat.cold_s - (now - known.heard_at)),
             tuple(engine.models) if engine else beat.models,
             engine.to_resident(now) if engine else (),
         )
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -48,7 +48,7 @@
 )
 from ._settings import ControlSettings
 
-PUSH_PAUSE_S: Final = 0.005  # for each entry VM, between pushes
+PUSH_PAUSE_S: Final = 0.004  # between pushes to one and the next entry VM
 LEAST_TICK_S: Final = 0.001
 DRAIN_S: Final = 1.0  # for the answers that are under way
 CONTROL_LIMITS: Final = ServerLimits(
@@ -238,11 +238,12 @@
             await self._push_wanted.wait()
             self._push_wanted.clear()
             sessions = list(self._entries.sessions)
-            pushes = [self._push_to(session) for session in sessions]
-            await asyncio.gather(*pushes)
+            for turn, session in enumerate(sessions):
+                self._spawn(self._push_to(session, turn * PUSH_PAUSE_S))
             await asyncio.sleep(PUSH_PAUSE_S * len(sessions))
 
-    async def _push_to(self, session: SyncSession) -> None:
+    async def _push_to(self, session: SyncSession, wait_s: float) -> None:
+        await asyncio.sleep(wait_s)  # other tasks have their turn
         ask = session.last_ask
         if ask is None or not self._node.serves():
             return
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
@@ -9,7 +9,7 @@
 from grpclib.server import Server, Stream
 from h2.exceptions import H2Error
 from lovagemast_core import PeerMessage, PeerReceived
-from lovagemast_core.targets import SyncAsk, SyncReply
+from lovagemast_core.targets import SyncAsk, SyncReply, TargetRecord
 from lovagemast_wire import (
     Closed,
     EntriesBase,
@@ -29,6 +29,7 @@
 
 RECONNECT_S: Final = 0.2
 MAX_WAITING: Final = 512  # messages
+MAX_KEPT_RECORDS: Final = 512
 CONNECT_TIMEOUT_S: Final = 0.4
 # A heartbeat of the leader comes several times in this long, and its reply
 # with it: a stream that took nothing for longer has gone silent.
@@ -43,6 +44,7 @@
 )
 
 
+WireRecord = lovagemast_pb2.TargetRecord
 SyncStream = Stream[lovagemast_pb2.SyncAsk, lovagemast_pb2.SyncReply]
 
 
@@ -130,18 +132,48 @@
             task.cancel()
 
 
+class RecordEncoder:
+    """Encodes each target record once for all entry VMs that get it.
+
+    Answers the load of a new leader, or of many targets that change: with
+    tens of entry VMs, encoding for each of them would hold up the leader's
+    heartbeats until it is replaced.
+    """
+
+    def __init__(self) -> None:
+        self._kept: dict[int, tuple[TargetRecord, WireRecord]] = {}
+
+    def encode(self, reply: SyncReply) -> lovagemast_pb2.SyncReply:
+        """Return a reply's message."""
+        message = to_wire(reply._replace(targets=()))
+        message.targets.extend(self._record(one) for one in reply.targets)
+        return message
+
+    def _record(self, record: TargetRecord) -> WireRecord:
+        # The record is kept beside its message, so that its identity is not
+        # used again meanwhile.
+        kept = self._kept.get(id(record))
+        if kept is None:
+            if len(self._kept) >= MAX_KEPT_RECORDS:
+                self._kept.clear()
+            kept = (record, to_wire(record))
+            self._kept[id(record)] = kept
+        return kept[1]
+
+
 class SyncSession:
     """One entry VM's stream at the leader."""
 
-    def __init__(self, stream: SyncStream) -> None:
+    def __init__(self, stream: SyncStream, encoder: RecordEncoder) -> None:
         self.last_ask: SyncAsk | None = None
         self._stream = stream
+        self._encoder = encoder
         self._lock = asyncio.Lock()
 
     async def send(self, reply: SyncReply) -> None:
         """Send a reply; the session remembers what the entry VM knows."""
         async with self._lock, asyncio.timeout(SEND_TIMEOUT_S):
-            await self._stream.send_message(to_wire(reply))
+            await self._stream.send_message(self._encoder.encode(reply))
         if self.last_ask and reply.leads:
             version = self.last_ask.version
             if reply.published:
@@ -179,12 +211,13 @@
 
     def __init__(self, on_ask: OnAsk, log: LineLog) -> None:
         self.sessions: set[SyncSession] = set()
+        self._encoder = RecordEncoder()
         self._on_ask = on_ask
         self._log = log
 
     async def Sync(self, stream: SyncStream) -> None:
         """Answer each ask until the entry VM leaves."""
-        session = SyncSession(stream)
+        session = SyncSession(stream, self._encoder)
         self.sessions.add(session)
         try:
             async for message in stream:
--- /dev/null
+++ b/tests/test_sync.py
@@ -0,0 +1,78 @@
+"""Tests of what the leader sends to entry VMs."""
+
+import pytest
+from lovagemast_core.targets import (
+    ResidentAdapter,
+    SyncAsk,
+    SyncReply,
+    TargetRecord,
+)
+from lovagemast_node.fleet import _peers
+from lovagemast_wire import from_wire
+
+from tests.controlcluster import Cluster, put
+
+ENTRIES = 61
+TARGETS = 33
+
+
+def make_record(index: int) -> TargetRecord:
+    """Return an engine with some adapters."""
+    adapters = tuple(ResidentAdapter(f'm/a{one}@0', 0.1) for one in range(20))
+    return TargetRecord(
+        f'e{index}',
+        'pool',
+        f'e{index}:80',
+        'z1',
+        1,
+        48,
+        leaving=False,
+        cold_s=0.0,
+        models=('m',),
+        adapters=adapters,
+    )
+
+
+class TestRecordEncoder:
+    def test_each_record_once(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Sixty entry VMs cost one encoding of each record."""
+        encoded = []
+        to_wire = _peers.to_wire
+
+        def count(message: object) -> object:
+            if isinstance(message, TargetRecord):
+                encoded.append(message.target)
+            return to_wire(message)
+
+        monkeypatch.setattr(_peers, 'to_wire', count)
+        encoder = _peers.RecordEncoder()
+        records = tuple(make_record(index) for index in range(TARGETS))
+        for ask in range(ENTRIES):
+            reply = SyncReply(ask, True, 'c1', 1, 0.0, targets=records)
+            assert from_wire(SyncReply, encoder.encode(reply)) == reply
+        assert len(encoded) == TARGETS
+
+    def test_changed_record_is_encoded_anew(self) -> None:
+        """A record that says something else is not taken for the former."""
+        encoder = _peers.RecordEncoder()
+        for leaving in (False, True, False):
+            record = make_record(1)._replace(leaving=leaving)
+            reply = SyncReply(1, True, 'c1', 1, 0.0, targets=(record,))
+            assert from_wire(SyncReply, encoder.encode(reply)) == reply
+
+
+class TestRecords:
+    def test_same_record_for_all(self) -> None:
+        """Entry VMs that ask together get the same record."""
+        cluster = Cluster()
+        cluster.run(2.0)
+        cluster.change(cluster.leader(), put(5))
+        cluster.run(0.5)
+        cluster.beat('e1')
+        node = cluster.nodes[cluster.leader()]
+        ask = SyncAsk(1, 'f1', 'z1', 0, 0, 0)
+        first = node.on_ask(ask, cluster.now).targets[0]
+        again = node.on_ask(ask._replace(vm='f2'), cluster.now).targets[0]
+        assert first is again
+        node.on_departure('e1', cluster.now)
+        assert node.on_ask(ask, cluster.now).targets == ()
