--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
@@ -145,7 +145,9 @@
 
     def encode(self, reply: SyncReply) -> lovagemast_pb2.SyncReply:
         """Return a reply's message."""
-        message = to_wire(reply._replace(targets=()))
+        message: lovagemast_pb2.SyncReply = to_wire(
+            reply._replace(targets=()),
+        )
         message.targets.extend(self._record(one) for one in reply.targets)
         return message
 
