A fault soak of the real programs

Three control VMs, two entry VMs and stand-in workers behind proxies run as processes on loopback; faults are drawn from a seed, in series and overlapping (SIGKILL, SIGSTOP, SIGTERM, SIGHUP, emptied disks, crashed workers, delayed, reset and silenced connections one way and both, keys granted and withdrawn). Checks, each shown to fail on a planted fault: whole answers, at most once, 'not run', accounts and keys, configuration never older, one holder of orders, answers cut by planned work only, service after all.

--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,10 @@
 ZONES ?= 1
 SEED ?= 1
 STEPS ?= 400
+COUNT ?= 1
+SECONDS ?= 20
 
-.PHONY: install run test check format measure fuzz bench capacity docs lock clean
+.PHONY: install run test check format measure fuzz soak bench capacity docs lock clean
 
 install: $(VENV)/.installed
 
@@ -43,7 +45,7 @@
 check: install
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 packages platform standins bench tests features
+	$(BIN)/flake8 packages platform standins bench soak tests features
 	$(BIN)/mypy
 
 format: install
@@ -56,6 +58,10 @@
 fuzz: install
 	@$(BIN)/python -m tests.fuzz --seed $(SEED) --steps $(STEPS)
 
+soak: install
+	@$(BIN)/python -m soak --seed $(SEED) --count $(COUNT) \
+		--seconds $(SECONDS) --keep run/soak
+
 bench: install
 	@$(BIN)/python -m bench
 
--- /dev/null
+++ b/soak/_rig.py
@@ -0,0 +1,215 @@
+"""The programs and their stand-in workers on loopback."""
+
+import asyncio
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+from tests.platformworker import Worker, put
+
+from ._plan import Cast
+from ._proxy import Proxy
+
+CONTROL: Final = ('127.0.0.11', '127.0.0.12', '127.0.0.13')
+ENTRIES: Final = ('127.0.0.21', '127.0.0.22')
+MODEL: Final = 'm'
+ACCOUNT: Final = 't1'
+HOST: Final = 'soak.example'
+GRACE_S: Final = 8
+
+
+class Ports(NamedTuple):
+    """Ports that are the same on all VMs."""
+
+    control: int
+    peer: int
+    front: int
+    ready: int
+
+
+class Rig:
+    """Three control VMs, two entry VMs and workers behind proxies."""
+
+    def __init__(self, folder: Path, engines: int) -> None:
+        self.folder = folder
+        self.ports = Ports(*(free_port() for _port in Ports._fields))
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.proxies: dict[str, Proxy] = {}
+        self.workers: dict[str, Worker] = {}
+        self.former: list[Worker] = []  # incarnations that ended
+        self._ports: dict[str, int] = {}
+        self._serving: dict[str, asyncio.Task[None]] = {}
+        self._first_start = True
+        self._names = [f'w{index}' for index in range(engines)]
+
+    @property
+    def cast(self) -> Cast:
+        """Return who may be hit by faults."""
+        return Cast(CONTROL, ENTRIES, tuple(self._names))
+
+    async def start(self) -> None:
+        """Start everything."""
+        for vm in CONTROL:
+            self.start_process(vm)
+        for vm in ENTRIES:
+            self.start_process(vm)
+        self._first_start = False
+        for name in (*self._names, 'plain'):
+            self._ports[name] = free_port()
+            self.proxies[name] = Proxy(free_port(), self._ports[name])
+        await asyncio.gather(*(one.start() for one in self.proxies.values()))
+        for name in self.proxies:
+            self.start_worker(name)
+
+    def stop(self) -> None:
+        """End the processes that were started here, by their ids."""
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+        for task in self._serving.values():
+            task.cancel()
+        for proxy in self.proxies.values():
+            proxy.stop()
+
+    def start_process(self, vm: str) -> None:
+        """Start a VM's process."""
+        role = 'control' if vm in CONTROL else 'entry'
+        path = self.folder / f'{vm}.toml'
+        path.write_text(self._settings(vm), encoding='utf-8')
+        with (self.folder / f'{vm}.log').open('ab') as log:
+            self.processes[vm] = subprocess.Popen(
+                [sys.executable, '-m', 'lovagemast_platform', role],
+                env={**os.environ, 'LOVAGEMAST_SETTINGS': str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, vm: str, number: signal.Signals) -> None:
+        """Send a signal to a VM's process, if it runs."""
+        process = self.processes[vm]
+        if process.poll() is None:
+            process.send_signal(number)
+
+    async def ended(self, vm: str, timeout_s: float) -> bool:
+        """Return whether a process has ended in time."""
+        process = self.processes[vm]
+        try:
+            await asyncio.to_thread(process.wait, timeout_s)
+        except subprocess.TimeoutExpired:
+            return False
+        return True
+
+    def wipe(self, vm: str) -> None:
+        """Empty a control VM's disk."""
+        shutil.rmtree(self._data(vm), ignore_errors=True)
+
+    def start_worker(self, name: str) -> None:
+        """Start a worker, or another incarnation of it."""
+        former = self.workers.get(name)
+        if former:
+            self._serving[name].cancel()
+            self.former.append(former)
+        incarnation = sum(
+            one.name.startswith(f'{name}-') for one in self.former
+        )
+        controls = tuple(f'{vm}:{self.ports.control}' for vm in CONTROL)
+        service = 's-plain' if name == 'plain' else 's-lm'
+        worker = Worker(
+            f'{name}-{incarnation}',
+            service,
+            self._ports[name],
+            controls[0],
+            others=controls[1:],
+            announced_port=self.proxies[name].port,
+        )
+        self.workers[name] = worker
+        self._serving[name] = asyncio.create_task(worker.serve())
+
+    def all_workers(self) -> list[Worker]:
+        """Return all incarnations of all workers."""
+        return [*self.former, *self.workers.values()]
+
+    def control_url(self, vm: str) -> str:
+        """Return a control VM's address for operators."""
+        return f'http://{vm}:{self.ports.control}'
+
+    def put_config(self, vm: str, version: int, keys: tuple[str, ...]) -> int:
+        """Send a configuration; return the status, 0 without an answer."""
+        return put(f'{self.control_url(vm)}/config', _config(version, keys))
+
+    def _data(self, vm: str) -> Path:
+        return self.folder / f'data-{vm}'
+
+    def _settings(self, vm: str) -> str:
+        ports = self.ports
+        seeds = [f'{one}:{ports.control}' for one in CONTROL]
+        self._data(vm).mkdir(exist_ok=True)
+        lines = (
+            f'node = "{vm}"',
+            f'ip = "{vm}"',
+            'zone = "z1"',
+            f'internalPorts = [{ports.peer}, {ports.peer}]',
+            f'seeds = {json.dumps(seeds)}',
+            f'bootstrap = {json.dumps(self._first_start)}',
+            f'dataDir = "{self._data(vm)}"',
+            '[listen]',
+            f'control = "{vm}:{ports.control}"',
+            f'front = "{vm}:{ports.front}"',
+            f'ready = "{vm}:{ports.ready}"',
+            '[faultTolerance]',
+            'machines = 1',
+            '[bounds]',
+            'failClosed = true',
+            'revokeMs = 5000',
+            'leaseMs = 3000',
+            f'graceS = {GRACE_S}',
+            'retrySlack = 50',
+        )
+        return '\n'.join(lines)
+
+
+def free_port() -> int:
+    """Return a port that nothing listens at."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return int(probe.getsockname()[1])
+
+
+def _config(version: int, keys: tuple[str, ...]) -> dict[str, Any]:
+    engine = {
+        'slots': 8,
+        'weightsMb': 200,
+        'adapterSlots': 3,
+        'models': [{'name': MODEL, 'weightsMb': 100}],
+    }
+    return {
+        'version': version,
+        'routes': [
+            _route('/lm/', 's-lm', resumable=True),
+            _route('/once/', 's-lm', resumable=False),
+            _route('/plain/', 's-plain', resumable=False),
+        ],
+        'services': [{'name': 's-lm', 'engine': engine}, {'name': 's-plain'}],
+        'tenants': [{'name': ACCOUNT, 'apiKeys': list(keys)}],
+    }
+
+
+def _route(prefix: str, service: str, *, resumable: bool) -> dict[str, Any]:
+    return {
+        'name': prefix.strip('/'),
+        'hostname': HOST,
+        'pathPrefix': prefix,
+        'kind': 'unsafe' if service == 's-plain' else 'streaming',
+        'timeoutMs': 5_000,
+        'targetLatencyMs': 600,
+        'service': service,
+        'maxAttempts': 2,
+        'public': False,
+        'resumable': resumable,
+    }
--- a/tests/platformworker.py
+++ b/tests/platformworker.py
@@ -7,7 +7,7 @@
 import asyncio
 import json
 import time
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.error import HTTPError
 from urllib.request import Request, urlopen
 
@@ -17,24 +17,49 @@
 HEARTBEAT_S = 0.3
 EVENTS = 6
 EVENT_S = 0.02
+OK = 200
+SLOTS = 8
+
+
+class SeenRun(NamedTuple):
+    """A request that a worker ran."""
+
+    at: float  # s, on the steady clock
+    path: str
+    headers: CIMultiDict[str]
 
 
 class Worker:
-    """One worker and what it was asked to do."""
+    """One worker and what it was asked to do.
+
+    It announces ``announced_port`` where something else listens for it, and
+    calls ``others`` when ``control`` does not take its heartbeat.
+    """
 
     def __init__(
-        self, name: str, service: str, port: int, control: str
+        self,
+        name: str,
+        service: str,
+        port: int,
+        control: str,
+        *,
+        others: tuple[str, ...] = (),
+        announced_port: int | None = None,
     ) -> None:
         self.name = name
         self.service = service
-        self.address = f'127.0.0.1:{port}'
+        self.address = f'127.0.0.1:{announced_port or port}'
         self.port = port
         self.control = control
+        self.others = others
+        self.seen: list[SeenRun] = []
+        self.ordered: list[tuple[float, dict[str, Any]]] = []
         self.adapters: dict[str, int] = {}
         self.sequence = 0
         self.beats = 0
         self.state = 'ready'
         self.runs: list[CIMultiDict[str]] = []
+        self.running = 0
         self.orders: list[dict[str, Any]] = []
         self.break_after: int | None = None  # events, of the next stream
         self.born = int(time.time() * 1000)
@@ -66,14 +91,16 @@
             'address': self.address,
             'zone': 'z1',
             'version': 'v1',
-            'slots': 8,
+            'slots': SLOTS,
             'state': self.state,
             'coldRemainingMs': 0,
             'sequence': self.beats,
             'born': self.born,
             'models': self._models(),
         }
-        put(f'http://{self.control}/instances/{self.name}', body)
+        for control in (self.control, *self.others):
+            if put(f'http://{control}/instances/{self.name}', body) == OK:
+                return
 
     def _models(self) -> list[dict[str, Any]]:
         labels = [f'{name}@{number}' for name, number in self.adapters.items()]
@@ -91,8 +118,11 @@
         )
 
     async def _order(self, http: web.Request) -> web.Response:
+        if http.headers.get('X-Expect-Instance') != self.name:
+            return web.Response(status=421)
         order = await http.json()
         self.orders.append(order)
+        self.ordered.append((time.monotonic(), order))
         if order['precondition'] != self.sequence:
             return web.Response(status=409)
         self.sequence += 1
@@ -106,7 +136,7 @@
         headers = http.headers
         own = {
             'X-Request-Id': headers.get('X-Request-Id', ''),
-            'X-Server-Load': f'{len(self.runs)},0,8',
+            'X-Server-Load': f'{self.running},0,{SLOTS}',
         }
         if headers.get('X-Expect-Instance') != self.name:
             return web.Response(status=421, headers=own)
@@ -114,11 +144,17 @@
         if adapter and adapter not in self.adapters:
             return web.Response(status=421, headers=own)
         body = (await http.read()).decode()
-        self.runs.append(CIMultiDict(headers, body=body))
+        run = CIMultiDict(headers, body=body)
+        self.runs.append(run)
+        self.seen.append(SeenRun(time.monotonic(), http.path, run))
         own['X-Server-Stamp'] = self.name
         if not adapter:
             return web.Response(body=http.path.encode(), headers=own)
-        return await self._stream(http, own)
+        self.running += 1
+        try:
+            return await self._stream(http, own)
+        finally:
+            self.running -= 1
 
     async def _stream(
         self,
