Stop listening 2.5 s into a drain; older adapter versions end sooner

Ruled out: requests taken before the drain (those cut were sent 6.3 and 6.9 s after SIGTERM). Change: the listener closes 2.5 s after SIGTERM; the grace of an older version is 2 s, so that news may be 3 s late. Both have tests that failed before.

--- a/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
@@ -12,7 +12,9 @@
 # A new leader learns of targets by their heartbeats; until it has led for
 # this long, its list is incomplete and nothing is dropped for it.
 LEADER_WARM_S: Final = 4.0
-VERSION_GRACE_S: Final = 3.0  # an older adapter version may serve this long
+# An older adapter version may serve this long after a newer one is known
+# here. Operators allow 5 s from their acknowledgement: news may be 3 s late.
+VERSION_GRACE_S: Final = 2.0
 
 
 class KnownTarget(NamedTuple):
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -25,6 +25,9 @@
 
 READY_AGE_S: Final = 4.0  # without word of a quorum, others serve better
 LEAST_DRAIN_S: Final = 3.0  # for the balancer to notice
+# From SIGTERM on; what is taken later could not be answered before the
+# process is killed. Callers who are turned away by then ask another VM.
+LISTEN_S: Final = 2.5
 EXIT_MARGIN_S: Final = 0.5  # before the platform kills the process
 CHECK_S: Final = 0.05
 OK: Final = 200
@@ -87,6 +90,8 @@
                 return
             await asyncio.sleep(CHECK_S)
             self._front.drain()
+            if waited_s > LISTEN_S:
+                self._front.stop_listening()
 
     def _on_term(self) -> None:
         self._log.write('entry', 'drain', running=self._running)
--- a/packages/lovagemast-node/src/lovagemast_node/http/_server.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_server.py
@@ -263,6 +263,12 @@
             reuse_address=True,
         )
 
+    def stop_listening(self) -> None:
+        """Take no further connections; those that are open go on."""
+        if self._listener:
+            self._listener.close()
+            self._listener = None
+
     def drain(self) -> None:
         """Close connections after the answers that are under way."""
         self.is_draining = True
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -3,7 +3,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from lovagemast_core import PublishedState
+from lovagemast_core import AdapterVersion, PublishedState
 from lovagemast_core.entry import (
     BatchLimit,
     Choice,
@@ -352,3 +352,19 @@
         search.failed('c1', NOW)
         search.failed('c2', NOW - 0.5)
         assert search.next_vm(('c1', 'c2'), NOW) == 'c2'
+
+
+VERSION_LIMIT_S = 5.0  # from the acknowledgement of a newer version
+
+
+class TestVersions:
+    @pytest.mark.parametrize('late_s', [0.0, 1.5, 2.5])
+    def test_older_version_ends_in_time(self, late_s: float) -> None:
+        """News of a version that come late leave no older one in use."""
+        view = FleetView()
+        named = (AdapterVersion('m', 'a1', 2),)
+        published = PublishedState(1, adapter_versions=named)
+        reply = SyncReply(1, True, 'c', 1, 0.0, published)
+        view.apply(reply, NOW + late_s, NOW + late_s)
+        assert view.least_version('m', 'a1', NOW + late_s) == 1
+        assert view.least_version('m', 'a1', NOW + VERSION_LIMIT_S - 0.2) == 2
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -295,6 +295,27 @@
         answer = asyncio.run(with_server(echo, use, limits))
         assert answer.startswith(b'HTTP/1.1 408')
 
+    def test_stops_listening(self) -> None:
+        """New connections are turned away; the answer under way is whole."""
+
+        async def slow(req: HttpRequest, responder: Responder) -> None:
+            await asyncio.sleep(0.1)
+            await echo(req, responder)
+
+        async def use(server: HttpServer, port: int) -> bytes:
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(GET)
+            await asyncio.sleep(0.03)
+            server.drain()
+            server.stop_listening()
+            with pytest.raises(OSError, match='Connect call failed'):
+                await asyncio.open_connection(HOST, port)
+            return await reader.read()
+
+        answer = asyncio.run(with_server(slow, use))
+        assert answer.startswith(b'HTTP/1.1 200')
+        assert answer.endswith(b'/a')
+
     def test_draining_closes_after_the_answer(self) -> None:
         """The answer under way is whole and says that it is the last."""
 
