Let the sync's silence timeout follow its interval

Cause: an idle entry VM sends a sync request every 5 ms times the number of entry VMs, 0.97 s with 193, but gave up a stream without a reply for 0.5 s.

Change: intervals and timeout are one value, SyncTiming, in the core; the timeout is the time between two requests plus 0.29 s for the reply. In fleets of up to some 40 entry VMs it is about what it was (0.5 s).

Ruled out: 3 s for every fleet, since a dead leader must be left sooner than an election where fleets are small (second test).

Measured: the test fails for 100, 200 and 400 entry VMs with the fixed timeout and passes with this one.

--- a/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
@@ -15,6 +15,7 @@
     choose_target,
     find_candidates,
 )
+from ._synctiming import SyncTiming
 from ._view import FleetView, KnownTarget
 
 __all__ = [
@@ -31,6 +32,7 @@
     'PrefillLimit',
     'RetryBudget',
     'SelectionCriteria',
+    'SyncTiming',
     'TargetHealth',
     'TargetRequirements',
     'choose_target',
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_sync.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_sync.py
@@ -6,7 +6,7 @@
 
 from grpclib.client import Channel
 from grpclib.client import Stream as ClientStream
-from lovagemast_core.entry import LeaderSearch
+from lovagemast_core.entry import LeaderSearch, SyncTiming
 from lovagemast_core.targets import SyncAsk, SyncReply
 from lovagemast_wire import (
     EntriesStub,
@@ -20,12 +20,6 @@
 from ._jsonlog import JsonLog
 from ._peers import PEER_CONNECT_TIMEOUT_S, STREAM_ERRORS
 
-ASK_INTERVAL_S: Final = 0.2
-MIN_ASK_INTERVAL_S: Final = 0.01  # while requests wait for an update
-# The leader answers all entry VMs, so the intervals grow with their number.
-ASK_INTERVAL_PER_ENTRY_S: Final = 0.005
-MIN_ASK_INTERVAL_PER_ENTRY_S: Final = 0.0008
-REPLY_TIMEOUT_S: Final = 0.5  # shorter than an election
 SYNC_RECONNECT_DELAY_S: Final = 0.05
 SYNC_ERRORS: Final = (*STREAM_ERRORS, WireError)
 
@@ -58,7 +52,7 @@
         self._sent: dict[int, float] = {}
         self._wake = asyncio.Event()
         self._is_synced = False
-        self._entries = 1  # entry VMs that the leader serves
+        self._timing = SyncTiming.for_entries(1)
 
     def wake(self) -> None:
         """Send the next sync request as soon as the minimum interval allows."""
@@ -110,20 +104,17 @@
                     'sync', 'sending a sync request failed', cause=repr(exc)
                 )
                 return
-            min_interval_s = MIN_ASK_INTERVAL_PER_ENTRY_S * self._entries
-            await asyncio.sleep(max(MIN_ASK_INTERVAL_S, min_interval_s))
+            await asyncio.sleep(self._timing.min_interval_s)
             await self._wait_for_wake()
 
     async def _wait_for_wake(self) -> None:
         waiter = asyncio.ensure_future(self._wake.wait())
-        interval_s = ASK_INTERVAL_PER_ENTRY_S * self._entries
-        timeout_s = max(ASK_INTERVAL_S, interval_s)
-        await asyncio.wait((waiter,), timeout=timeout_s)
+        await asyncio.wait((waiter,), timeout=self._timing.interval_s)
         waiter.cancel()
 
     async def _read_replies(self, vm: str, stream: SyncStream) -> None:
         while True:
-            async with asyncio.timeout(REPLY_TIMEOUT_S):
+            async with asyncio.timeout(self._timing.silence_timeout_s):
                 message = await stream.recv_message()
             if message is None:
                 self._log_lost(vm, 'stream ended')
@@ -151,5 +142,5 @@
         self._sent = {
             ask: at for ask, at in self._sent.items() if ask >= reply.ask
         }
-        self._entries = reply.entries
+        self._timing = SyncTiming.for_entries(reply.entries)
         self._on_reply(reply, sent_at)
