Bound what a target may send that is no answer

Cause: a target in trouble may send a head, interim responses, chunk extensions, trailers or a body without end. None of these reach the consumer as events, so only the request's deadline ended them, and the parser or the entry VM kept the bytes in memory meanwhile.

Change: a connection counts the bytes received for a response and those passed on as its body; with 64 KiB more of other bytes than of the body, it fails and is closed. Bodies that are kept as a whole end at 8 MiB (also orders and reports of engines), events of a stream at 1 MiB. The attempt then counts as failed at that target: an idempotent request goes on elsewhere, others get 502, never "not run".

Ruled out: the deadline alone (memory grows until then, and the caller waits for nothing); a limit on the number of headers (interim responses and chunk extensions have none).

--- a/packages/lovagemast-core/src/lovagemast_core/entry/_eventstream.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_eventstream.py
@@ -13,6 +13,11 @@
         self.last_id = ''
         self._partial = b''
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the size of the incomplete event."""
+        return len(self._partial)
+
     def feed(self, chunk: bytes) -> bytes:
         """Take the next chunk and return the events that are now complete."""
         buffered = self._partial + chunk
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -8,6 +8,8 @@
 
 from .._clock import now_s
 from ..http import (
+    MAX_BODY_BYTES,
+    MAX_EVENT_BYTES,
     ConnectFailed,
     ResponseData,
     ResponseEnd,
@@ -254,6 +256,8 @@
             event = await conn.next_event()
             if isinstance(event, ResponseData):
                 body += event.chunk
+                if len(body) > MAX_BODY_BYTES:
+                    return ResponseFailed('the body is too long')
             elif isinstance(event, ResponseEnd):
                 await self._relay.relay_body(head, bytes(body))
                 return None
@@ -271,6 +275,8 @@
             if isinstance(event, ResponseData):
                 self._release_prefill()
                 await self._relay.relay_events(head, event.chunk)
+                if self._relay.partial_bytes > MAX_EVENT_BYTES:
+                    return ResponseFailed('an event is too long')
             elif isinstance(event, ResponseEnd):
                 await self._relay.end_stream(head)
                 return None
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_engines.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_engines.py
@@ -13,6 +13,7 @@
 
 from .._clock import now_s
 from ..http import (
+    MAX_BODY_BYTES,
     ConnectFailed,
     ResponseData,
     ResponseFailed,
@@ -118,14 +119,16 @@
     conn: TargetConnection,
 ) -> EngineResponse | ResponseFailed:
     status = 0
-    body = b''
+    body = bytearray()
     while True:
         event = await conn.next_event()
         if isinstance(event, ResponseHead):
             status = event.status
         elif isinstance(event, ResponseData):
             body += event.chunk
+            if len(body) > MAX_BODY_BYTES:
+                return ResponseFailed('the body is too long')
         elif isinstance(event, ResponseFailed):
             return event
         else:
-            return EngineResponse(status, body)
+            return EngineResponse(status, bytes(body))
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_relay.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_relay.py
@@ -34,6 +34,11 @@
         """Return the id of the last event that was sent to the caller."""
         return self._event_buffer.last_id
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the size of the incomplete event that is buffered."""
+        return self._event_buffer.partial_bytes
+
     def begin_stream(self) -> None:
         """Prepare for the events of a target.
 
--- a/packages/lovagemast-node/src/lovagemast_node/http/__init__.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/__init__.py
@@ -16,10 +16,13 @@
     end_to_end,
     header_value,
 )
+from ._responsesize import MAX_BODY_BYTES, MAX_EVENT_BYTES
 from ._server import HttpServer, Responder, ServerLimits
 from ._sockets import split_address
 
 __all__ = [
+    'MAX_BODY_BYTES',
+    'MAX_EVENT_BYTES',
     'ConnectFailed',
     'Headers',
     'HttpRequest',
--- a/packages/lovagemast-node/src/lovagemast_node/http/_client.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_client.py
@@ -11,6 +11,7 @@
 import httptools
 
 from ._message import Headers
+from ._responsesize import ResponseSize
 from ._sockets import enable_keepalive, split_address
 
 IDLE_TIMEOUT_MARGIN_S: Final = (
@@ -102,6 +103,7 @@
             self.is_reusable = False
             self.close()
             return
+        self._size.add_received(len(data))
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
@@ -109,6 +111,7 @@
                 self._fail(f'not an answer: {exc}')
             self.is_reusable = False
             self.close()
+        self._check_size()
         if self._events.qsize() > MAX_BUFFERED_EVENTS and self._transport:
             self._is_reading_paused = True
             self._transport.pause_reading()
@@ -148,6 +151,7 @@
     def on_body(self, body: bytes) -> None:
         """Emit a chunk of the body."""
         if self._is_busy and not self._is_skipping:
+            self._size.add_body(len(body))
             self._events.put_nowait(ResponseData(body))
 
     def on_message_complete(self) -> None:
@@ -194,6 +198,7 @@
 
     def _start_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
+        self._size = ResponseSize()
         self._headers = []
         self._length = None
         self._is_chunked = False
@@ -206,6 +211,11 @@
             if name == b'timeout' and seconds.isdigit():
                 self.idle_timeout_s = float(seconds)
 
+    def _check_size(self) -> None:
+        if self._is_busy and self._size.is_excessive():
+            self._fail('bytes without end that are no answer')
+            self.close()
+
     def _complete(self) -> None:
         self._is_busy = False
         self._events.put_nowait(ResponseEnd())
