Visit the engines once in a planning run

Cause: a planning run, every 15 ms, visited all engines for each adapter that requests wait for: with 400 such adapters and 45 engines 20,070 visits.

Change: a run computes once what it needs of each engine (PlanningRound): who can take an order, at what cost, which adapter would be evicted. An engine is out of the run once it has an order. Running requests are summed when a report comes, not in every run. Which orders are planned is unchanged.

Ruled out: longer intervals between runs (each load would start later); fewer missing adapters a run (the ones at the end would starve).

--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_enginestate.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_enginestate.py
@@ -33,6 +33,7 @@
         self.sequence: int | None = None
         self.order: Order | None = None  # sent and not answered yet
         self.running: dict[tuple[str, str], int] = {}  # requests by adapter
+        self.running_total = 0  # requests, of all adapters
         self.effective_at = 0.0  # s, when the last order took effect
         self.report_due_at = 0.0
         self.unreachable_until = 0.0  # s, as reported by entry VMs
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_enginetable.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_enginetable.py
@@ -1,6 +1,6 @@
 """All engines: which adapters each holds, and the costs of placing more."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Final
 
 from .._types import TargetName, ZoneName
@@ -74,10 +74,9 @@
         if heartbeat.target in self.by_target:
             self.by_target[heartbeat.target].received_at = received_at
 
-    def refresh(self, uses: list[AdapterUse], now: float) -> None:
-        """Update the running requests, holders and demand before planning."""
+    def refresh(self, now: float) -> None:
+        """Update the holders and their demand before planning."""
         self._now = now
-        self._sum_uses(uses)
         self._holders = {}
         for engine in self:
             for label in engine.ready_at:
@@ -136,25 +135,24 @@
         lowest = min((_slot_usage(one) for one in holders), default=0)
         if lowest <= COPY_MIN_LOAD:
             return False
-        others = [
-            _slot_usage(engine)
+        limit = COPY_MAX_LOAD_RATIO * lowest
+        return any(
+            _slot_usage(engine) < limit
             for engine in self
             if engine not in holders and self.is_usable(engine)
-        ]
-        return bool(others) and min(others) < COPY_MAX_LOAD_RATIO * lowest
+        )
 
     def demand_per_holder(self, label: AdapterLabel, now: float) -> float:
         """Return the requests per second for an adapter at each holder."""
         copies = max(1, len(self.holders(label.name)))
         return self._demand.rate(label.name, now) / copies
 
-    def loadable_engines(self, model: str, now: float) -> list[EngineState]:
-        """Return the engines that can be ordered to load a model's adapter."""
+    def loadable_engines(self, now: float) -> list[EngineState]:
+        """Return the engines that can be ordered to load an adapter."""
         return [
             engine
             for engine in self
-            if model in engine.models
-            and self.can_order(engine, now)
+            if self.can_order(engine, now)
             and self.is_usable(engine)
             and engine.loads_in_flight(now) < MAX_LOADS_PER_ENGINE
         ]
@@ -163,33 +161,33 @@
         """Return whether an engine can be sent an order now."""
         return engine.can_take_order(now) and engine.target not in self.blocked
 
-    def placement_cost(
-        self,
-        engine: EngineState,
-        name: Name,
-        now: float,
-    ) -> float:
-        """Return the cost of loading an adapter at an engine, in requests/s.
+    def load_cost(self, engine: EngineState, now: float) -> float:
+        """Return the cost of one more adapter at an engine, in requests/s.
 
         It grows with the loads, requests and demand that the engine has.
         """
         cost = LOADING_COST * engine.loads_in_flight(now)
-        if not engine.is_host_cached(name):
-            cost += STORE_LOAD_COST
-        cost += RUNNING_COST * sum(engine.running.values())
+        cost += RUNNING_COST * engine.running_total
         return cost + self._adapter_demand.get(engine.target, 0)
 
-    def _sum_uses(self, uses: list[AdapterUse]) -> None:
+    def store_cost(self, engine: EngineState, name: Name) -> float:
+        """Return the cost of fetching an adapter, in requests/s."""
+        return 0.0 if engine.is_host_cached(name) else STORE_LOAD_COST
+
+    def set_uses(self, uses: Iterable[AdapterUse]) -> None:
+        """Replace the running requests of all engines."""
         for engine in self:
             engine.running.clear()
+            engine.running_total = 0
         for use in uses:
             known = self.by_target.get(use.target)
             if known and use.running:
                 name = AdapterLabel.from_text(use.label).name
                 before = known.running.get(name, 0)
                 known.running[name] = before + use.running
+                known.running_total += use.running
 
 
 def _slot_usage(engine: EngineState) -> float:
     """Return the fraction of an engine's slots that entry VMs use."""
-    return sum(engine.running.values()) / max(1, engine.spec.slots)
+    return engine.running_total / max(1, engine.spec.slots)
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
@@ -8,7 +8,8 @@
 memory is preferred: it loads it fast and without the weight store.
 """
 
-from collections.abc import Iterable
+import itertools
+from collections.abc import Iterable, Iterator
 from typing import Final
 
 from .._types import TargetName, VmName
@@ -20,6 +21,7 @@
 from ._label import AdapterLabel
 from ._modelloads import ModelLoadLimiter
 from ._orders import Order, OrderOutcome, TargetReport
+from ._round import PlanningRound
 
 ADAPTER_LOAD_S: Final = 0.27
 HOST_CACHED_LOAD_S: Final = 0.03  # of an adapter in the host's memory
@@ -45,6 +47,7 @@
         self._model_loads = ModelLoadLimiter()
         self._wishes: dict[Name, float] = {}  # s, of the last wish
         self._uses: dict[VmName, tuple[float, tuple[AdapterUse, ...]]] = {}
+        self._uses_changed = False
 
     def reset(self) -> None:
         """Clear the state of engines and entry VMs, at the start of a term."""
@@ -85,6 +88,7 @@
     ) -> None:
         """Replace the running requests of an entry VM."""
         self._uses[vm] = (now, uses)
+        self._uses_changed = True
 
     def record_missing(
         self,
@@ -133,20 +137,19 @@
         the orders.
         """
         self.engines.blocked = blocked
-        fresh = [
-            uses for at, uses in self._uses.values() if now - at < USES_TTL_S
-        ]
-        self.engines.refresh([use for uses in fresh for use in uses], now)
+        self._apply_uses(now)
+        self.engines.refresh(now)
         orders = self._plan_model_loads(fence, now)
-        for name in (
-            *self._missing_adapters(now),
-            *self._adapters_to_copy(now),
-        ):
-            if self.engines.loads_in_flight(now) >= self._max_loads_in_flight():
+        planning = PlanningRound(self.engines, now)
+        for name in self._adapters_to_load(now):
+            if planning.loads_in_flight >= self._max_loads_in_flight():
+                break
+            if not planning.has_engines():
                 break
-            order = self._plan_load(name, fence, now)
+            order = self._plan_load(name, planning, fence, now)
             if order:
                 self.engines.by_target[order.target].record_sent(order)
+                planning.record_order(order)
                 orders.append(order)
         return orders
 
@@ -172,6 +175,25 @@
         engine.apply_report(report, now)
         return True
 
+    def _apply_uses(self, now: float) -> None:
+        """Update the running requests if reports came or have expired."""
+        expired = [
+            vm
+            for vm, (at, _uses) in self._uses.items()
+            if now - at >= USES_TTL_S
+        ]
+        for vm in expired:
+            self._uses.pop(vm)
+        if expired or self._uses_changed:
+            self._uses_changed = False
+            reports = (uses for _reported_at, uses in self._uses.values())
+            self.engines.set_uses(itertools.chain.from_iterable(reports))
+
+    def _adapters_to_load(self, now: float) -> Iterator[Name]:
+        """Yield the adapters to load, those that requests wait for first."""
+        yield from self._missing_adapters(now)
+        yield from self._adapters_to_copy(now)
+
     def _max_loads_in_flight(self) -> int:
         scaled = int(LOADS_PER_ENGINE * len(self.engines.by_target))
         return max(MIN_LOADS_IN_FLIGHT, scaled)
@@ -231,36 +253,36 @@
         copies = len(self.engines.holders(name)) + 1
         return self.demand.rate(name, now) >= MIN_COPY_RATE * copies
 
-    def _plan_load(self, name: Name, fence: int, now: float) -> Order | None:
-        usable = self.engines.loadable_engines(name[0], now)
-        fresh = [engine for engine in usable if not engine.holds(name)]
-        fresh.sort(key=lambda one: self.engines.placement_cost(one, name, now))
-        for engine in fresh:
-            order = self._load_or_unload(engine, name, fence, now)
+    def _plan_load(
+        self,
+        name: Name,
+        planning: PlanningRound,
+        fence: int,
+        now: float,
+    ) -> Order | None:
+        for engine in planning.engines_for(name):
+            order = self._load_or_unload(engine, name, planning, fence, now)
             if order:
                 return order
         if self.engines.is_served(name):
             return None
-        outdated = [engine for engine in usable if engine.holds(name)]
-        if not outdated:
-            return None
-        return outdated[0].make_order(
-            self._newest_label(name),
-            fence,
-            load=True,
-        )
+        for outdated in planning.holders(name):
+            label = self._newest_label(name)
+            return outdated.make_order(label, fence, load=True)
+        return None
 
     def _load_or_unload(
         self,
         engine: EngineState,
         name: Name,
+        planning: PlanningRound,
         fence: int,
         now: float,
     ) -> Order | None:
         """Return an order to load an adapter, or to free a slot for it."""
         if engine.slots_reserved(now) < engine.spec.adapter_slots:
             return engine.make_order(self._newest_label(name), fence, load=True)
-        victim = self._eviction_victim(engine, now)
+        victim = planning.victim(engine)
         if victim is None:
             return None
         label = self._newest_label(name)
@@ -270,28 +292,5 @@
             return None
         return engine.make_order(victim, fence, load=False)
 
-    def _eviction_victim(
-        self,
-        engine: EngineState,
-        now: float,
-    ) -> AdapterLabel | None:
-        """Return the idle adapter to unload, ``None`` if there is none.
-
-        Outdated versions go first, then those with the least demand.
-        """
-        settled = [
-            label
-            for label in engine.idle_labels()
-            if engine.ready_at[label] <= now - ADAPTER_LOAD_S
-        ]
-        return min(
-            settled,
-            key=lambda label: (
-                self.engines.is_current(label),
-                self.engines.demand_per_holder(label, now),
-            ),
-            default=None,
-        )
-
     def _newest_label(self, name: Name) -> AdapterLabel:
         return AdapterLabel(*name, self.engines.newest_versions.get(name, 0))
--- a/tests/test_adapters.py
+++ b/tests/test_adapters.py
@@ -4,6 +4,7 @@
 from lovagemast_core.adapters import (
     AdapterLabel,
     AdapterPlanner,
+    EngineState,
     ModelLoadLimiter,
     Order,
     OrderOutcome,
@@ -112,6 +113,33 @@
             self.send_heartbeat(name)
 
 
+class TestPlanningCost:
+    @pytest.mark.parametrize('missing', [50, 400])
+    def test_engines_are_visited_once(
+        self, missing: int, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """A run visits the engines a few times, however many adapters miss.
+
+        Many more adapters than there are slots are waited for on the heaviest
+        days. A run that takes longer than the planning interval delays all
+        that the leader does.
+        """
+        engines = 45
+        bench = Bench(engines)
+        for index in range(missing):
+            bench.wish(f'a{index}')
+        visits: list[str] = []
+        original = EngineState.loads_in_flight
+
+        def count(engine: EngineState, now: float) -> int:
+            visits.append(engine.target)
+            return original(engine, now)
+
+        monkeypatch.setattr(EngineState, 'loads_in_flight', count)
+        assert bench.plan()
+        assert len(visits) <= 3 * engines
+
+
 class TestLoads:
     def test_one_load_for_one_adapter(self) -> None:
         """A load is not ordered again while its answer is pending."""
