--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -1,9 +1,9 @@
-"""Fleet control by the leader: targets, adapters, tokens, entry VMs."""
+"""Fleet control by the leader: targets, adapters, tokens, relays."""
 
 from typing import Final, NamedTuple
 
 from .._state import PublishedState
-from .._types import TargetName, VmName
+from .._types import TargetName, VmName, ZoneName
 from ..adapters import (
     AdapterLabel,
     AdapterPlanner,
@@ -15,6 +15,7 @@
 from ..quota import ISSUE_LEASE_S, QuotaBounds, TokenIssuer
 from ..targets import (
     RegisteredTarget,
+    RelayInfo,
     SyncAsk,
     SyncReply,
     TargetHeartbeat,
@@ -26,8 +27,8 @@
 
 # Shorter than the election timeout, so that no other VM can lead meanwhile.
 LEADER_LEASE_S: Final = 0.5
-ENTRY_TIMEOUT_S: Final = 2.0  # without a sync, until an entry VM is dropped
-# A record is built once for all entry VMs that sync within this time; the
+RELAY_TIMEOUT_S: Final = 2.0  # without a sync, until a relay is dropped
+# A record is built once for all relays that sync within this time; the
 # remaining times in it are late by as much.
 RECORD_CACHE_TTL_S: Final = 0.03
 
@@ -42,8 +43,14 @@
         return self.stamp == stamp and now - self.made_at < RECORD_CACHE_TTL_S
 
 
+class _RelayStatus(NamedTuple):
+    synced_at: float  # s
+    zone: ZoneName
+    entries: int  # entry VMs that sync with the relay
+
+
 class FleetController:
-    """Serves entry VMs and plans orders to engines while this VM leads.
+    """Serves relays and plans orders to engines while this VM leads.
 
     Tokens and orders are issued only within the leader's lease. An order is
     sent by the control VM that is the holder of its engine.
@@ -66,7 +73,7 @@
         self._term = 0
         self._leader_since = 0.0
         self._orders_allowed_at = 0.0  # s, when the first engine gets orders
-        self._entries: dict[VmName, float] = {}
+        self._relays: dict[VmName, _RelayStatus] = {}
         self._records: dict[TargetName, _CachedRecord] = {}
         self._index: DeploymentIndex | None = None
         self._published = PublishedState()
@@ -93,7 +100,7 @@
         self.registry.reset()
         self.planner.reset()
         self.issuer.reset()
-        self._entries.clear()
+        self._relays.clear()
 
     def apply_published(
         self,
@@ -129,13 +136,14 @@
         quorum_age_s: float,
         now: float,
     ) -> SyncReply:
-        """Handle an entry VM's sync request and return the reply.
+        """Handle a relay's sync request and return the reply.
 
         The reply holds tokens only while the leader's lease is valid.
         """
-        self._entries[ask.vm] = now
+        self._relays[ask.vm] = _RelayStatus(now, ask.zone, ask.entries)
         self.planner.record_wishes(ask.wishes, now)
-        self.planner.record_uses(ask.vm, ask.uses, now)
+        if ask.has_uses:
+            self.planner.record_uses(ask.vm, ask.uses, now)
         self.planner.record_unreachable(ask.shut, now)
         for text in ask.missing:
             target, _, label = text.partition(' ')
@@ -157,36 +165,34 @@
         quorum_age_s: float,
         now: float,
     ) -> SyncReply:
-        """Return a reply with all changes that an entry VM does not know."""
-        known_stamp = ask.stamp if ask.term == self._term else 0
+        """Return a reply with all changes that a relay does not know."""
+        known_stamp = ask.stamp if ask.epoch == self._term else 0
+        removals = self.registry.removals
+        is_complete = known_stamp == 0 or known_stamp < removals.horizon
+        self._drop_silent_relays(now)
+        ranked = sorted(self._relays)
         published = self._published
-        self._entries = {
-            vm: at
-            for vm, at in self._entries.items()
-            if now - at < ENTRY_TIMEOUT_S
-        }
-        known_vm = ask.vm in self._entries
-        targets = self.registry.all_targets()
         return SyncReply(
             ask.ask,
-            leads=True,
+            serves=True,
             leader=self._vm,
             term=self._term,
             quorum_age_s=quorum_age_s,
             published=published if published.version > ask.version else None,
+            epoch=self._term,
             stamp=self.registry.stamp,
             targets=tuple(
                 self._cached_record(registered, now)
-                for registered in targets
-                if registered.stamp > known_stamp
+                for registered in self.registry.all_targets()
+                if is_complete or registered.stamp > known_stamp
             ),
-            present=tuple(
-                registered.heartbeat.target for registered in targets
-            ),
-            entries=len(self._entries),
-            rank=sorted(self._entries).index(ask.vm) if known_vm else 0,
+            removed=() if is_complete else removals.since(known_stamp),
+            is_complete=is_complete,
+            entries=sum(relay.entries for relay in self._relays.values()),
             led_s=now - self._leader_since,
             orders_in_s=max(0.0, self._orders_allowed_at - now),
+            rank=ranked.index(ask.vm) if ask.vm in self._relays else 0,
+            relays=tuple(RelayInfo(vm, self._relays[vm].zone) for vm in ranked),
         )
 
     def expire(self, now: float) -> list[TargetName]:
@@ -225,6 +231,13 @@
         if self.planner.record_report(report, now):
             self.registry.mark_changed(report.target)
 
+    def _drop_silent_relays(self, now: float) -> None:
+        self._relays = {
+            vm: relay
+            for vm, relay in self._relays.items()
+            if now - relay.synced_at < RELAY_TIMEOUT_S
+        }
+
     def _order_delay_s(self, target: TargetName, now: float) -> float:
         """Return how long an engine must not get orders, in s."""
         holder = self.holders.holder_of(target)
@@ -245,7 +258,7 @@
     def _cached_record(
         self, known: RegisteredTarget, now: float
     ) -> TargetRecord:
-        """Return a target's record, shared by all entry VMs that sync now."""
+        """Return a target's record, shared by all relays that sync now."""
         target = known.heartbeat.target
         cached = self._records.get(target)
         if cached and cached.is_fresh(known.stamp, now):
--- a/packages/lovagemast-core/src/lovagemast_core/control/_node.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_node.py
@@ -40,8 +40,8 @@
 from ._relays import RELAY_HELLO_INTERVAL_S, RelayReceiver
 
 STEP_INTERVAL_S: Final = 0.05  # between runs of the periodic tasks
-# Planning visits all engines, and each sync request of an entry VM may trigger
-# it, so its rate is limited.
+# Planning visits all engines, and each sync request may trigger it, so its rate
+# is limited.
 PLAN_INTERVAL_S: Final = 0.015
 UNCONFIRMED_AGE_S: Final = 1e9  # quorum age of a VM that does not lead
 # Without a leader no orders or tokens are issued, so failures are detected
@@ -190,14 +190,14 @@
         self._effects.append(PushUpdates())
 
     def on_ask(self, ask: SyncAsk, now: float) -> SyncReply:
-        """Return the reply to an entry VM's sync request.
+        """Return the reply to a relay's sync request.
 
         A VM that cannot answer names the leader and the control VMs.
         """
         if not self.is_ready_leader():
             return SyncReply(
                 ask.ask,
-                leads=False,
+                serves=False,
                 leader=self.leader,
                 term=self.replica.term,
                 quorum_age_s=UNCONFIRMED_AGE_S,
--- a/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
@@ -15,7 +15,6 @@
     choose_target,
     find_candidates,
 )
-from ._synctiming import SyncTiming
 from ._view import FleetView, KnownTarget
 
 __all__ = [
@@ -32,7 +31,6 @@
     'PrefillLimit',
     'RetryBudget',
     'SelectionCriteria',
-    'SyncTiming',
     'TargetHealth',
     'TargetRequirements',
     'choose_target',
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
@@ -1,4 +1,4 @@
-"""An entry VM's copy of the fleet's state, received from the leader."""
+"""A copy of the fleet's state, received from the leader or a relay."""
 
 from typing import Final, NamedTuple
 
@@ -6,7 +6,7 @@
 from .._types import TargetName, VmName, ZoneName
 from ..adapters import AdapterLabel
 from ..deployment import DeploymentIndex
-from ..targets import SyncReply, TargetRecord
+from ..targets import RelayInfo, SyncReply, TargetRecord
 
 NEVER: Final = float('-inf')
 # A new leader learns of targets from their heartbeats. Until it has led for
@@ -38,12 +38,16 @@
         self.index: DeploymentIndex | None = None
         self.targets: dict[TargetName, KnownTarget] = {}
         self.confirmed_at = NEVER  # s
-        self.stamp = 0  # of the newest target records
-        self.term = 0  # that the stamp belongs to
+        self.term = 0  # of the leader, 0 until the first reply
+        self.epoch = 0  # names the sequence that ``_stamp`` belongs to
         self.entries = 1
         self.rank = 0
         self.control: tuple[VmName, ...] = ()
+        self.relays: tuple[RelayInfo, ...] = ()
+        self.led_since = 0.0  # s
         self.orders_allowed_at = 0.0  # s, when the leader may send orders
+        self._stamp = 0  # of the newest target records
+        self._has_all_targets = False
         self._newest: dict[tuple[str, str], tuple[int, float]] = {}
         self._zones_out: frozenset[ZoneName] = frozenset()
 
@@ -65,13 +69,18 @@
         is_newer = self._apply_published(reply.published, now)
         confirmed = asked_at - max(0.0, reply.quorum_age_s)
         self.confirmed_at = max(self.confirmed_at, confirmed)
-        if reply.term != self.term:
-            self.term = reply.term
-            self.stamp = 0
+        self.term = reply.term
+        if reply.epoch != self.epoch:
+            self.epoch = reply.epoch
+            self._stamp = 0
+            self._has_all_targets = False
+        self.led_since = now - reply.led_s
         self._apply_targets(reply, now)
         self.entries = max(1, reply.entries)
         self.rank = reply.rank
         self.orders_allowed_at = now + reply.orders_in_s
+        if reply.relays:
+            self.relays = reply.relays
         if reply.control:
             self.control = reply.control
         return is_newer
@@ -80,6 +89,19 @@
         """Set the index of the configuration in force."""
         self.index = index
 
+    def has_all_targets(self) -> bool:
+        """Return whether all targets of the current leader are known."""
+        return self._has_all_targets
+
+    def stamp_to_ask(self, now: float) -> int:
+        """Return the stamp for the next sync request, 0 for all records.
+
+        All records are requested once after a new leader has learned of the
+        targets, to find those that it does not know.
+        """
+        learned = now - self.led_since >= LEADER_LEARNING_S
+        return 0 if learned and not self._has_all_targets else self._stamp
+
     def age(self, now: float) -> float:
         """Return how long ago a quorum confirmed the configuration, in s."""
         return now - self.confirmed_at
@@ -98,7 +120,7 @@
         return newest if now - since > VERSION_GRACE_S else max(0, newest - 1)
 
     def drop(self, target: TargetName) -> None:
-        """Remove a target that turned out to be a different one."""
+        """Remove a target that is gone or turned out to be another one."""
         self.targets.pop(target, None)
 
     def _apply_published(
@@ -125,8 +147,12 @@
             }
             known = KnownTarget(record, adapters, now)
             self.targets[record.target] = known
-        self.stamp = max(self.stamp, reply.stamp)
-        if reply.led_s < LEADER_LEARNING_S:
+        self._stamp = max(self._stamp, reply.stamp)
+        for target in reply.removed:
+            self.drop(target)
+        if not reply.is_complete or reply.led_s < LEADER_LEARNING_S:
             return
-        for target in set(self.targets) - set(reply.present):
-            self.targets.pop(target)
+        self._has_all_targets = True
+        present = {record.target for record in reply.targets}
+        for target in set(self.targets) - present:
+            self.drop(target)
--- a/packages/lovagemast-core/src/lovagemast_core/quota/_localtokens.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quota/_localtokens.py
@@ -117,12 +117,15 @@
         return now - state.short_at < SHORTAGE_TTL_S
 
     def add(self, lot: TokenLot, now: float) -> None:
-        """Add a lot of tokens that the leader has issued."""
+        """Add a lot of tokens that the leader has issued.
+
+        Its lifetime began when the relay received it.
+        """
         state = self._account(lot.account, now)
         if lot.short:
             state.short_at = now
         if lot.tokens > 0:
-            state.lots.append((now, lot.tokens))
+            state.lots.append((now - lot.age_s, lot.tokens))
             state.record_grant(lot.tokens, now)
 
     def wishes(
--- /dev/null
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/__init__.py
@@ -0,0 +1,15 @@
+"""Relays between entry VMs and the leader, one on each control VM."""
+
+from ._relay import SyncRelay
+from ._search import RelaySearch
+from ._timing import ENTRY_SYNC, RELAY_SYNC, SyncTiming
+from ._tokens import TokenSplitter
+
+__all__ = [
+    'ENTRY_SYNC',
+    'RELAY_SYNC',
+    'RelaySearch',
+    'SyncRelay',
+    'SyncTiming',
+    'TokenSplitter',
+]
--- /dev/null
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
@@ -0,0 +1,200 @@
+"""A relay: serves entry VMs from what the leader last sent it.
+
+The leader's work does not grow with the number of entry VMs, since it serves
+only relays. A relay that has lost the leader goes on serving what it knows;
+the age that it reports grows, and entry VMs decide by that age what they may
+still do. It never extends that age: an entry VM adds the time since its own
+request was sent to the age of the relay's information.
+"""
+
+from typing import Final
+
+from .._types import VmName, ZoneName
+from ..adapters import AdapterLabel
+from ..entry import FleetView
+from ..targets import SyncAsk, SyncReply
+from ._entries import ConnectedEntries, EntryLink
+from ._records import RelayedRecords
+from ._tokens import TokenSplitter
+
+# Changes that no request waits for are sent with the next reply, or pushed
+# after this time. It is longer than the interval of idle requests.
+PUSH_DELAY_S: Final = 0.25
+USES_INTERVAL_S: Final = 0.1  # between reports of running requests
+NO_AGE_S: Final = 1e9  # of a relay that has heard of no leader
+NEVER: Final = float('inf')
+
+
+class SyncRelay:
+    """Sums the requests of entry VMs and splits the leader's replies.
+
+    ``epoch`` names the sequence of this relay's stamps; it must differ from
+    those of other relays and of earlier incarnations of this one.
+    """
+
+    def __init__(self, vm: VmName, zone: ZoneName, epoch: int) -> None:
+        self.view = FleetView()
+        self._vm = vm
+        self._zone = zone
+        self._epoch = epoch
+        self._records = RelayedRecords()
+        self._entries = ConnectedEntries()
+        self._tokens = TokenSplitter()
+        self._uses_sent_at = float('-inf')
+
+    def build_ask(self, number: int, now: float) -> SyncAsk:
+        """Return the next sync request to the leader."""
+        self._drop_silent(now)
+        has_uses = now - self._uses_sent_at >= USES_INTERVAL_S
+        if has_uses:
+            self._uses_sent_at = now
+        return SyncAsk(
+            number,
+            self._vm,
+            self._zone,
+            self.view.published.version,
+            self.view.stamp_to_ask(now),
+            self.view.epoch,
+            self._tokens.total_wishes(now),
+            self._entries.take_wishes(),
+            self._entries.total_uses() if has_uses else (),
+            missing=self._entries.take_missing(),
+            shut=self._entries.unreachable(),
+            entries=len(self._entries),
+            has_uses=has_uses,
+        )
+
+    def on_reply(self, reply: SyncReply, asked_at: float, now: float) -> None:
+        """Apply the leader's reply to the request sent at ``asked_at``."""
+        self.view.apply(reply, asked_at, now)
+        self._note_adapters(self._records.update(self.view.targets))
+        if reply.lots:
+            self._tokens.add(reply.lots, now)
+            self._grant_tokens(now)
+
+    def on_ask(self, session: int, ask: SyncAsk, now: float) -> SyncReply:
+        """Handle an entry VM's request and return the reply."""
+        link = self._entries.record_ask(session, ask, self._epoch, now)
+        self._tokens.set_wishes(ask.vm, ask.tokens, ask.seen, now)
+        self._grant_tokens(now)
+        return self._reply(ask.vm, link, now)
+
+    def on_disconnect(self, vm: VmName, session: int) -> None:
+        """Forget an entry VM whose stream has ended."""
+        link = self._entries.links.get(vm)
+        if link and link.session == session:
+            self._entries.links.pop(vm)
+            self._tokens.remove(vm)
+
+    def needs_leader(self, ask: SyncAsk) -> bool:
+        """Return whether the leader should be asked at once."""
+        if ask.missing or any(wish.waiting for wish in ask.wishes):
+            return True
+        return self._tokens.needs_tokens()
+
+    def pushes_due(self, now: float) -> list[VmName]:
+        """Return the entry VMs to push changes to, those that wait first."""
+        due = [
+            (self._is_urgent(link), vm)
+            for vm, link in self._entries
+            if self._push_at(link) <= now
+        ]
+        return [vm for urgent, vm in sorted(due, reverse=True)]
+
+    def next_push_at(self) -> float | None:
+        """Return when the next push is due, ``None`` if nothing changed."""
+        times = [self._push_at(link) for _vm, link in self._entries]
+        return min((at for at in times if at < NEVER), default=None)
+
+    def make_push(self, vm: VmName, now: float) -> SyncReply | None:
+        """Return the push to an entry VM, ``None`` if it is gone."""
+        link = self._entries.links.get(vm)
+        if link is None:
+            return None
+        return self._reply(vm, link, now)._replace(is_push=True)
+
+    def session_of(self, vm: VmName) -> int:
+        """Return the session of an entry VM's stream, 0 if it has none."""
+        link = self._entries.links.get(vm)
+        return link.session if link else 0
+
+    def _reply(self, vm: VmName, link: EntryLink, now: float) -> SyncReply:
+        view = self.view
+        if not view.term:
+            return SyncReply(link.ask.ask, False, '', 0, NO_AGE_S)
+        records = self._records
+        is_complete = records.needs_all(link.stamp)
+        removed = () if is_complete else records.removals.since(link.stamp)
+        published = view.published
+        is_newer = published.version > link.version
+        link.replies += 1
+        reply = SyncReply(
+            link.ask.ask,
+            serves=True,
+            leader='',
+            term=view.term,
+            quorum_age_s=view.age(now),
+            published=published if is_newer else None,
+            epoch=self._epoch,
+            stamp=records.stamp,
+            targets=records.changed_since(link.stamp, now),
+            removed=removed,
+            is_complete=is_complete,
+            lots=tuple(link.lots),
+            entries=view.entries,
+            control=view.control,
+            led_s=now - view.led_since if view.has_all_targets() else 0.0,
+            orders_in_s=max(0.0, view.orders_allowed_at - now),
+            rank=self._fleet_rank(vm),
+            relays=view.relays,
+            number=link.replies,
+        )
+        self._tokens.record_grant(vm, link.lots, link.replies, now)
+        link.lots = []
+        link.has_adapter = False
+        link.replied_at = now
+        link.stamp = records.stamp
+        link.version = max(link.version, published.version)
+        return reply
+
+    def _fleet_rank(self, vm: VmName) -> int:
+        """Return an entry VM's rank among those of all relays.
+
+        Ranks of different relays never meet, so that one that joins or
+        leaves here changes none elsewhere.
+        """
+        relays = max(1, len(self.view.relays))
+        return self._entries.rank(vm) * relays + self.view.rank
+
+    def _grant_tokens(self, now: float) -> None:
+        for vm, lots in self._tokens.distribute(now).items():
+            link = self._entries.links.get(vm)
+            if link:
+                link.lots.extend(lots)
+
+    def _note_adapters(self, labels: set[str]) -> None:
+        """Mark the entry VMs whose requests wait for one of the adapters."""
+        adapters = {AdapterLabel.from_text(label).name for label in labels}
+        for _vm, link in self._entries:
+            link.has_adapter = link.has_adapter or link.waits_for(adapters)
+
+    def _is_urgent(self, link: EntryLink) -> bool:
+        if link.version < self.view.published.version:
+            return True
+        if link.stamp < self._records.left_stamp:
+            return True
+        return bool(link.lots) or link.has_adapter
+
+    def _push_at(self, link: EntryLink) -> float:
+        """Return when to push to an entry VM; never if nothing changed."""
+        if not self.view.term:
+            return NEVER
+        if self._is_urgent(link):
+            return 0.0
+        if link.stamp >= self._records.stamp:
+            return NEVER
+        return link.replied_at + PUSH_DELAY_S
+
+    def _drop_silent(self, now: float) -> None:
+        for vm in self._entries.drop_silent(now):
+            self._tokens.remove(vm)
--- a/packages/lovagemast-core/src/lovagemast_core/targets/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/__init__.py
@@ -1,10 +1,12 @@
-"""Target registration, and the sync messages sent to entry VMs."""
+"""Target registration, and the sync messages between VMs."""
 
 from ._heartbeat import TargetDeparture, TargetHeartbeat
 from ._registry import RegisteredTarget, TargetRegistry
+from ._removals import RemovalLog
 from ._sync import (
     AdapterUse,
     AdapterWish,
+    RelayInfo,
     ResidentAdapter,
     SyncAsk,
     SyncReply,
@@ -17,6 +19,8 @@
     'AdapterUse',
     'AdapterWish',
     'RegisteredTarget',
+    'RelayInfo',
+    'RemovalLog',
     'ResidentAdapter',
     'SyncAsk',
     'SyncReply',
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_registry.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_registry.py
@@ -4,6 +4,7 @@
 
 from .._types import TargetName
 from ._heartbeat import TargetHeartbeat
+from ._removals import RemovalLog
 
 TARGET_TIMEOUT_S: Final = 4.5  # three missed heartbeats
 DEPARTURE_RETENTION_S: Final = 30.0  # late heartbeats are ignored until then
@@ -27,6 +28,7 @@
 
     def __init__(self) -> None:
         self.stamp = 0
+        self.removals = RemovalLog()
         self._registered: dict[TargetName, RegisteredTarget] = {}
         self._departed: dict[TargetName, tuple[int, float]] = {}
 
@@ -34,6 +36,7 @@
         """Remove all targets, at the start of a term."""
         self._registered.clear()
         self._departed.clear()
+        self.removals.reset(self.stamp)
 
     def get(self, target: TargetName) -> RegisteredTarget | None:
         """Return the registration of a target, if it has one."""
@@ -61,6 +64,7 @@
         self._registered[heartbeat.target] = RegisteredTarget(
             heartbeat, now, stamp
         )
+        self.removals.forget(heartbeat.target)
         return True
 
     def remove(self, target: TargetName, now: float) -> None:
@@ -68,7 +72,7 @@
         registered = self._registered.pop(target, None)
         if registered:
             self._departed[target] = (registered.heartbeat.incarnation, now)
-            self.next_stamp()
+            self.removals.record(target, self.next_stamp())
 
     def mark_changed(self, target: TargetName) -> None:
         """Give a target a new stamp, since data kept elsewhere has changed."""
@@ -87,7 +91,7 @@
         ]
         for name in expired:
             self._registered.pop(name)
-            self.next_stamp()
+            self.removals.record(name, self.next_stamp())
         self._departed = {
             name: departed
             for name, departed in self._departed.items()
@@ -111,7 +115,7 @@
             if other.heartbeat.incarnation > heartbeat.incarnation:
                 return False
             self._registered.pop(name)
-            self.next_stamp()
+            self.removals.record(name, self.next_stamp())
         return True
 
 
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
@@ -1,4 +1,9 @@
-"""Sync messages between entry VMs and the leading control VM."""
+"""Sync messages between entry VMs, relays and the leading control VM.
+
+Every control VM is a relay: entry VMs send their sync requests to a relay,
+which sums them up in requests of its own to the leader. Both hops use the
+same messages.
+"""
 
 from typing import NamedTuple
 
@@ -41,24 +46,35 @@
 
 
 class SyncAsk(NamedTuple):
-    """The sync request of an entry VM to the leader.
+    """The sync request of an entry VM to a relay, or of a relay to the leader.
 
     ``missing`` lists adapters that targets turned out to lack, each in the
-    form ``target label``.
+    form ``target label``. A relay omits ``uses`` from most of its requests;
+    the last ones stay valid then.
     """
 
     ask: int  # increases with each request of a connection
     vm: VmName
     zone: ZoneName
-    version: int  # of the published state that the entry VM holds
+    version: int  # of the published state that the sender holds
     stamp: int  # of the newest target records that it holds
-    term: int  # that the stamp belongs to
+    epoch: int  # that the stamp belongs to
     tokens: tuple[TokenWish, ...] = ()
     wishes: tuple[AdapterWish, ...] = ()
     uses: tuple[AdapterUse, ...] = ()
     draining: bool = False
     missing: tuple[str, ...] = ()
     shut: tuple[TargetName, ...] = ()  # unreachable targets
+    entries: int = 1  # entry VMs that the sender speaks for
+    seen: int = 0  # ``number`` of the newest reply received on the connection
+    has_uses: bool = True
+
+
+class RelayInfo(NamedTuple):
+    """A control VM that entry VMs can sync with, and its zone."""
+
+    vm: VmName
+    zone: ZoneName
 
 
 class ResidentAdapter(NamedTuple):
@@ -89,28 +105,36 @@
     account: AccountName
     tokens: float
     short: bool = False  # the bucket held fewer than ``tokens`` of the wish
+    age_s: float = 0.0  # since the relay received them
 
 
 class SyncReply(NamedTuple):
-    """The leader's reply to a sync request, or a hint at the leader.
+    """The reply to a sync request, or a hint at the leader.
 
     ``ask`` is the number of the newest sync request read so far.
     ``quorum_age_s`` is the time since the leader sent the message by which a
-    quorum last confirmed it.
+    quorum last confirmed it; a relay adds the age of its own information.
+    ``targets`` are the records that are newer than the request's stamp, or
+    all records if ``is_complete`` is set.
     """
 
     ask: int
-    leads: bool
+    serves: bool  # false if the sender has no state to serve from
     leader: VmName
     term: int
     quorum_age_s: float
     published: PublishedState | None = None
+    epoch: int = 0  # names the sequence that ``stamp`` belongs to
     stamp: int = 0
-    targets: tuple[TargetRecord, ...] = ()  # those changed since the stamp
-    present: tuple[TargetName, ...] = ()  # all registered targets
+    targets: tuple[TargetRecord, ...] = ()
+    removed: tuple[TargetName, ...] = ()  # since the request's stamp
+    is_complete: bool = False
     lots: tuple[TokenLot, ...] = ()
-    entries: int = 1  # entry VMs that have synced recently
-    control: tuple[VmName, ...] = ()
+    entries: int = 1  # entry VMs that have synced recently, over all relays
+    control: tuple[VmName, ...] = ()  # voters
     led_s: float = 0.0  # time since the leader was elected
     orders_in_s: float = 0.0  # until it may send orders to engines
-    rank: int = 0  # of the entry VM among those that have synced recently
+    rank: int = 0  # of the entry VM among all, or of the relay among relays
+    relays: tuple[RelayInfo, ...] = ()
+    number: int = 0  # of this reply on its connection
+    is_push: bool = False  # sent because of a change, not of a request
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -42,13 +42,14 @@
     STREAM_ERRORS,
     PeerLinks,
     PeerService,
-    SyncService,
-    SyncSession,
     serve_peers,
 )
+from ._relayhost import RelayHost
 from ._settings import ControlSettings
+from ._syncservice import RelaySyncService, SyncHandler, SyncSession
 
-PUSH_SPACING_S: Final = 0.004  # between pushes to successive entry VMs
+PUSH_SPACING_S: Final = 0.001  # between pushes to successive relays
+PUSH_INTERVAL_S: Final = 0.02  # between pushes to the same relay
 MIN_TICK_DELAY_S: Final = 0.001
 SHUTDOWN_DELAY_S: Final = 1.0  # for responses that are in progress
 CONTROL_LIMITS: Final = ServerLimits(
@@ -94,7 +95,8 @@
             metrics,
         )
         self._links = PeerLinks(cfg.vm, cfg.peer_port, self._log)
-        self._sync_service = SyncService(self._on_ask, self._log)
+        self._sync = SyncHandler(self._on_ask, lambda _session: None, self._log)
+        self._relay = RelayHost(cfg, self._control_vms, self._spawn, self._log)
         self._http = HttpServer(
             self._api.serve,
             CONTROL_LIMITS,
@@ -124,15 +126,19 @@
             bootstrap=self._cfg.bootstrap,
         )
         server = await serve_peers(
-            (PeerService(self._on_message, self._log), self._sync_service),
+            (
+                PeerService(self._on_message, self._log),
+                RelaySyncService(self._sync),
+                self._relay.service,
+            ),
             self._cfg.vm,
             self._cfg.peer_port,
         )
         await self._http.listen(*split_address(self._cfg.control))
         page = MetricsPage(self._metrics.registry, self._log)
         await page.listen(self._cfg.metrics)
-        self._spawn(self._write_log())
-        self._spawn(self._push_updates())
+        for task in (self._write_log, self._push_updates, self._relay.run):
+            self._spawn(task())
         self._tick()
         await self._stopped.wait()
         server.close()
@@ -197,6 +203,7 @@
             term=effect.term,
             voters=self._node.replica.voter_vms,
         )
+        self._relay.on_leader_changed(effect.leader, effect.term)
 
     def _log_holders(self, effect: HoldersNoticed) -> None:
         self._log.write('agree', 'holder set changed', **effect._asdict())
@@ -234,7 +241,11 @@
         self._node.receive(received.sender, received.message, now_s())
         self._run_effects()
 
-    def _on_ask(self, ask: SyncAsk) -> SyncReply:
+    def _control_vms(self) -> tuple[str, ...]:
+        known = (*self._node.replica.voter_vms, *self._cfg.seeds)
+        return tuple(dict.fromkeys(known))
+
+    def _on_ask(self, _session: SyncSession, ask: SyncAsk) -> SyncReply:
         reply = self._node.on_ask(ask, now_s())
         self._run_effects()
         return reply
@@ -253,24 +264,25 @@
         while True:
             await self._push_requested.wait()
             self._push_requested.clear()
-            sessions = list(self._sync_service.sessions)
+            sessions = list(self._sync.sessions.values())
             for position, session in enumerate(sessions):
                 self._spawn(self._push_to(session, position * PUSH_SPACING_S))
-            await asyncio.sleep(PUSH_SPACING_S * len(sessions))
+            await asyncio.sleep(PUSH_INTERVAL_S)
 
     async def _push_to(self, session: SyncSession, wait_s: float) -> None:
         await asyncio.sleep(wait_s)  # lets other tasks run between pushes
-        ask = session.last_ask
-        if ask is None or not self._node.is_ready_leader():
-            return
-        now = now_s()
-        age_s = self._node.quorum_age(now)
         try:
-            await session.send(self._node.fleet.updates_for(ask, age_s, now))
+            await session.send(lambda: self._build_push(session))
         except STREAM_ERRORS as exc:
-            self._log.write(
-                'sync', 'push to an entry VM failed', cause=repr(exc)
-            )
+            self._log.write('sync', 'push to a relay failed', cause=repr(exc))
+
+    def _build_push(self, session: SyncSession) -> SyncReply | None:
+        if session.ask is None or not self._node.is_ready_leader():
+            return None
+        now = now_s()
+        age_s = self._node.quorum_age(now)
+        reply = self._node.fleet.updates_for(session.ask, age_s, now)
+        return reply._replace(is_push=True)
 
     async def _send_order(self, order: Order) -> None:
         outcome = await self._engines.send(order)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -1,11 +1,13 @@
-"""The server process of an entry VM: HTTP front end and leader sync."""
+"""The server process of an entry VM: HTTP front end and sync with a relay."""
 
 import asyncio
 import signal
 from typing import Final
 
 from lovagemast_core.deployment import CallerLimits, DeploymentIndex
+from lovagemast_core.syncrelay import ENTRY_SYNC, RelaySearch
 from lovagemast_core.targets import SyncAsk, SyncReply
+from lovagemast_wire import EntriesStub
 
 from .._clock import now_s
 from ..http import (
@@ -37,7 +39,7 @@
 
 
 class EntryServer:
-    """Serves callers and health checks, and syncs with the leader."""
+    """Serves callers and health checks, and syncs with a relay."""
 
     def __init__(self, cfg: EntrySettings, codec: EntryCodec) -> None:
         self._cfg = cfg
@@ -45,8 +47,10 @@
         self._log = JsonLog(cfg.vm)
         self._state = EntryState(cfg, codec, self._log, self._request_sync)
         self._sync = SyncClient(
-            self._control_vms,
+            EntriesStub,
             cfg.peer_port,
+            ENTRY_SYNC,
+            RelaySearch(cfg.vm, cfg.zone, cfg.seeds),
             self._build_ask,
             self._on_reply,
             self._log,
@@ -128,11 +132,7 @@
         finally:
             self._running -= 1
 
-    # Callbacks of the sync with the leader.
-
-    def _control_vms(self) -> tuple[str, ...]:
-        known = (*self._state.view.control, *self._cfg.seeds)
-        return tuple(dict.fromkeys(known))
+    # Callbacks of the sync with a relay.
 
     def _request_sync(self) -> None:
         self._sync.wake()
@@ -146,14 +146,15 @@
             self._cfg.vm,
             self._cfg.zone,
             view.published.version,
-            view.stamp,
-            view.term,
+            view.stamp_to_ask(now_s()),
+            view.epoch,
             state.tokens.wishes(accounts, view.entries, now_s()),
             state.load.take_wishes(),
             state.load.take_uses(),
             self._draining.is_set(),
             state.load.take_missing(),
             state.health.unreachable_targets(now_s()),
+            seen=self._sync.seen,
         )
 
     def _on_reply(self, reply: SyncReply, asked_at: float) -> None:
@@ -164,7 +165,7 @@
             self._apply_config()
         for lot in reply.lots:
             state.tokens.add(lot, now)
-        if reply.targets:
+        if reply.targets or reply.removed:
             state.health.retain(set(state.view.targets))
             state.batch.retain(set(state.view.targets))
             state.prefill.retain(set(state.view.targets))
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
@@ -1,27 +1,23 @@
-"""gRPC streams between control VMs, and from entry VMs to the leader."""
+"""gRPC streams between control VMs."""
 
 import asyncio
 from collections.abc import Callable
 from typing import Final
 
+from grpclib._typing import IServable
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server, Stream
 from h2.exceptions import H2Error
 from lovagemast_core import PeerMessage, PeerReceived
-from lovagemast_core.targets import SyncAsk, SyncReply, TargetRecord
 from lovagemast_wire import (
     Closed,
-    EntriesBase,
     Envelope,
     PeersBase,
     PeersStub,
     WireError,
     decode_envelope,
     encode_envelope,
-    from_wire,
-    lovagemast_pb2,
-    to_wire,
 )
 
 from .._clock import now_s
@@ -29,7 +25,6 @@
 
 PEER_RECONNECT_DELAY_S: Final = 0.2
 MAX_QUEUED_MESSAGES: Final = 512
-MAX_CACHED_RECORDS: Final = 512
 PEER_CONNECT_TIMEOUT_S: Final = 0.4
 # The leader sends several heartbeats within this time, each with a reply, so
 # a stream that accepts nothing for longer is dead.
@@ -44,10 +39,6 @@
 )
 
 
-WireRecord = lovagemast_pb2.TargetRecord
-SyncStream = Stream[lovagemast_pb2.SyncAsk, lovagemast_pb2.SyncReply]
-
-
 class PeerLink:
     """Sends messages to one control VM; reconnects when the stream breaks."""
 
@@ -132,63 +123,7 @@
             task.cancel()
 
 
-class SyncReplyEncoder:
-    """Encodes replies, and each target record once for all entry VMs.
-
-    A new leader, or a change of many targets, makes the leader send all
-    records to all entry VMs. With tens of entry VMs, encoding them for each
-    would delay the leader's heartbeats until it is replaced.
-    """
-
-    def __init__(self) -> None:
-        self._encoded: dict[int, tuple[TargetRecord, WireRecord]] = {}
-
-    def encode(self, reply: SyncReply) -> lovagemast_pb2.SyncReply:
-        """Return the Protocol Buffers message of a reply."""
-        message: lovagemast_pb2.SyncReply = to_wire(
-            reply._replace(targets=()),
-        )
-        message.targets.extend(self._record(one) for one in reply.targets)
-        return message
-
-    def _record(self, record: TargetRecord) -> WireRecord:
-        # The cache key is id(record); the reference to the record keeps the id
-        # from being reused while the entry exists.
-        cached = self._encoded.get(id(record))
-        if cached is None:
-            if len(self._encoded) >= MAX_CACHED_RECORDS:
-                self._encoded.clear()
-            cached = (record, to_wire(record))
-            self._encoded[id(record)] = cached
-        return cached[1]
-
-
-class SyncSession:
-    """The leader's side of one entry VM's sync stream."""
-
-    def __init__(self, stream: SyncStream, encoder: SyncReplyEncoder) -> None:
-        self.last_ask: SyncAsk | None = None
-        self._stream = stream
-        self._encoder = encoder
-        self._lock = asyncio.Lock()
-
-    async def send(self, reply: SyncReply) -> None:
-        """Send a reply and record what the entry VM knows after it."""
-        async with self._lock, asyncio.timeout(SEND_TIMEOUT_S):
-            await self._stream.send_message(self._encoder.encode(reply))
-        if self.last_ask and reply.leads:
-            version = self.last_ask.version
-            if reply.published:
-                version = reply.published.version
-            self.last_ask = self.last_ask._replace(
-                stamp=reply.stamp,
-                term=reply.term,
-                version=version,
-            )
-
-
 OnMessage = Callable[[PeerReceived], None]
-OnAsk = Callable[[SyncAsk], SyncReply]
 
 
 class PeerService(PeersBase):
@@ -213,41 +148,12 @@
         await stream.send_message(Closed())
 
 
-class SyncService(EntriesBase):
-    """gRPC service that answers the sync requests of entry VMs.
-
-    ``sessions`` are those of the entry VMs that are connected.
-    """
-
-    def __init__(self, on_ask: OnAsk, log: JsonLog) -> None:
-        self.sessions: set[SyncSession] = set()
-        self._encoder = SyncReplyEncoder()
-        self._on_ask = on_ask
-        self._log = log
-
-    async def Sync(self, stream: SyncStream) -> None:
-        """Answer each sync request until the entry VM closes the stream."""
-        session = SyncSession(stream, self._encoder)
-        self.sessions.add(session)
-        try:
-            async for message in stream:
-                ask = from_wire(SyncAsk, message)
-                session.last_ask = ask
-                await session.send(self._on_ask(ask))
-        except STREAM_ERRORS as exc:
-            self._log.write(
-                'sync', 'connection to an entry VM lost', cause=repr(exc)
-            )
-        finally:
-            self.sessions.discard(session)
-
-
 async def serve_peers(
-    services: tuple[PeerService, SyncService],
+    services: tuple[IServable, ...],
     host: str,
     port: int,
 ) -> Server:
     """Start the gRPC server for control and entry VMs."""
-    server = Server(list(services))
+    server = Server(services)
     await server.start(host, port, reuse_address=True)
     return server
--- /dev/null
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_relayhost.py
@@ -0,0 +1,135 @@
+"""Runs a control VM's relay: its stream to the leader, and entry VMs' ones."""
+
+import asyncio
+import secrets
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
+
+from lovagemast_core.entry import LeaderSearch
+from lovagemast_core.syncrelay import RELAY_SYNC, SyncRelay
+from lovagemast_core.targets import SyncAsk, SyncReply
+from lovagemast_wire import RelaysStub
+
+from .._clock import now_s
+from ._jsonlog import JsonLog
+from ._peers import STREAM_ERRORS
+from ._settings import ControlSettings
+from ._sync import SyncClient
+from ._syncservice import EntrySyncService, SyncHandler, SyncSession
+
+EPOCH_BITS: Final = 62
+MIN_PUSH_DELAY_S: Final = 0.002  # gathers changes that come together
+MAX_PUSH_DELAY_S: Final = 0.5
+
+Spawn = Callable[[Coroutine[Any, Any, None]], None]
+
+
+class LeaderServerSearch:
+    """Finds the leader among the control VMs for the relay's stream."""
+
+    def __init__(self, vms: Callable[[], tuple[str, ...]]) -> None:
+        self._vms = vms
+        self._search = LeaderSearch()
+
+    def next_vm(self, now: float) -> str:
+        """Return the control VM to connect to."""
+        return self._search.next_vm(self._vms(), now)
+
+    def record_leader(self, vm: str, term: int) -> None:
+        """Record the leader that the replica on this VM knows."""
+        self._search.record_hint(vm, term)
+
+    def record_failure(self, vm: str, now: float) -> None:
+        """Record that a VM did not answer, or that its stream broke."""
+        self._search.record_failure(vm, now)
+
+    def check_reply(
+        self, vm: str, reply: SyncReply, connected_at: float, now: float
+    ) -> str:
+        """Record a reply; return why to leave the VM, or an empty text."""
+        self._search.record_answer(vm)
+        if reply.serves:
+            return ''
+        self._search.record_hint(reply.leader, reply.term)
+        return 'VM is not the leader'
+
+
+class RelayHost:
+    """Connects a relay, which decides without I/O, to its streams."""
+
+    def __init__(
+        self,
+        cfg: ControlSettings,
+        vms: Callable[[], tuple[str, ...]],
+        spawn: Spawn,
+        log: JsonLog,
+    ) -> None:
+        epoch = secrets.randbits(EPOCH_BITS) + 1
+        self._relay = SyncRelay(cfg.vm, cfg.zone, epoch)
+        self._spawn = spawn
+        self._log = log
+        self._handler = SyncHandler(self._on_ask, self._on_close, log)
+        self.service = EntrySyncService(self._handler)
+        self._search = LeaderServerSearch(vms)
+        self._client = SyncClient(
+            RelaysStub,
+            cfg.peer_port,
+            RELAY_SYNC,
+            self._search,
+            lambda number: self._relay.build_ask(number, now_s()),
+            self._on_reply,
+            log,
+        )
+        self._changed = asyncio.Event()
+
+    async def run(self) -> None:
+        """Sync with the leader and push its changes until cancelled."""
+        await asyncio.gather(self._client.run(), self._push_changes())
+
+    def on_leader_changed(self, leader: str, term: int) -> None:
+        """Sync with a new leader that the replica on this VM has learned of."""
+        if leader:
+            self._search.record_leader(leader, term)
+            self._client.reconnect()
+
+    def _on_ask(self, session: SyncSession, ask: SyncAsk) -> SyncReply:
+        reply = self._relay.on_ask(session.number, ask, now_s())
+        if self._relay.needs_leader(ask):
+            self._client.wake()
+        return reply
+
+    def _on_close(self, session: SyncSession) -> None:
+        if session.ask:
+            self._relay.on_disconnect(session.ask.vm, session.number)
+
+    def _on_reply(self, reply: SyncReply, asked_at: float) -> None:
+        self._relay.on_reply(reply, asked_at, now_s())
+        self._changed.set()
+
+    async def _push_changes(self) -> None:
+        while True:
+            await self._wait_for_change()
+            for vm in self._relay.pushes_due(now_s()):
+                session = self._handler.sessions.get(self._relay.session_of(vm))
+                if session and not session.is_sending:
+                    self._spawn(self._push(vm, session))
+            await asyncio.sleep(MIN_PUSH_DELAY_S)
+
+    async def _wait_for_change(self) -> None:
+        """Wait for a reply of the leader, or until the next push is due."""
+        due_at = self._relay.next_push_at()
+        delay_s = MAX_PUSH_DELAY_S
+        if due_at is not None:
+            delay_s = max(0.0, min(delay_s, due_at - now_s()))
+        try:
+            async with asyncio.timeout(delay_s):
+                await self._changed.wait()
+        except TimeoutError:
+            return  # a push is due
+        self._changed.clear()
+
+    async def _push(self, vm: str, session: SyncSession) -> None:
+        try:
+            await session.send(lambda: self._relay.make_push(vm, now_s()))
+        except STREAM_ERRORS as exc:
+            self._log.write('sync', 'push failed', peer=vm, cause=repr(exc))
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_sync.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_sync.py
@@ -1,15 +1,16 @@
-"""Synchronizes an entry VM with the leader of the control VMs."""
+"""Client of a sync stream: entry VMs to a relay, relays to the leader."""
 
 import asyncio
 from collections.abc import Callable
-from typing import Final
+from typing import Final, Protocol
 
 from grpclib.client import Channel
 from grpclib.client import Stream as ClientStream
-from lovagemast_core.entry import LeaderSearch, SyncTiming
+from lovagemast_core.syncrelay import SyncTiming
 from lovagemast_core.targets import SyncAsk, SyncReply
 from lovagemast_wire import (
     EntriesStub,
+    RelaysStub,
     WireError,
     from_wire,
     lovagemast_pb2,
@@ -25,43 +26,72 @@
 
 BuildAsk = Callable[[int], SyncAsk]
 OnReply = Callable[[SyncReply, float], None]
+Stub = type[EntriesStub] | type[RelaysStub]
 SyncStream = ClientStream[lovagemast_pb2.SyncAsk, lovagemast_pb2.SyncReply]
 
 
+class ServerSearch(Protocol):
+    """Decides which control VM to sync with, and when to leave it."""
+
+    def next_vm(self, now: float) -> str:
+        """Return the VM to connect to."""
+
+    def record_failure(self, vm: str, now: float) -> None:
+        """Record that a VM did not answer, or that its stream broke."""
+
+    def check_reply(
+        self, vm: str, reply: SyncReply, connected_at: float, now: float
+    ) -> str:
+        """Record a VM's reply; return why to leave it, or an empty text."""
+
+
 class SyncClient:
-    """Finds the leader among the control VMs and sends it sync requests.
+    """Keeps one sync stream open and sends requests over it.
 
-    They are ``SyncAsk`` messages, sent at intervals and on ``wake``.
+    They are sent at intervals and on ``wake``, each after the reply to the
+    one before: a request then tells what the sender still lacks.
     """
 
     def __init__(
         self,
-        vms: Callable[[], tuple[str, ...]],
+        stub: Stub,
         port: int,
+        timing: SyncTiming,
+        search: ServerSearch,
         build_ask: BuildAsk,
         on_reply: OnReply,
         log: JsonLog,
     ) -> None:
-        self._vms = vms
+        self._stub = stub
         self._port = port
+        self._timing = timing
+        self._search = search
         self._build_ask = build_ask
         self._on_reply = on_reply
         self._log = log
-        self._search = LeaderSearch()
         self._ask = 0
         self._sent: dict[int, float] = {}
         self._wake = asyncio.Event()
+        self._answered = asyncio.Event()
+        self._reader: asyncio.Task[None] | None = None
+        self._is_leaving = False
         self._is_synced = False
-        self._timing = SyncTiming.for_entries(1)
+        self.seen = 0  # number of the newest reply on this stream
 
     def wake(self) -> None:
         """Send the next sync request as soon as the minimum interval allows."""
         self._wake.set()
 
+    def reconnect(self) -> None:
+        """Leave the current VM; the search may name another one."""
+        if self._reader:
+            self._is_leaving = True
+            self._reader.cancel()
+
     async def run(self) -> None:
-        """Keep a stream to the leader open until cancelled."""
+        """Keep a stream open until cancelled."""
         while True:
-            vm = self._search.next_vm(self._vms(), now_s())
+            vm = self._search.next_vm(now_s())
             try:
                 await self._sync_with(vm)
             except SYNC_ERRORS as exc:
@@ -71,29 +101,45 @@
 
     def _log_lost(self, vm: str, cause: str) -> None:
         if self._is_synced:
-            self._log.write(
-                'sync', 'connection to the leader lost', leader=vm, cause=cause
-            )
+            self._log.write('sync', 'connection lost', peer=vm, cause=cause)
         self._is_synced = False
 
     async def _sync_with(self, vm: str) -> None:
         self._sent.clear()
+        self._answered.set()
+        self.seen = 0
         async with (
             Channel(vm, self._port) as channel,
-            EntriesStub(channel).Sync.open() as stream,
+            self._stub(channel).Sync.open() as stream,
         ):
             async with asyncio.timeout(PEER_CONNECT_TIMEOUT_S):
                 await stream.send_request()
             sender = asyncio.create_task(self._send_asks(stream))
+            self._reader = asyncio.create_task(self._read_replies(vm, stream))
             try:
-                await self._read_replies(vm, stream)
+                await self._read_until_left(vm)
             finally:
                 sender.cancel()
                 await stream.cancel()
 
+    async def _read_until_left(self, vm: str) -> None:
+        if self._reader is None:
+            return
+        try:
+            await self._reader
+        except asyncio.CancelledError:
+            if not self._is_leaving:
+                raise
+            self._log_lost(vm, 'another VM is to be used')
+        finally:
+            self._is_leaving = False
+            self._reader = None
+
     async def _send_asks(self, stream: SyncStream) -> None:
         while True:
+            await self._answered.wait()
             self._wake.clear()
+            self._answered.clear()
             self._ask += 1
             self._sent[self._ask] = now_s()
             message = to_wire(self._build_ask(self._ask))
@@ -108,39 +154,44 @@
             await self._wait_for_wake()
 
     async def _wait_for_wake(self) -> None:
-        waiter = asyncio.ensure_future(self._wake.wait())
-        await asyncio.wait((waiter,), timeout=self._timing.interval_s)
-        waiter.cancel()
+        try:
+            async with asyncio.timeout(self._timing.interval_s):
+                await self._wake.wait()
+        except TimeoutError:
+            return  # the interval has passed
 
     async def _read_replies(self, vm: str, stream: SyncStream) -> None:
+        connected_at = now_s()
         while True:
-            async with asyncio.timeout(self._timing.silence_timeout_s):
-                message = await stream.recv_message()
+            message = await self._receive(stream)
             if message is None:
                 self._log_lost(vm, 'stream ended')
                 return
             reply = from_wire(SyncReply, message)
-            self._search.record_answer(vm)
-            if not reply.leads:
-                self._search.record_hint(reply.leader, reply.term)
-                self._log_lost(vm, 'VM is not the leader')
+            self._apply(vm, reply)
+            reason = self._search.check_reply(vm, reply, connected_at, now_s())
+            if reason:
+                self._log_lost(vm, reason)
                 return
-            if not self._is_synced:
-                self._is_synced = True
-                self._log.write(
-                    'sync',
-                    'synchronized with the leader',
-                    leader=vm,
-                    term=reply.term,
-                )
-            self._apply(reply)
 
-    def _apply(self, reply: SyncReply) -> None:
+    async def _receive(
+        self, stream: SyncStream
+    ) -> lovagemast_pb2.SyncReply | None:
+        """Return the next reply, ``None`` if the stream is to be left."""
+        async with asyncio.timeout(self._timing.silence_timeout_s):
+            return await stream.recv_message()
+
+    def _apply(self, vm: str, reply: SyncReply) -> None:
+        if not reply.is_push:
+            self._answered.set()
         sent_at = self._sent.get(reply.ask)
-        if sent_at is None:
+        if sent_at is None or not reply.serves:
             return
+        if not self._is_synced:
+            self._is_synced = True
+            self._log.write('sync', 'synchronized', peer=vm, term=reply.term)
+        self.seen = reply.number
         self._sent = {
             ask: at for ask, at in self._sent.items() if ask >= reply.ask
         }
-        self._timing = SyncTiming.for_entries(reply.entries)
         self._on_reply(reply, sent_at)
--- a/packages/lovagemast-wire/src/lovagemast_wire/__init__.py
+++ b/packages/lovagemast-wire/src/lovagemast_wire/__init__.py
@@ -4,7 +4,14 @@
 from ._codec import WireError, from_wire, to_wire
 from ._envelope import decode_envelope, encode_envelope
 from ._logrecord import LogRecord, decode_record, encode_record
-from .lovagemast_grpc import EntriesBase, EntriesStub, PeersBase, PeersStub
+from .lovagemast_grpc import (
+    EntriesBase,
+    EntriesStub,
+    PeersBase,
+    PeersStub,
+    RelaysBase,
+    RelaysStub,
+)
 from .lovagemast_pb2 import Closed, Envelope
 
 __all__ = [
@@ -15,6 +22,8 @@
     'LogRecord',
     'PeersBase',
     'PeersStub',
+    'RelaysBase',
+    'RelaysStub',
     'WireError',
     'decode_envelope',
     'decode_record',
--- a/packages/lovagemast-wire/src/lovagemast_wire/lovagemast_grpc.py
+++ b/packages/lovagemast-wire/src/lovagemast_wire/lovagemast_grpc.py
@@ -66,3 +66,31 @@
             lovagemast_wire.lovagemast_pb2.SyncAsk,
             lovagemast_wire.lovagemast_pb2.SyncReply,
         )
+
+
+class RelaysBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Sync(self, stream: 'grpclib.server.Stream[lovagemast_wire.lovagemast_pb2.SyncAsk, lovagemast_wire.lovagemast_pb2.SyncReply]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/lovagemast.Relays/Sync': grpclib.const.Handler(
+                self.Sync,
+                grpclib.const.Cardinality.STREAM_STREAM,
+                lovagemast_wire.lovagemast_pb2.SyncAsk,
+                lovagemast_wire.lovagemast_pb2.SyncReply,
+            ),
+        }
+
+
+class RelaysStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Sync = grpclib.client.StreamStreamMethod(
+            channel,
+            '/lovagemast.Relays/Sync',
+            lovagemast_wire.lovagemast_pb2.SyncAsk,
+            lovagemast_wire.lovagemast_pb2.SyncReply,
+        )
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -177,6 +177,9 @@
         assert not cluster.nodes[old].has_lease(cluster.now)
 
 
+BEAT_END = (False, 0.0, 1, 1)  # leaving, cold_s, incarnation, sequence
+
+
 class TestTargets:
     def test_followers_name_the_leader(self, cluster: Cluster) -> None:
         """A control VM that does not lead replies with the leader's name."""
@@ -184,7 +187,7 @@
         other = next(vm for vm in VMS if vm != leader)
         ask = SyncAsk(1, 'entry', 'z1', 0, 0, 0)
         reply = cluster.nodes[other].on_ask(ask, cluster.now)
-        assert (reply.leads, reply.leader) == (False, leader)
+        assert (reply.serves, reply.leader) == (False, leader)
 
     def test_record_is_sent_once(self, cluster: Cluster) -> None:
         """A target record is sent until the entry VM reports its stamp."""
@@ -193,10 +196,25 @@
         node.on_heartbeat(beat, cluster.now)
         first = node.on_ask(SyncAsk(1, 'e', 'z', 0, 0, 0), cluster.now)
         assert [record.target for record in first.targets] == ['t1']
-        ask = SyncAsk(2, 'e', 'z', 0, first.stamp, first.term)
+        ask = SyncAsk(2, 'e', 'z', 0, first.stamp, first.epoch)
+        second = node.on_ask(ask, cluster.now)
+        assert (second.targets, second.removed) == ((), ())
+        assert not second.is_complete
+
+    def test_removal_is_sent(self, cluster: Cluster) -> None:
+        """The removal of a target is sent until its stamp is reported."""
+        node = cluster.nodes[cluster.leader()]
+        for name in ('t1', 't2'):
+            beat = TargetHeartbeat(name, 'p', f'{name}:1', 'z', 8, *BEAT_END)
+            node.on_heartbeat(beat, cluster.now)
+        first = node.on_ask(SyncAsk(1, 'e', 'z', 0, 0, 0), cluster.now)
+        assert first.is_complete
+        node.on_departure('t1', cluster.now)
+        ask = SyncAsk(2, 'e', 'z', 0, first.stamp, first.epoch)
         second = node.on_ask(ask, cluster.now)
-        assert second.targets == ()
-        assert second.present == ('t1',)
+        assert (second.targets, second.removed) == ((), ('t1',))
+        again = node.on_ask(ask._replace(stamp=second.stamp), cluster.now)
+        assert again.removed == ()
 
 
 class TestVoters:
--- a/tests/test_sync.py
+++ b/tests/test_sync.py
@@ -7,7 +7,7 @@
     SyncReply,
     TargetRecord,
 )
-from lovagemast_node.fleet import _peers
+from lovagemast_node.fleet import _syncservice
 from lovagemast_wire import from_wire
 
 from tests.controlcluster import Cluster, make_config
@@ -41,15 +41,15 @@
         after an election until it is replaced.
         """
         encoded = []
-        to_wire = _peers.to_wire
+        to_wire = _syncservice.to_wire
 
         def count(message: object) -> object:
             if isinstance(message, TargetRecord):
                 encoded.append(message.target)
             return to_wire(message)
 
-        monkeypatch.setattr(_peers, 'to_wire', count)
-        encoder = _peers.SyncReplyEncoder()
+        monkeypatch.setattr(_syncservice, 'to_wire', count)
+        encoder = _syncservice.SyncReplyEncoder()
         records = tuple(make_record(index) for index in range(TARGETS))
         for ask in range(ENTRIES):
             reply = SyncReply(ask, True, 'c1', 1, 0.0, targets=records)
@@ -58,7 +58,7 @@
 
     def test_changed_record_is_encoded_anew(self) -> None:
         """A changed record of the same target is encoded again."""
-        encoder = _peers.SyncReplyEncoder()
+        encoder = _syncservice.SyncReplyEncoder()
         for leaving in (False, True, False):
             record = make_record(1)._replace(leaving=leaving)
             reply = SyncReply(1, True, 'c1', 1, 0.0, targets=(record,))
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -100,7 +100,7 @@
     """Return a reply of a leader that was elected long ago."""
     reply = SyncReply(
         1,
-        leads=True,
+        serves=True,
         leader='c1',
         term=2,
         quorum_age_s=0.1,
@@ -144,7 +144,7 @@
     def test_ready_time_is_local(self) -> None:
         """An adapter that is loading is ready after the time in the record."""
         view = FleetView()
-        reply = make_reply(targets=(make_record('t1'),), present=('t1',))
+        reply = make_reply(targets=(make_record('t1'),))
         view.apply(reply, 1.0, 1.0)
         due = view.targets['t1'].adapters[AdapterLabel('m', 'a1', 1)]
         assert due == pytest.approx(1.25)
@@ -153,11 +153,30 @@
     def test_new_leader_drops_nothing(self, led_s: float, kept: bool) -> None:
         """Targets are kept until a new leader can have all heartbeats."""
         view = FleetView()
-        present = make_reply(targets=(make_record('t1'),), present=('t1',))
-        view.apply(present, 1.0, 1.0)
-        view.apply(make_reply(term=3, led_s=led_s), 2.0, 2.0)
+        view.apply(make_reply(targets=(make_record('t1'),)), 1.0, 1.0)
+        empty = make_reply(term=3, epoch=3, led_s=led_s, is_complete=True)
+        view.apply(empty, 2.0, 2.0)
         assert ('t1' in view.targets) is kept
 
+    def test_reconciles_with_a_new_leader(self) -> None:
+        """All records are asked for once a new leader knows the targets."""
+        view = FleetView()
+        first = make_reply(epoch=2, stamp=7, is_complete=True, led_s=0.5)
+        view.apply(first, 1.0, 1.0)
+        assert view.stamp_to_ask(2.0) == 7
+        assert view.stamp_to_ask(6.0) == 0
+        view.apply(first._replace(led_s=5.5), 6.0, 6.0)
+        assert view.stamp_to_ask(60.0) == 7
+
+    def test_removal_is_a_change(self) -> None:
+        """A target that is reported as removed is dropped at once."""
+        view = FleetView()
+        records = (make_record('t1'), make_record('t2'))
+        view.apply(make_reply(targets=records, stamp=2), 1.0, 1.0)
+        removal = make_reply(removed=('t1',), stamp=3, led_s=0.1)
+        view.apply(removal, 2.0, 2.0)
+        assert set(view.targets) == {'t2'}
+
     @pytest.mark.parametrize(('now', 'least'), [(2.0, 1), (9.0, 2)])
     def test_older_version_only_for_a_while(
         self,
@@ -175,9 +194,9 @@
         """A reply of an earlier term does not restore older records."""
         view = FleetView()
         leaving = make_record('t1')._replace(leaving=True)
-        newer = make_reply(term=5, targets=(leaving,), present=('t1',))
+        newer = make_reply(term=5, targets=(leaving,))
         view.apply(newer, 1.0, 1.0)
-        older = make_reply(targets=(make_record('t1'),), present=('t1',))
+        older = make_reply(targets=(make_record('t1'),))
         view.apply(older, 9.0, 9.0)
         assert view.targets['t1'].record.leaving
         assert view.age(9.0) > 7.0
