Let a new leader know what the hosts of engines have in memory

Cause: which adapters an engine loads without the weight store was known to the leader only, from the orders that it had seen answered. Each election lost it, and adapters were loaded from the store at any engine.

Change: every control VM keeps it from the target records that its relay receives anyway (HostHistory, by incarnation), and a new leader's engines start with it.

Ruled out: the replicated log (a write for each load); asking the engines (their reports do not tell).

--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_enginestate.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_enginestate.py
@@ -22,9 +22,15 @@
     ``ready_at`` holds the adapters that are loaded or loading, with the time
     at which each is ready, in s. ``sequence`` is the number of orders that
     the engine has accepted; it is ``None`` until a report gives it.
+    ``host_cached`` names the adapters that it loaded earlier, oldest first.
     """
 
-    def __init__(self, heartbeat: TargetHeartbeat, spec: EngineSpec) -> None:
+    def __init__(
+        self,
+        heartbeat: TargetHeartbeat,
+        spec: EngineSpec,
+        host_cached: tuple[tuple[str, str], ...] = (),
+    ) -> None:
         self.heartbeat = heartbeat
         self.spec = spec
         self.models = set(heartbeat.models)
@@ -42,6 +48,8 @@
         self._unresolved: list[tuple[float, AdapterLabel]] = []
         for text in heartbeat.adapters:
             self.ready_at[AdapterLabel.from_text(text)] = 0.0
+        for name in host_cached:
+            self._record_host_cached(name)
 
     @property
     def target(self) -> TargetName:
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_enginetable.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_enginetable.py
@@ -8,6 +8,7 @@
 from ..targets import AdapterUse, TargetHeartbeat
 from ._demand import DemandMeter
 from ._enginestate import MAX_LOADS_PER_ENGINE, EngineState
+from ._hosthistory import HostHistory
 from ._label import AdapterLabel
 
 # A copy of an adapter helps if all holders use more than this fraction of
@@ -37,6 +38,7 @@
         self.newest_versions: dict[Name, int] = {}
         self.blocked: frozenset[TargetName] = frozenset()
         self.zones_out: frozenset[ZoneName] = frozenset()
+        self.history = HostHistory()
         self._demand = demand
         self._holders: dict[Name, list[EngineState]] = {}
         self._adapter_demand: dict[TargetName, float] = {}
@@ -67,6 +69,7 @@
             self.by_target[heartbeat.target] = EngineState(
                 heartbeat,
                 pool.engine,
+                self.history.adapters(heartbeat.target, heartbeat.incarnation),
             )
         else:
             known.heartbeat = heartbeat
--- a/packages/lovagemast-core/src/lovagemast_core/control/_node.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_node.py
@@ -23,7 +23,7 @@
 from ..agreement._proposals import ProposalController
 from ..agreement._replica import Replica
 from ..deployment import DeploymentIndex
-from ..targets import SyncAsk, SyncReply, TargetHeartbeat
+from ..targets import SyncAsk, SyncReply, TargetHeartbeat, TargetRecord
 from ._config import ControlConfig
 from ._effects import (
     CommandDone,
@@ -207,6 +207,11 @@
         self._schedule_plan(now)
         return reply._replace(control=self.replica.voter_vms)
 
+    def on_records(self, records: tuple[TargetRecord, ...]) -> None:
+        """Learn from target records that the leader has sent to this VM."""
+        for record in records:
+            self.fleet.planner.engines.history.observe(record)
+
     def on_order_answered(self, outcome: OrderOutcome, now: float) -> None:
         """Handle the outcome of an order that this VM has sent.
 
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -96,7 +96,13 @@
         )
         self._links = PeerLinks(cfg.vm, cfg.peer_port, self._log)
         self._sync = SyncHandler(self._on_ask, lambda _session: None, self._log)
-        self._relay = RelayHost(cfg, self._control_vms, self._spawn, self._log)
+        self._relay = RelayHost(
+            cfg,
+            self._control_vms,
+            self._node.on_records,
+            self._spawn,
+            self._log,
+        )
         self._http = HttpServer(
             self._api.serve,
             CONTROL_LIMITS,
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_relayhost.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_relayhost.py
@@ -7,7 +7,7 @@
 
 from lovagemast_core.entry import LeaderSearch
 from lovagemast_core.syncrelay import RELAY_SYNC, SyncRelay
-from lovagemast_core.targets import SyncAsk, SyncReply
+from lovagemast_core.targets import SyncAsk, SyncReply, TargetRecord
 from lovagemast_wire import RelaysStub
 
 from .._clock import now_s
@@ -61,11 +61,13 @@
         self,
         cfg: ControlSettings,
         vms: Callable[[], tuple[str, ...]],
+        on_records: Callable[[tuple[TargetRecord, ...]], None],
         spawn: Spawn,
         log: JsonLog,
     ) -> None:
         epoch = secrets.randbits(EPOCH_BITS) + 1
         self._relay = SyncRelay(cfg.vm, cfg.zone, epoch)
+        self._on_records = on_records
         self._spawn = spawn
         self._log = log
         self._handler = SyncHandler(self._on_ask, self._on_close, log)
@@ -104,6 +106,7 @@
 
     def _on_reply(self, reply: SyncReply, asked_at: float) -> None:
         self._relay.on_reply(reply, asked_at, now_s())
+        self._on_records(reply.targets)
         self._changed.set()
 
     async def _push_changes(self) -> None:
--- a/tests/test_adapters.py
+++ b/tests/test_adapters.py
@@ -12,7 +12,13 @@
     TargetReport,
 )
 from lovagemast_core.deployment import EngineSpec, ModelSpec, PoolSpec
-from lovagemast_core.targets import AdapterUse, AdapterWish, TargetHeartbeat
+from lovagemast_core.targets import (
+    AdapterUse,
+    AdapterWish,
+    ResidentAdapter,
+    TargetHeartbeat,
+    TargetRecord,
+)
 
 TERM = 3
 SLOTS = 4
@@ -41,6 +47,7 @@
         self,
         name: str,
         models: tuple[str, ...] = ('m',),
+        incarnation: int = 1,
     ) -> None:
         """Pass an engine's heartbeat to the planner."""
         heartbeat = TargetHeartbeat(
@@ -51,7 +58,7 @@
             8,
             False,
             0.0,
-            1,
+            incarnation,
             1,
             models,
         )
@@ -276,6 +283,28 @@
         engine.ready_at.clear()
         assert bench.load('a1') == home
 
+    @pytest.mark.parametrize(
+        ('incarnation', 'is_kept'), [(1, True), (2, False)]
+    )
+    def test_new_leader_knows_the_hosts(
+        self, incarnation: int, is_kept: bool
+    ) -> None:
+        """After an election adapters return to the hosts that have them.
+
+        An engine that was restarted meanwhile has an empty memory.
+        """
+        held = ResidentAdapter('m/a1@0', 0.0)
+        record = TargetRecord('e0', 'pool', 'e0:80', 'z', 1, 8, False, 0.0)
+        later = Bench(1)
+        history = later.planner.engines.history
+        history.observe(record._replace(adapters=(held,)))
+        history.observe(record)  # evicted since
+        later.planner.reset()
+        later.send_heartbeat('e0', incarnation=incarnation)
+        engine = later.planner.get('e0')
+        assert engine
+        assert engine.is_host_cached(('m', 'a1')) is is_kept
+
     @pytest.mark.parametrize('kind', ['zone', 'shut', 'silent'])
     def test_loaded_elsewhere(self, kind: str) -> None:
         """An adapter whose only holder is unusable is loaded elsewhere."""
