Let wishes for adapters expire after 0.4 s

Cause: the planner kept a wish for 1 s after it was last repeated, and loaded adapters for callers that had been refused or had left.

Change: 0.4 s. Relays repeat pending wishes ten times a second.

Ruled out: removing a wish with the last waiting request (a relay that is lost would leave its wishes for good).

--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
@@ -29,7 +29,7 @@
 # other down; a weight store that serves more engines has a higher bandwidth.
 MIN_LOADS_IN_FLIGHT: Final = 8
 LOADS_PER_ENGINE: Final = 1.34
-WISH_TTL_S: Final = 1.0  # entry VMs repeat wishes that are still pending
+WISH_TTL_S: Final = 0.4  # relays repeat wishes that are still pending
 MAX_COPIED_ADAPTERS: Final = 24  # most requested, that may have copies
 MIN_COPY_RATE: Final = 0.5  # requests/s per holder, including the copy
 NO_TARGETS: Final[frozenset[TargetName]] = frozenset()
--- a/tests/test_adapters.py
+++ b/tests/test_adapters.py
@@ -120,6 +120,22 @@
             self.send_heartbeat(name)
 
 
+class TestWishes:
+    @pytest.mark.parametrize(('age_s', 'loads'), [(0.3, 1), (0.5, 0)])
+    def test_no_load_for_callers_that_are_gone(
+        self, age_s: float, loads: int
+    ) -> None:
+        """A wish that is not repeated is not fulfilled later.
+
+        Relays repeat pending wishes ten times a second. On days on which the
+        weight store is the bottleneck, a load for nobody delays another.
+        """
+        bench = Bench()
+        bench.wish('a1')
+        bench.now += age_s
+        assert len(bench.plan()) == loads
+
+
 class TestPlanningCost:
     @pytest.mark.parametrize('missing', [50, 400])
     def test_engines_are_visited_once(
