Send disputed records again, and start each stream without old grants

Cause, found by reading: an entry VM that a target denies an adapter removes it from its copy of the record and reports that. If the leader knows better (the load is still running), it sends the record again unchanged; a relay took that for no change, so the entry VM never got the adapter back and its requests waited in vain. And grants on a stream that had ended were deducted from the wishes on the next one for up to a second.

Change: a relay passes on the next record of a target that an entry VM doubts, and forgets an entry VM's grants when its stream is a new one. The list of voters in sync replies is gone: nothing read it any more.

Ruled out: a new stamp for each record that the leader sends (after an election all entry VMs would get all records again).

Measured: both new tests fail before and pass after.

--- a/packages/lovagemast-core/src/lovagemast_core/control/_node.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_node.py
@@ -192,7 +192,7 @@
     def on_ask(self, ask: SyncAsk, now: float) -> SyncReply:
         """Return the reply to a relay's sync request.
 
-        A VM that cannot answer names the leader and the control VMs.
+        A VM that cannot answer names the leader.
         """
         if not self.is_ready_leader():
             return SyncReply(
@@ -201,11 +201,10 @@
                 leader=self.leader,
                 term=self.replica.term,
                 quorum_age_s=UNCONFIRMED_AGE_S,
-                control=self.replica.voter_vms,
             )
         reply = self.fleet.on_ask(ask, self.quorum_age(now), now)
         self._schedule_plan(now)
-        return reply._replace(control=self.replica.voter_vms)
+        return reply
 
     def on_records(self, records: tuple[TargetRecord, ...]) -> None:
         """Learn from target records that the leader has sent to this VM."""
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
@@ -4,7 +4,7 @@
 from typing import Final, NamedTuple
 
 from .._state import PublishedState
-from .._types import TargetName, VmName, ZoneName
+from .._types import TargetName, ZoneName
 from ..adapters import AdapterLabel
 from ..deployment import DeploymentIndex
 from ..targets import RelayInfo, SyncReply, TargetRecord
@@ -44,7 +44,6 @@
         self.epoch = 0  # names the sequence that ``_stamp`` belongs to
         self.entries = 1
         self.rank = 0
-        self.control: tuple[VmName, ...] = ()
         self.relays: tuple[RelayInfo, ...] = ()
         self.led_since = 0.0  # s
         self.orders_allowed_at = 0.0  # s, when the leader may send orders
@@ -84,8 +83,6 @@
         self.orders_allowed_at = now + reply.orders_in_s
         if reply.relays:
             self.relays = reply.relays
-        if reply.control:
-            self.control = reply.control
         return is_newer
 
     def set_index(self, index: DeploymentIndex) -> None:
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_records.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_records.py
@@ -23,7 +23,9 @@
     """Stamps the changes of records that the leader's replies bring.
 
     A record that is sent again unchanged, as after an election, gets no new
-    stamp, so entry VMs are not sent it again.
+    stamp, so entry VMs are not sent it again. Records in dispute are the
+    exception: an entry VM that was denied an adapter has removed it from its
+    copy, and needs the leader's answer even if that is the same as before.
     """
 
     def __init__(self) -> None:
@@ -33,6 +35,11 @@
         self._stamps: dict[TargetName, int] = {}
         self._known: dict[TargetName, KnownTarget] = {}
         self._cache: dict[TargetName, _CachedRecord] = {}
+        self._disputed: set[TargetName] = set()
+
+    def dispute(self, target: TargetName) -> None:
+        """Record that an entry VM doubts a target's record."""
+        self._disputed.add(target)
 
     def update(self, targets: dict[TargetName, KnownTarget]) -> set[str]:
         """Compare with the targets known now and stamp all changes.
@@ -44,13 +51,16 @@
         for name in set(self._known) - set(targets):
             self._stamps.pop(name, None)
             self._cache.pop(name, None)
+            self._disputed.discard(name)
             self.removals.record(name, self._next_stamp())
             self.left_stamp = self.stamp
         for name, known in targets.items():
             before = self._known.get(name)
             if before is known:
                 continue
-            if before is None or _has_changed(before, known):
+            is_disputed = name in self._disputed
+            self._disputed.discard(name)
+            if before is None or is_disputed or _has_changed(before, known):
                 self._stamps[name] = self._next_stamp()
                 self.removals.forget(name)
                 if known.record.leaving:
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
@@ -73,7 +73,15 @@
             self._grant_tokens(now)
 
     def on_ask(self, session: int, ask: SyncAsk, now: float) -> SyncReply:
-        """Handle an entry VM's request and return the reply."""
+        """Handle an entry VM's request and return the reply.
+
+        ``session`` differs for each stream. What was granted on an earlier
+        one is lost.
+        """
+        if self.session_of(ask.vm) != session:
+            self._tokens.remove(ask.vm)
+        for text in ask.missing:
+            self._records.dispute(text.partition(' ')[0])
         link = self._entries.record_ask(session, ask, self._epoch, now)
         self._tokens.set_wishes(ask.vm, ask.tokens, ask.seen, now)
         self._grant_tokens(now)
@@ -142,7 +150,6 @@
             is_complete=is_complete,
             lots=tuple(link.lots),
             entries=view.entries,
-            control=view.control,
             led_s=now - view.led_since if view.has_all_targets() else 0.0,
             orders_in_s=max(0.0, view.orders_allowed_at - now),
             rank=self._fleet_rank(vm),
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
@@ -131,7 +131,6 @@
     is_complete: bool = False
     lots: tuple[TokenLot, ...] = ()
     entries: int = 1  # entry VMs that have synced recently, over all relays
-    control: tuple[VmName, ...] = ()  # voters
     led_s: float = 0.0  # time since the leader was elected
     orders_in_s: float = 0.0  # until it may send orders to engines
     rank: int = 0  # of the entry VM among all, or of the relay among relays
--- a/tests/test_syncrelay.py
+++ b/tests/test_syncrelay.py
@@ -8,13 +8,17 @@
     ENTRY_SYNC,
     RELAY_SYNC,
     RelaySearch,
+    SyncRelay,
     SyncTiming,
     TokenSplitter,
 )
 from lovagemast_core.targets import (
     AdapterWish,
     RelayInfo,
+    ResidentAdapter,
+    SyncAsk,
     SyncReply,
+    TargetRecord,
     TokenLot,
     TokenWish,
 )
@@ -212,6 +216,50 @@
         )
 
 
+def make_record(target: str) -> TargetRecord:
+    """Return the record of an engine that is loading an adapter."""
+    record = TargetRecord(target, 'p', f'{target}:80', 'z', 1, 8, False, 0.0)
+    return record._replace(adapters=(ResidentAdapter('m/a@1', 5.0),))
+
+
+class TestRelay:
+    def test_record_in_dispute_is_sent_again(self) -> None:
+        """A record that an entry VM doubts is sent again though unchanged.
+
+        The entry VM has removed the adapter from it, since the target denied
+        holding it; the leader knows that it is still loading.
+        """
+        relay = SyncRelay('c1', 'z', 77)
+        reply = make_reply()._replace(epoch=3, stamp=5, term=3)
+        full = reply._replace(targets=(make_record('t1'),), is_complete=True)
+        relay.on_reply(full, NOW, NOW)
+        first = relay.on_ask(1, SyncAsk(1, 'e1', 'z', 0, 0, 0), NOW)
+        ask = SyncAsk(2, 'e1', 'z', 0, first.stamp, first.epoch)
+        doubts = ask._replace(missing=('t1 m/a@1',))
+        assert relay.on_ask(1, doubts, NOW + 0.1).targets == ()
+        record = make_record('t1')._replace(
+            adapters=(ResidentAdapter('m/a@1', 4.8),)
+        )
+        again = reply._replace(targets=(record,), stamp=6)
+        relay.on_reply(again, NOW + 0.2, NOW + 0.2)
+        reply_to_entry = relay.on_ask(1, ask, NOW + 0.2)
+        assert [one.target for one in reply_to_entry.targets] == ['t1']
+        relay.on_reply(again._replace(stamp=7), NOW + 0.2, NOW + 0.2)
+        assert relay.on_ask(1, ask, NOW + 0.2).targets == ()
+
+    def test_new_stream_starts_afresh(self) -> None:
+        """Grants on a stream that has ended do not reduce later wishes."""
+        relay = SyncRelay('c1', 'z', 77)
+        lot = TokenLot('a', 100)
+        reply = make_reply()._replace(term=3)
+        ask = SyncAsk(1, 'e1', 'z', 0, 0, 0, tokens=wish(100))
+        relay.on_ask(1, ask, NOW)
+        relay.on_reply(reply._replace(lots=(lot,)), NOW, NOW)
+        assert relay.make_push('e1', NOW)
+        relay.on_ask(2, ask, NOW + 0.1)
+        assert relay.build_ask(1, NOW + 0.1).tokens == wish(100)
+
+
 class TestTiming:
     @pytest.mark.parametrize('timing', [ENTRY_SYNC, RELAY_SYNC])
     def test_idle_stream_is_kept(self, timing: SyncTiming) -> None:
