Share the load of targets by the sync, and break ties between entry VMs apart

Each of 193 entry VMs sends an engine a request every minute or so and rarely sees one of its load reports. Without one, equal estimates sent all to the same target, and a single request of its own made an entry VM assume 193 there, so a second one waited.

Equal candidates are ordered by a hash of entry VM and target.

Ruled out: the sum in target records (each change would send all adapters of the target); a share of each engine for each entry VM (fewer slots than VMs).

--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_enginetable.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_enginetable.py
@@ -1,5 +1,6 @@
 """All engines: which adapters each holds, and the costs of placing more."""
 
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from typing import Final
 
@@ -39,6 +40,7 @@
         self.blocked: frozenset[TargetName] = frozenset()
         self.zones_out: frozenset[ZoneName] = frozenset()
         self.history = HostHistory()
+        self.requests: Counter[TargetName] = Counter()  # of all targets
         self._demand = demand
         self._holders: dict[Name, list[EngineState]] = {}
         self._adapter_demand: dict[TargetName, float] = {}
@@ -179,10 +181,12 @@
 
     def set_uses(self, uses: Iterable[AdapterUse]) -> None:
         """Replace the running requests of all engines."""
+        self.requests.clear()
         for engine in self:
             engine.running.clear()
             engine.running_total = 0
         for use in uses:
+            self.requests[use.target] += use.running
             known = self.by_target.get(use.target)
             if known and use.running:
                 name = AdapterLabel.from_text(use.label).name
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
@@ -120,6 +120,10 @@
             if engine:
                 engine.unreachable_until = now + UNREACHABLE_TTL_S
 
+    def requests_at(self, target: TargetName) -> int:
+        """Return the requests in progress at an engine or another target."""
+        return self.engines.requests[target]
+
     def reports_due(self, now: float) -> list[EngineState]:
         """Return the engines that are to be asked for a report now."""
         due = [one for one in self.engines if one.needs_report(now)]
--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -19,6 +19,7 @@
     SyncAsk,
     SyncReply,
     TargetHeartbeat,
+    TargetLoad,
     TargetRecord,
     TargetRegistry,
 )
@@ -153,7 +154,11 @@
                 now,
             )
             self.registry.mark_changed(target)
-        reply = self.updates_for(ask, quorum_age_s, now)
+        loads = tuple(
+            TargetLoad(name, self.planner.requests_at(name))
+            for name in self.registry.names()
+        )
+        reply = self.updates_for(ask, quorum_age_s, now)._replace(loads=loads)
         if quorum_age_s > ISSUE_LEASE_S or self._index is None:
             return reply
         lots = self.issuer.issue(ask.tokens, self._index.accounts, now)
--- a/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
@@ -5,6 +5,7 @@
 from ._health import TargetHealth
 from ._leadersearch import LeaderSearch
 from ._limits import ColdStartLimiter, EntryShare, RetryBudget
+from ._loadestimate import LoadEstimate
 from ._prefill import PrefillLimit
 from ._selection import (
     Candidate,
@@ -27,6 +28,7 @@
     'FleetView',
     'KnownTarget',
     'LeaderSearch',
+    'LoadEstimate',
     'NoReadyTarget',
     'PrefillLimit',
     'RetryBudget',
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_selection.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_selection.py
@@ -1,9 +1,11 @@
 """Selects the target that a request is sent to."""
 
+import hashlib
 from collections.abc import Callable, Iterable
+from functools import lru_cache
 from typing import Final, NamedTuple
 
-from .._types import TargetName, ZoneName
+from .._types import TargetName, VmName, ZoneName
 from ..adapters import AdapterLabel
 from ._health import TargetHealth
 from ._view import FleetView, KnownTarget
@@ -65,6 +67,7 @@
     may_send: Callable[[KnownTarget], bool]
     tried: frozenset[TargetName]
     zone: ZoneName
+    vm: VmName = ''  # that chooses
 
 
 def find_candidates(
@@ -113,11 +116,29 @@
         and criteria.may_send(candidate.known)
     ]
     if ready:
-        return Choice(min(ready, key=lambda one: _cost(one, criteria, now)))
+        return Choice(min(ready, key=lambda one: _rank(one, criteria, now)))
     pending = [one.ready_at for one in reachable if one.ready_at > now]
     return NoReadyTarget(len(reachable), min(pending, default=None))
 
 
+def _rank(
+    candidate: Candidate,
+    criteria: SelectionCriteria,
+    now: float,
+) -> tuple[float, bytes]:
+    """Return the order of candidates; equal ones differ between entry VMs.
+
+    Entry VMs with the same information would all choose the same target.
+    """
+    cost = _cost(candidate, criteria, now)
+    return cost, _tie_breaker(criteria.vm, candidate.target)
+
+
+@lru_cache(maxsize=4_096)
+def _tie_breaker(vm: VmName, target: TargetName) -> bytes:
+    return hashlib.sha256(f'{vm}/{target}'.encode()).digest()
+
+
 def _cost(
     candidate: Candidate,
     criteria: SelectionCriteria,
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_entries.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_entries.py
@@ -20,6 +20,7 @@
         self.replied_at = 0.0  # s
         self.has_adapter = False  # that requests wait for, not told yet
         self.stamp = 0  # of the records that it was sent
+        self.load_stamp = 0  # of the loads that it was sent
         self.version = 0  # of the published state that it was sent
         self.replies = 0
         self.lots: list[TokenLot] = []  # granted and not sent yet
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
@@ -14,6 +14,7 @@
 from ..entry import FleetView
 from ..targets import SyncAsk, SyncReply
 from ._entries import ConnectedEntries, EntryLink
+from ._loads import RelayedLoads
 from ._records import RelayedRecords
 from ._tokens import TokenSplitter
 
@@ -38,6 +39,7 @@
         self._zone = zone
         self._epoch = epoch
         self._records = RelayedRecords()
+        self._loads = RelayedLoads()
         self._entries = ConnectedEntries()
         self._tokens = TokenSplitter()
         self._uses_sent_at = float('-inf')
@@ -68,6 +70,9 @@
         """Apply the leader's reply to the request sent at ``asked_at``."""
         self.view.apply(reply, asked_at, now)
         self._note_adapters(self._records.update(self.view.targets))
+        self._loads.update(reply.loads)
+        if reply.removed or reply.is_complete:
+            self._loads.remove(set(self.view.targets))
         if reply.lots:
             self._tokens.add(reply.lots, now)
             self._grant_tokens(now)
@@ -149,6 +154,7 @@
             removed=removed,
             is_complete=is_complete,
             lots=tuple(link.lots),
+            loads=self._loads.changed_since(link.load_stamp),
             entries=view.entries,
             led_s=now - view.led_since if view.has_all_targets() else 0.0,
             orders_in_s=max(0.0, view.orders_allowed_at - now),
@@ -161,6 +167,7 @@
         link.has_adapter = False
         link.replied_at = now
         link.stamp = records.stamp
+        link.load_stamp = self._loads.stamp
         link.version = max(link.version, published.version)
         return reply
 
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_registry.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_registry.py
@@ -46,6 +46,10 @@
         """Return the registrations of all targets."""
         return list(self._registered.values())
 
+    def names(self) -> tuple[TargetName, ...]:
+        """Return the names of all targets."""
+        return tuple(self._registered)
+
     def record_heartbeat(self, heartbeat: TargetHeartbeat, now: float) -> bool:
         """Record a heartbeat; return whether it is the newest of its target."""
         departed = self._departed.get(heartbeat.target)
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
@@ -37,7 +37,10 @@
 
 
 class AdapterUse(NamedTuple):
-    """An entry VM's use of an adapter at a target, in requests."""
+    """An entry VM's use of an adapter at a target, in requests.
+
+    Requests without an adapter are counted with an empty label.
+    """
 
     target: TargetName
     label: str
@@ -99,6 +102,16 @@
     adapters: tuple[ResidentAdapter, ...] = ()
 
 
+class TargetLoad(NamedTuple):
+    """The requests that all entry VMs together have in progress at a target.
+
+    They include those that wait at the target.
+    """
+
+    target: TargetName
+    requests: int
+
+
 class TokenLot(NamedTuple):
     """Tokens issued to an entry VM for a client account."""
 
@@ -130,6 +143,7 @@
     removed: tuple[TargetName, ...] = ()  # since the request's stamp
     is_complete: bool = False
     lots: tuple[TokenLot, ...] = ()
+    loads: tuple[TargetLoad, ...] = ()  # those that the receiver lacks
     entries: int = 1  # entry VMs that have synced recently, over all relays
     led_s: float = 0.0  # time since the leader was elected
     orders_in_s: float = 0.0  # until it may send orders to engines
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -165,6 +165,7 @@
             self._apply_config()
         for lot in reply.lots:
             state.tokens.add(lot, now)
+        state.load.fleet_reported(reply.loads)
         has_changes = bool(reply.targets or reply.removed)
         if has_changes:
             state.health.retain(set(state.view.targets))
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_loadtracker.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_loadtracker.py
@@ -3,23 +3,8 @@
 from collections import Counter
 
 from lovagemast_core.adapters import AdapterLabel
-from lovagemast_core.entry import KnownTarget
-from lovagemast_core.targets import AdapterUse, AdapterWish
-
-REPORT_MAX_AGE_S = 2.0  # older load figures of a target are not used
-
-
-class _TargetLoad:
-    """Requests of this VM at a target, and the target's last load report.
-
-    ``running_at_report`` is the value of ``running`` when it was received.
-    """
-
-    def __init__(self) -> None:
-        self.running = 0
-        self.reported = 0
-        self.running_at_report = 0
-        self.reported_at = float('-inf')
+from lovagemast_core.entry import KnownTarget, LoadEstimate
+from lovagemast_core.targets import AdapterUse, AdapterWish, TargetLoad
 
 
 class LoadTracker:
@@ -29,7 +14,7 @@
     """
 
     def __init__(self) -> None:
-        self._loads: dict[str, _TargetLoad] = {}
+        self._loads: dict[str, LoadEstimate] = {}
         self._running: Counter[tuple[str, str]] = Counter()
         self._started: Counter[tuple[str, str]] = Counter()
         self._demand: Counter[tuple[str, str, str]] = Counter()
@@ -39,40 +24,38 @@
     def request_started(self, target: str, label: AdapterLabel | None) -> None:
         """Count a request that is about to be sent to a target."""
         self._load(target).running += 1
-        if label and label.adapter:
-            self._running[target, str(label)] += 1
-            self._started[target, str(label)] += 1
+        self._running[target, _use_label(label)] += 1
+        self._started[target, _use_label(label)] += 1
 
     def request_ended(self, target: str, label: AdapterLabel | None) -> None:
         """Count the end of a request at a target."""
         self._load(target).running -= 1
-        if label and label.adapter:
-            self._running[target, str(label)] -= 1
+        self._running[target, _use_label(label)] -= 1
 
     def target_reported(self, target: str, requests: int, now: float) -> None:
         """Store the number of running and waiting requests a target reports."""
-        load = self._load(target)
-        load.reported = requests
-        load.running_at_report = load.running
-        load.reported_at = now
+        self._load(target).record_report(requests, now)
+
+    def fleet_reported(self, loads: tuple[TargetLoad, ...]) -> None:
+        """Store the requests of all entry VMs at some targets."""
+        for load in loads:
+            self._load(load.target).record_fleet(load.requests)
 
     def running_at(self, target: str) -> int:
         """Return the number of this VM's requests in progress at a target."""
         return self._load(target).running
 
-    def load_of(self, known: KnownTarget, entries: int, now: float) -> float:
-        """Return a target's load as a fraction of its slots.
-
-        It is the last report, corrected by the requests that started and
-        ended here since. Without a recent report, all entry VMs are assumed
-        to send as many requests as this one.
-        """
+    def load_of(
+        self,
+        known: KnownTarget,
+        entries: int,
+        sync_age_s: float,
+        now: float,
+    ) -> float:
+        """Return a target's estimated load as a fraction of its slots."""
         load = self._load(known.record.target)
-        slots = max(1, known.record.slots)
-        if now - load.reported_at > REPORT_MAX_AGE_S:
-            return load.running * entries / slots
-        requests = load.reported + load.running - load.running_at_report
-        return max(load.running, requests) / slots
+        requests = load.requests(entries, sync_age_s, now)
+        return requests / max(1, known.record.slots)
 
     def adapter_requested(self, pool: str, model: str, adapter: str) -> None:
         """Count a caller's request for an adapter."""
@@ -126,5 +109,10 @@
         self._missing.clear()
         return missing
 
-    def _load(self, target: str) -> _TargetLoad:
-        return self._loads.setdefault(target, _TargetLoad())
+    def _load(self, target: str) -> LoadEstimate:
+        return self._loads.setdefault(target, LoadEstimate())
+
+
+def _use_label(label: AdapterLabel | None) -> str:
+    """Return the label of a use, empty for requests without an adapter."""
+    return str(label) if label and label.adapter else ''
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
@@ -324,6 +324,7 @@
             lambda known: self._may_send(known, now),
             frozenset(self._tried),
             state.cfg.zone,
+            state.cfg.vm,
         )
         candidates = find_candidates(state.view, self._requirements, now)
         return choose_target(candidates, criteria, now)
@@ -331,7 +332,7 @@
     def _load_of(self, known: KnownTarget, now: float) -> float:
         state = self._state
         entries = state.view.entries
-        load = state.load.load_of(known, entries, now)
+        load = state.load.load_of(known, entries, state.view.age(now), now)
         prefill_used = state.prefill.utilization(known.record.target, entries)
         return load + PREFILL_LOAD_WEIGHT * prefill_used
 
@@ -361,7 +362,8 @@
         if self._admitted.pool.engine is None:
             return False
         state = self._state
-        load = state.load.load_of(known, state.view.entries, now)
+        view = state.view
+        load = state.load.load_of(known, view.entries, view.age(now), now)
         target = known.record.target
         return load >= state.batch.limit(target, self._admitted.priority)
 
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -1,5 +1,7 @@
 """Tests of how entry VMs find and choose targets."""
 
+from collections import Counter
+
 import pytest
 from lovagemast_core import PublishedState
 from lovagemast_core.entry import (
@@ -118,6 +120,30 @@
     return choice.candidate.target if isinstance(choice, Choice) else None
 
 
+class TestTies:
+    def test_entry_vms_differ(self) -> None:
+        """Entry VMs that see equal loads do not all choose the same target."""
+        records = [make_record(f't{number}') for number in range(6)]
+        view = make_view(*records)
+        requirements = TargetRequirements('pool', 'm', 'a1')
+        chosen: Counter[str] = Counter()
+        for number in range(120):
+            criteria = SelectionCriteria(
+                TargetHealth(),
+                lambda _known: 0.5,
+                lambda _known: True,
+                frozenset(),
+                'z1',
+                f'e{number}',
+            )
+            candidates = find_candidates(view, requirements, NOW)
+            choice = choose_target(candidates, criteria, NOW)
+            assert isinstance(choice, Choice)
+            chosen[choice.candidate.target] += 1
+        assert len(chosen) == 6
+        assert max(chosen.values()) <= 2 * 120 / 6
+
+
 class TestChoice:
     def test_least_loaded(self) -> None:
         """The least loaded target is chosen."""
