--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -154,11 +154,9 @@
                 now,
             )
             self.registry.mark_changed(target)
-        loads = tuple(
-            TargetLoad(name, self.planner.requests_at(name))
-            for name in self.registry.names()
-        )
-        reply = self.updates_for(ask, quorum_age_s, now)._replace(loads=loads)
+        reply = self.updates_for(ask, quorum_age_s, now)
+        if ask.has_uses:
+            reply = reply._replace(loads=self._target_loads())
         if quorum_age_s > ISSUE_LEASE_S or self._index is None:
             return reply
         lots = self.issuer.issue(ask.tokens, self._index.accounts, now)
@@ -236,6 +234,12 @@
         if self.planner.record_report(report, now):
             self.registry.mark_changed(report.target)
 
+    def _target_loads(self) -> tuple[TargetLoad, ...]:
+        return tuple(
+            TargetLoad(name, self.planner.requests_at(name))
+            for name in self.registry.names()
+        )
+
     def _drop_silent_relays(self, now: float) -> None:
         self._relays = {
             vm: relay
--- a/tests/test_syncrelay.py
+++ b/tests/test_syncrelay.py
@@ -18,6 +18,7 @@
     ResidentAdapter,
     SyncAsk,
     SyncReply,
+    TargetLoad,
     TargetRecord,
     TokenLot,
     TokenWish,
@@ -247,6 +248,23 @@
         relay.on_reply(again._replace(stamp=7), NOW + 0.2, NOW + 0.2)
         assert relay.on_ask(1, ask, NOW + 0.2).targets == ()
 
+    def test_loads_are_passed_on_once(self) -> None:
+        """A load is sent to an entry VM when it has changed, not again."""
+        relay = SyncRelay('c1', 'z', 77)
+        reply = make_reply()._replace(epoch=3, term=3)
+        ask = SyncAsk(1, 'e1', 'z', 0, 0, 0)
+        for requests, sent in [
+            (3, (3,)),
+            (3, ()),
+            (4, ()),
+            (5, (5,)),
+            (0, (0,)),
+        ]:
+            loads = (TargetLoad('t1', requests),)
+            relay.on_reply(reply._replace(loads=loads), NOW, NOW)
+            received = relay.on_ask(1, ask, NOW).loads
+            assert tuple(load.requests for load in received) == sent
+
     def test_new_stream_starts_afresh(self) -> None:
         """Grants on a stream that has ended do not reduce later wishes."""
         relay = SyncRelay('c1', 'z', 77)
