--- a/tests/test_loadestimate.py
+++ b/tests/test_loadestimate.py
@@ -8,6 +8,13 @@
 SLOTS = 12
 
 
+def share_sums(entries: list[list[LoadEstimate]], counts: list[int]) -> None:
+    """Tell all entry VMs the requests at each engine."""
+    for loads in entries:
+        for load, count in zip(loads, counts, strict=True):
+            load.record_fleet(count)
+
+
 class TestEstimate:
     @pytest.mark.parametrize(
         ('report_age_s', 'sync_age_s', 'expected'),
@@ -65,9 +72,7 @@
         ]
         for step, loads in enumerate(entries):
             if step % 2 == 0:
-                for known in entries:
-                    for load, count in zip(known, counts, strict=True):
-                        load.record_fleet(count)
+                share_sums(entries, counts)
             estimates = [load.requests(ENTRIES, 0.1, NOW) for load in loads]
             chosen = estimates.index(min(estimates))
             counts[chosen] += 1
--- a/tests/test_syncrelay.py
+++ b/tests/test_syncrelay.py
@@ -253,13 +253,8 @@
         relay = SyncRelay('c1', 'z', 77)
         reply = make_reply()._replace(epoch=3, term=3)
         ask = SyncAsk(1, 'e1', 'z', 0, 0, 0)
-        for requests, sent in [
-            (3, (3,)),
-            (3, ()),
-            (4, ()),
-            (5, (5,)),
-            (0, (0,)),
-        ]:
+        changes = ((3, (3,)), (3, ()), (4, ()), (5, (5,)), (0, (0,)))
+        for requests, sent in changes:
             loads = (TargetLoad('t1', requests),)
             relay.on_reply(reply._replace(loads=loads), NOW, NOW)
             received = relay.on_ask(1, ask, NOW).loads
