--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -166,13 +166,13 @@
         for lot in reply.lots:
             state.tokens.add(lot, now)
         state.load.fleet_reported(reply.loads)
-        has_changes = bool(reply.targets or reply.removed)
-        if has_changes:
-            state.health.retain(set(state.view.targets))
-            state.batch.retain(set(state.view.targets))
-            state.prefill.retain(set(state.view.targets))
+        if reply.removed or reply.is_complete:
+            present = set(state.view.targets)
+            state.health.retain(present)
+            state.batch.retain(present)
+            state.prefill.retain(present)
         # A reply that only confirms the state wakes no waiting requests.
-        if has_changes or newer or reply.lots:
+        if newer or reply.targets or reply.removed or reply.lots:
             state.notify_update()
 
     def _apply_config(self) -> None:
--- a/tests/relayfleet.py
+++ b/tests/relayfleet.py
@@ -48,12 +48,12 @@
 
 
 def make_heartbeat(
-    target: str, number: int, *, leaving: bool = False
+    target: str, incarnation: int, number: int, *, leaving: bool = False
 ) -> TargetHeartbeat:
     """Return the heartbeat of an engine that holds an adapter."""
     address = f'{target}:80'
     heartbeat = TargetHeartbeat(
-        target, 'pool', address, 'z0', 8, leaving, 0.0, 1, number
+        target, 'pool', address, 'z0', 8, leaving, 0.0, incarnation, number
     )
     return heartbeat._replace(models=('m',), adapters=(f'm/{target}@1',))
 
@@ -124,6 +124,7 @@
         self.heard_at = now
         self.asked_at: dict[int, float] = {}
         self.answered = True
+        self.is_stalled = False  # a message was lost, and all after it
         self.next_at = now
 
 
@@ -160,6 +161,7 @@
             for number in range(entries)
         }
         self.targets: set[str] = set()
+        self._departures: Counter[str] = Counter()
         self.index = make_index()
         self.state = PublishedState()
         self.term = 0
@@ -194,14 +196,18 @@
         """Send the heartbeats of all targets to the leader."""
         for target in sorted(self.targets):
             beat = make_heartbeat(
-                target, next(self._beats), leaving=target in leaving
+                target,
+                self._departures[target] + 1,
+                next(self._beats),
+                leaving=target in leaving,
             )
             self.leader.on_heartbeat(beat, self.now)
         self._push_from_leader()
 
     def deregister(self, target: str) -> None:
-        """Deregister a target."""
+        """Deregister a target; it registers again as a new incarnation."""
         self.targets.discard(target)
+        self._departures[target] += 1
         self.leader.on_departure(target, self.now)
         self._push_from_leader()
 
@@ -252,7 +258,7 @@
             is_waiting = bool(ask.tokens or ask.wishes)
         delay_s = timing.min_interval_s if is_waiting else timing.interval_s
         stream.next_at = self.now + delay_s
-        self._send(name, stream.server, lambda: self._serve(name, stream, ask))
+        self._send(name, stream, lambda: self._serve(name, stream, ask))
 
     def _connect(self, name: str) -> None:
         server = 'leader'
@@ -284,9 +290,7 @@
             relay = self.relays[stream.server]
             reply = relay.on_ask(stream.session, ask, self.now)
             self.counts['entry records'] += len(reply.targets)
-        self._send(
-            stream.server, client, lambda: self._receive(client, stream, reply)
-        )
+        self._send(client, stream, self._delivery(client, stream, reply))
 
     def _receive(self, client: str, stream: _Stream, reply: SyncReply) -> None:
         if self._streams.get(client) is not stream:
@@ -312,7 +316,7 @@
             reply = relay.make_push(vm, self.now)
             assert reply is not None
             self.counts['entry records'] += len(reply.targets)
-            self._send(name, vm, self._delivery(vm, stream, reply))
+            self._send(vm, stream, self._delivery(vm, stream, reply))
 
     def _push_from_leader(self) -> None:
         for name in self.relays:
@@ -332,16 +336,21 @@
             reply = self.leader.updates_for(ask, age_s, self.now)
             self.counts['leader pushes'] += 1
             push = reply._replace(is_push=True)
-            self._send('leader', name, self._delivery(name, stream, push))
+            self._send(name, stream, self._delivery(name, stream, push))
 
     def _delivery(
         self, client: str, stream: _Stream, reply: SyncReply
     ) -> Callable[[], None]:
         return lambda: self._receive(client, stream, reply)
 
-    def _send(self, source: str, to: str, deliver: Callable[[], None]) -> None:
-        link = (min(source, to), max(source, to))
+    def _send(
+        self, client: str, stream: _Stream, deliver: Callable[[], None]
+    ) -> None:
+        """Deliver a message of a stream later, in order and without gaps."""
+        link = (min(client, stream.server), max(client, stream.server))
         if link in self.cut:
+            stream.is_stalled = True
+        if stream.is_stalled:
             return
         mail = (self.now + ZONE_DELAY_S, next(self._numbers), deliver)
         heapq.heappush(self._mail, mail)
