Don't acknowledge log writes that the disk took in part

Cause: LogStore.write ignored how many bytes an unbuffered write took. A disk that fills up takes a part of a frame without an error; the replica counted the frame as synced and acknowledged its entries. At its restart the torn frame was dropped; had another frame followed, the log was damaged for good.

Change: frames are written whole, or the file is cut back to what was synced and the error is raised. Batches are idempotent, so the caller may write them again.

--- a/packages/lovagemast-node/src/lovagemast_node/_storage.py
+++ b/packages/lovagemast-node/src/lovagemast_node/_storage.py
@@ -16,6 +16,7 @@
 import struct
 import zlib
 from collections.abc import Iterable, Iterator
+from io import FileIO
 from pathlib import Path
 from typing import Final, NamedTuple
 
@@ -59,6 +60,7 @@
         self._path = folder / FILE_NAME
         self._state = _LogState(stored)
         self._file = self._path.open('ab', buffering=0)
+        self._synced_bytes = self._path.stat().st_size
 
     @classmethod
     def open(cls, folder: Path, vm: str) -> 'LogStore':
@@ -79,7 +81,11 @@
         return cls(folder, opened.stored)
 
     def write(self, batches: Iterable[PersistLog]) -> None:
-        """Write batches and return once they are synced to disk."""
+        """Write batches and return once they are synced to disk.
+
+        Raises :exc:`OSError` if they were not, as on a full disk. The same
+        batches may then be written again.
+        """
         records: list[LogRecord] = []
         for batch in batches:
             self._state.apply(batch)
@@ -89,17 +95,27 @@
             else:
                 records.extend(_batch_records(batch))
         if records:
-            self._file.write(_encode_frame(records))
-            os.fdatasync(self._file.fileno())
+            self._append(_encode_frame(records))
 
     def close(self) -> None:
         """Close the log file."""
         self._file.close()
 
+    def _append(self, frame: bytes) -> None:
+        """Append a frame as a whole, or leave the file as it was."""
+        try:
+            _write_all(self._file, frame)
+            os.fdatasync(self._file.fileno())
+        except OSError:
+            self._file.truncate(self._synced_bytes)
+            raise
+        self._synced_bytes += len(frame)
+
     def _rewrite_file(self) -> None:
-        self._file.close()
         _replace_file(self._folder, self._state.records())
+        self._file.close()
         self._file = self._path.open('ab', buffering=0)
+        self._synced_bytes = self._path.stat().st_size
 
 
 class _LogState:
@@ -251,13 +267,24 @@
     return zlib.crc32(struct.pack('>II', length, payload_crc))
 
 
+def _write_all(log_file: FileIO, frame: bytes) -> None:
+    """Write all bytes; a write takes fewer when the disk fills up."""
+    unwritten = memoryview(frame)
+    while unwritten:
+        unwritten = unwritten[log_file.write(unwritten) :]
+
+
 def _replace_file(folder: Path, records: list[LogRecord]) -> None:
     temporary = folder / f'{FILE_NAME}.new'
-    with open(temporary, 'wb') as log_file:
-        log_file.write(_encode_frame(records))
-        log_file.flush()
-        os.fsync(log_file.fileno())
-    os.replace(temporary, folder / FILE_NAME)
+    try:
+        with open(temporary, 'wb') as log_file:
+            log_file.write(_encode_frame(records))
+            log_file.flush()
+            os.fsync(log_file.fileno())
+        os.replace(temporary, folder / FILE_NAME)
+    except OSError:
+        temporary.unlink(missing_ok=True)
+        raise
     folder_fd = os.open(folder, os.O_RDONLY)
     try:
         os.fsync(folder_fd)
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -1,6 +1,9 @@
 """Tests of the write-ahead log."""
 
+import errno
+import io
 from pathlib import Path
+from typing import Any
 
 import pytest
 from lovagemast_core import (
@@ -155,3 +158,81 @@
         path.write_bytes(bytes(content))
         with pytest.raises(DamagedLogError):
             reopen(folder)
+
+
+class FillingFile(io.FileIO):
+    """A log file on a disk with ``room`` bytes left."""
+
+    room = 0
+
+    def write(self, data: Any) -> int:
+        """Write what fits; fail if nothing does."""
+        if not self.room:
+            raise OSError(errno.ENOSPC, 'no space left on device')
+        written = super().write(bytes(data)[: self.room])
+        self.room -= written
+        return written
+
+
+def fill_disk(store: LogStore, folder: Path, room: int) -> FillingFile:
+    """Leave a store's disk with some bytes of room."""
+    store.close()
+    log_file = FillingFile(folder / FILE_NAME, 'ab')
+    log_file.room = room
+    store._file = log_file
+    return log_file
+
+
+class TestFullDisk:
+    """A write that does not fit is not acknowledged, and can be repeated."""
+
+    @pytest.mark.parametrize('room', [0, 1, 12, 30])
+    def test_partial_write_is_not_reported_as_synced(
+        self, folder: Path, room: int
+    ) -> None:
+        """A batch that was written in part raises, and leaves no trace."""
+        store = reopen(folder)
+        size = (folder / FILE_NAME).stat().st_size
+        fill_disk(store, folder, room)
+        with pytest.raises(OSError, match='no space'):
+            store.write([batch(4, 7, 1)])
+        assert (folder / FILE_NAME).stat().st_size == size
+
+    @pytest.mark.parametrize('room', [0, 1, 12, 30])
+    def test_write_is_repeated_once_there_is_room(
+        self, folder: Path, room: int
+    ) -> None:
+        """The same batches can be written again, and later ones after them."""
+        store = reopen(folder)
+        log_file = fill_disk(store, folder, room)
+        batches = [batch(4, 7, 2), batch(5, 8, 1, truncate_from=8)]
+        with pytest.raises(OSError, match='no space'):
+            store.write(batches)
+        log_file.room = 10_000
+        store.write(batches)
+        store.write([batch(6, 9, 1)])
+        store.close()
+        entries = reopen(folder).stored.entries
+        assert [entry.log_index for entry in entries] == list(range(1, 10))
+
+    def test_failed_snapshot_keeps_the_log(
+        self, folder: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """A snapshot that does not fit leaves the old log usable."""
+
+        def fail(_source: object, _target: object) -> None:
+            raise OSError(errno.ENOSPC, 'no space left on device')
+
+        store = reopen(folder)
+        snapshot = SavedSnapshot(4, 1, ('a',))
+        with monkeypatch.context() as patch:
+            patch.setattr('os.replace', fail)
+            with pytest.raises(OSError, match='no space'):
+                store.write([batch(4, 7, 1, snapshot=snapshot)])
+        assert len(reopen(folder).stored.entries) == 6
+        assert [path.name for path in folder.iterdir()] == [FILE_NAME]
+        store.write([batch(4, 7, 1, snapshot=snapshot)])
+        store.close()
+        stored = reopen(folder).stored
+        assert stored.snapshot == snapshot
+        assert [entry.log_index for entry in stored.entries] == [5, 6, 7]
