Repeat log writes that fail instead of ending the control VM

Cause: the task that writes the log let the error through, which stops the process. Change: LogWriter (out of _control.py) repeats the batches every 0.25 s; nothing is reported as synced meanwhile, so the replica acknowledges nothing and the others commit without it, as with a stalled disk (test_control.py::TestDisks).

--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -9,7 +9,6 @@
 from typing import Any, Final
 
 from lovagemast_core import (
-    LogSynced,
     PeerReceived,
     PersistLog,
     SendPeer,
@@ -37,6 +36,7 @@
 from ._controlapi import ControlApi
 from ._engines import EngineClient
 from ._jsonlog import JsonLog
+from ._logwriter import LogWriter
 from ._metrics import ControlMetrics, MetricsPage
 from ._peers import (
     STREAM_ERRORS,
@@ -110,7 +110,9 @@
         )
         self._engines = EngineClient(cfg.vm, codec, self._log)
         self._metrics = metrics
-        self._batches: asyncio.Queue[PersistLog] = asyncio.Queue()
+        self._log_writer = LogWriter(
+            self._store, self._on_log_synced, self._log
+        )
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._push_requested = asyncio.Event()
@@ -143,7 +145,11 @@
         await self._http.listen(*split_address(self._cfg.control))
         page = MetricsPage(self._metrics.registry, self._log)
         await page.listen(self._cfg.metrics)
-        for task in (self._write_log, self._push_updates, self._relay.run):
+        for task in (
+            self._log_writer.run,
+            self._push_updates,
+            self._relay.run,
+        ):
             self._spawn(task())
         self._tick()
         await self._stopped.wait()
@@ -181,7 +187,7 @@
             SendPeer: lambda effect: self._links.send(
                 effect.vm, effect.message
             ),
-            PersistLog: self._batches.put_nowait,
+            PersistLog: self._log_writer.put,
             CommandDone: lambda effect: self._api.resolve(
                 effect.call, effect.outcome
             ),
@@ -256,15 +262,9 @@
         self._run_effects()
         return reply
 
-    async def _write_log(self) -> None:
-        while True:
-            batches = [await self._batches.get()]
-            while not self._batches.empty():
-                batches.append(self._batches.get_nowait())
-            await asyncio.to_thread(self._store.write, batches)
-            synced = LogSynced(batches[-1].batch)
-            self._node.on_log_synced(synced.batch, now_s())
-            self._run_effects()
+    def _on_log_synced(self, batch: int) -> None:
+        self._node.on_log_synced(batch, now_s())
+        self._run_effects()
 
     async def _push_updates(self) -> None:
         while True:
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -163,7 +163,9 @@
 class FillingFile(io.FileIO):
     """A log file on a disk with ``room`` bytes left."""
 
-    room = 0
+    def __init__(self, path: Path, room: int) -> None:
+        super().__init__(path, 'ab')
+        self.room = room
 
     def write(self, data: Any) -> int:
         """Write what fits; fail if nothing does."""
@@ -177,8 +179,7 @@
 def fill_disk(store: LogStore, folder: Path, room: int) -> FillingFile:
     """Leave a store's disk with some bytes of room."""
     store.close()
-    log_file = FillingFile(folder / FILE_NAME, 'ab')
-    log_file.room = room
+    log_file = FillingFile(folder / FILE_NAME, room)
     store._file = log_file
     return log_file
 
