Commit departures of targets before they are acknowledged

Callers could see: requests reach a target after it has said that it leaves (DRAIN), for up to 4 s after a change of leader, or for as long as a delayed heartbeat makes it look alive.

Cause: the leader acknowledged draining and deregistration once it had them in memory. A new leader started without them. Entry VMs keep what a new leader does not name until it has led for 4 s (LEADER_LEARNING_S), and a target that has deregistered sends no further heartbeat; a late one brought it back. Class: state acknowledged before it is replicated. Looked for elsewhere: configurations, zones, versions and holders go through the log; tokens and orders are leases of a term; heartbeats repeat. A deregistration at a leader that had not heard of the target yet was dropped, too.

Change: the command RecordDeparture; the acknowledgement waits for its commit, the push to relays does not. A new leader lists departures as removed, also in complete lists, and takes heartbeats of that incarnation as leaving. 1,024 departures are kept.

--- a/packages/lovagemast-core/src/lovagemast_core/_commands.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_commands.py
@@ -91,6 +91,13 @@
     vms: tuple[str, ...]
 
 
+class RecordDeparture(NamedTuple):
+    """Records that an incarnation of a target is leaving, or is gone."""
+
+    target: str
+    incarnation: int  # 0 if it is not known
+
+
 class SetVoters(NamedTuple):
     """Adds or removes one voting replica."""
 
@@ -114,6 +121,7 @@
     | FinishCall
     | ReportCrash
     | SetHolders
+    | RecordDeparture
     | SetVoters
     | NoOp
 )
--- a/packages/lovagemast-core/src/lovagemast_core/_state.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_state.py
@@ -20,6 +20,7 @@
     NameVersion,
     Outcome,
     PutConfig,
+    RecordDeparture,
     RemoveVm,
     ReportCrash,
     SetHolders,
@@ -32,6 +33,7 @@
 CLAIM_RETENTION_S: Final = 86_400.0
 QUARANTINE_CRASH_COUNT: Final = 2  # crashes of distinct incarnations
 SUSPICION_RETENTION_S: Final = 3_600.0
+MAX_DEPARTURES: Final = 1_024
 
 
 class Operation(NamedTuple):
@@ -109,6 +111,13 @@
     former: tuple[HolderSet, ...] = ()
 
 
+class Departure(NamedTuple):
+    """The newest incarnation of a target that is leaving, or is gone."""
+
+    target: str
+    incarnation: int
+
+
 class StateSnapshot(NamedTuple):
     """A snapshot of the complete replicated state."""
 
@@ -117,6 +126,7 @@
     claims: tuple[Claim, ...] = ()
     suspicions: tuple[Suspicion, ...] = ()
     holders: HolderState = HolderState()
+    departures: tuple[Departure, ...] = ()  # oldest first
 
 
 class ReplicatedState:
@@ -125,6 +135,7 @@
     def __init__(self) -> None:
         self.published = PublishedState()
         self.holders = HolderState()
+        self.departures: tuple[Departure, ...] = ()  # oldest first
         self._operations: dict[str, Operation] = {}
         self._claims: dict[str, Claim] = {}
         self._suspicions: dict[str, Suspicion] = {}
@@ -139,6 +150,7 @@
             FinishCall: self._finish,
             ReportCrash: self._report_crash,
             SetHolders: self._set_holders,
+            RecordDeparture: self._record_departure,
         }
 
     def apply(self, command: Command) -> Outcome:
@@ -156,12 +168,14 @@
             tuple(self._claims.values()),
             tuple(self._suspicions.values()),
             self.holders,
+            self.departures,
         )
 
     def restore(self, snapshot: StateSnapshot) -> None:
         """Replace the complete state with a snapshot."""
         self.published = snapshot.published
         self.holders = snapshot.holders
+        self.departures = snapshot.departures
         self._operations = {
             operation.op_id: operation for operation in snapshot.operations
         }
@@ -267,6 +281,18 @@
             self.holders = HolderState(current.epoch + 1, command.vms, former)
         return Applied(self.published.revision)
 
+    def _record_departure(self, command: RecordDeparture) -> Outcome:
+        incarnation = command.incarnation
+        others: list[Departure] = []
+        for known in self.departures:
+            if known.target == command.target:
+                incarnation = max(incarnation, known.incarnation)
+            else:
+                others.append(known)
+        newest = Departure(command.target, incarnation)
+        self.departures = (*others, newest)[-MAX_DEPARTURES:]
+        return Applied(self.published.revision)
+
     def _claim(self, command: ClaimCall) -> Outcome:
         self._expire_claims(command.at)
         known = self._claims.get(command.claim)
--- a/packages/lovagemast-core/src/lovagemast_core/agreement/_replica.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_replica.py
@@ -19,7 +19,7 @@
     VoteReply,
 )
 from .._outbox import Outbox
-from .._state import HolderState, PublishedState
+from .._state import Departure, HolderState, PublishedState
 from .._types import VmName
 from ._election import DEFAULT_TIMING, Election, Timing
 from ._follower import Follower
@@ -97,6 +97,11 @@
         """Return the order holders according to the state machine."""
         return self._state.state_machine.holders
 
+    @property
+    def departures(self) -> tuple[Departure, ...]:
+        """Return the targets that have left, oldest first."""
+        return self._state.state_machine.departures
+
     def is_leader(self) -> bool:
         """Return whether this replica leads its term."""
         return self._state.is_leader()
--- a/packages/lovagemast-core/src/lovagemast_core/control/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/__init__.py
@@ -1,5 +1,6 @@
 """Control VM logic: replicated log, and fleet control while leading."""
 
+from .._commands import RecordDeparture
 from ._config import ControlConfig
 from ._effects import (
     CommandDone,
@@ -29,6 +30,7 @@
     'OrderHolders',
     'PushUpdates',
     'ReadDone',
+    'RecordDeparture',
     'RelayFailed',
     'RequestReport',
     'SendOrder',
--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -126,10 +126,10 @@
         self._update_engine(heartbeat, now)
         return True
 
-    def on_departure(self, target: TargetName, now: float) -> None:
-        """Remove a target that has deregistered."""
-        self.registry.remove(target, now)
+    def on_departure(self, target: TargetName, now: float) -> int:
+        """Remove a target that has deregistered and return its incarnation."""
         self.planner.remove_engine(target)
+        return self.registry.remove(target, now)
 
     def on_ask(
         self,
@@ -189,7 +189,7 @@
                 for registered in self.registry.all_targets()
                 if is_complete or registered.stamp > known_stamp
             ),
-            removed=() if is_complete else removals.since(known_stamp),
+            removed=removals.since(known_stamp),
             is_complete=is_complete,
             entries=sum(relay.entries for relay in self._relays.values()),
             led_s=now - self._leader_since,
--- a/packages/lovagemast-core/src/lovagemast_core/control/_node.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_node.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from .._commands import Command, Outcome
+from .._commands import Command, Outcome, RecordDeparture
 from .._effects import PersistLog, SendPeer
 from .._messages import (
     Entry,
@@ -16,7 +16,7 @@
     RelayOrder,
 )
 from .._outbox import Outbox
-from .._state import PublishedState
+from .._state import Departure, PublishedState
 from .._types import TargetName, VmName
 from ..adapters import Order, OrderOutcome, TargetReport
 from ..agreement._election import Timing
@@ -82,6 +82,7 @@
         self._plan_is_due = False
         self._last_leader = ('', -1)
         self._last_published = PublishedState()
+        self._last_departures: tuple[Departure, ...] = ()
         self.replica = Replica(
             cfg.stored,
             cfg.seeds,
@@ -177,17 +178,31 @@
         self._reads.start(self.replica, call, now)
         self._finish_step(now)
 
-    def on_heartbeat(self, heartbeat: TargetHeartbeat, now: float) -> None:
-        """Handle a target's heartbeat."""
-        stamp = self.fleet.registry.stamp
+    def on_heartbeat(
+        self, heartbeat: TargetHeartbeat, now: float
+    ) -> RecordDeparture | None:
+        """Handle a target's heartbeat.
+
+        Return the command to commit before the heartbeat is acknowledged, if
+        any: a new leader must know of an acknowledged departure.
+        """
+        registry = self.fleet.registry
+        stamp = registry.stamp
         self.fleet.on_heartbeat(heartbeat, now)
-        if self.fleet.registry.stamp != stamp:
+        if registry.stamp != stamp:
             self._effects.append(PushUpdates())
+        if not heartbeat.leaving or registry.has_departure(heartbeat):
+            return None
+        return RecordDeparture(heartbeat.target, heartbeat.incarnation)
+
+    def on_departure(self, target: TargetName, now: float) -> RecordDeparture:
+        """Handle a target's deregistration.
 
-    def on_departure(self, target: TargetName, now: float) -> None:
-        """Handle a target's deregistration."""
-        self.fleet.on_departure(target, now)
+        Return the command to commit before it is acknowledged.
+        """
+        incarnation = self.fleet.on_departure(target, now)
         self._effects.append(PushUpdates())
+        return RecordDeparture(target, incarnation)
 
     def on_ask(self, ask: SyncAsk, now: float) -> SyncReply:
         """Return the reply to a relay's sync request.
@@ -351,6 +366,7 @@
         while self._outbox.local:
             message = self._outbox.local.popleft()
             self._receive(self.vm, message, now)
+        self._check_departures()
         self._check_leader(now)
         self._check_holders(now)
         self._check_published(now)
@@ -361,6 +377,12 @@
             if isinstance(effect, (SendPeer, PersistLog))
         )
 
+    def _check_departures(self) -> None:
+        committed = self.replica.departures
+        if committed is not self._last_departures:
+            self._last_departures = committed
+            self.fleet.registry.set_departures(committed)
+
     def _check_holders(self, now: float) -> None:
         committed = self.replica.holders
         if committed == self.fleet.holders.state:
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
@@ -137,7 +137,6 @@
             return SyncReply(link.ask.ask, False, '', 0, NO_AGE_S)
         records = self._records
         is_complete = records.needs_all(link.stamp)
-        removed = () if is_complete else records.removals.since(link.stamp)
         published = view.published
         is_newer = published.version > link.version
         link.replies += 1
@@ -151,7 +150,7 @@
             epoch=self._epoch,
             stamp=records.stamp,
             targets=records.changed_since(link.stamp, now),
-            removed=removed,
+            removed=records.removals.since(link.stamp),
             is_complete=is_complete,
             lots=tuple(link.lots),
             loads=self._loads.changed_since(link.load_stamp),
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_registry.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_registry.py
@@ -1,7 +1,9 @@
 """The leader's registry of targets, maintained by their heartbeats."""
 
+from collections.abc import Iterable
 from typing import Final, NamedTuple
 
+from .._state import Departure
 from .._types import TargetName
 from ._heartbeat import TargetHeartbeat
 from ._removals import RemovalLog
@@ -31,12 +33,23 @@
         self.removals = RemovalLog()
         self._registered: dict[TargetName, RegisteredTarget] = {}
         self._departed: dict[TargetName, tuple[int, float]] = {}
+        self._leaving: dict[TargetName, int] = {}
 
     def reset(self) -> None:
-        """Remove all targets, at the start of a term."""
+        """Remove all targets, at the start of a term.
+
+        Entry VMs may still use targets whose departure the former leader
+        acknowledged, so these count as removed.
+        """
         self._registered.clear()
         self._departed.clear()
         self.removals.reset(self.stamp)
+        for target in self._leaving:
+            self.removals.record(target, self.next_stamp())
+
+    def set_departures(self, departures: Iterable[Departure]) -> None:
+        """Set the incarnations whose departure was committed."""
+        self._leaving = dict(departures)
 
     def get(self, target: TargetName) -> RegisteredTarget | None:
         """Return the registration of a target, if it has one."""
@@ -52,6 +65,7 @@
 
     def record_heartbeat(self, heartbeat: TargetHeartbeat, now: float) -> bool:
         """Record a heartbeat; return whether it is the newest of its target."""
+        heartbeat = self._with_departure(heartbeat)
         departed = self._departed.get(heartbeat.target)
         if departed and heartbeat.incarnation <= departed[0]:
             return False
@@ -71,12 +85,19 @@
         self.removals.forget(heartbeat.target)
         return True
 
-    def remove(self, target: TargetName, now: float) -> None:
-        """Remove a target that deregisters; its late heartbeats are ignored."""
+    def remove(self, target: TargetName, now: float) -> int:
+        """Remove a target that deregisters; its late heartbeats are ignored.
+
+        Return its incarnation, 0 if it is not registered. Entry VMs may know
+        it all the same, from an earlier leader.
+        """
         registered = self._registered.pop(target, None)
-        if registered:
-            self._departed[target] = (registered.heartbeat.incarnation, now)
-            self.removals.record(target, self.next_stamp())
+        self.removals.record(target, self.next_stamp())
+        if registered is None:
+            return 0
+        incarnation = registered.heartbeat.incarnation
+        self._departed[target] = (incarnation, now)
+        return incarnation
 
     def mark_changed(self, target: TargetName) -> None:
         """Give a target a new stamp, since data kept elsewhere has changed."""
@@ -108,6 +129,17 @@
         self.stamp += 1
         return self.stamp
 
+    def has_departure(self, heartbeat: TargetHeartbeat) -> bool:
+        """Return whether the departure of an incarnation was committed."""
+        known = self._leaving.get(heartbeat.target)
+        return known is not None and heartbeat.incarnation <= known
+
+    def _with_departure(self, heartbeat: TargetHeartbeat) -> TargetHeartbeat:
+        """Return a heartbeat, leaving if its incarnation said so before."""
+        if self.has_departure(heartbeat):
+            return heartbeat._replace(leaving=True)
+        return heartbeat
+
     def _resolve_address_conflict(self, heartbeat: TargetHeartbeat) -> bool:
         """Drop older targets at the address; return whether none is newer."""
         for name, other in list(self._registered.items()):
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_controlapi.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_controlapi.py
@@ -12,7 +12,7 @@
     PutConfig,
     SetZoneOut,
 )
-from lovagemast_core.control import ControlNode
+from lovagemast_core.control import ControlNode, RecordDeparture
 
 from .._clock import now_s
 from ..http import Headers, HttpRequest, Responder
@@ -104,11 +104,18 @@
         if not self._node.has_lease(now):
             await responder.send(UNAVAILABLE, RETRY_HEADERS)
             return
+        body = EMPTY_JSON
         if isinstance(call, HeartbeatCall):
-            body = self._handle_heartbeat(call, now)
+            body = self._codec.heartbeat_response(self._cfg.control)
+            departure = self._handle_heartbeat(call, now)
         else:
-            body = self._handle_departure(call, now)
+            departure = self._handle_departure(call, now)
         self._run_effects()
+        if departure and not isinstance(
+            await self._propose(departure), Applied
+        ):
+            await responder.send(UNAVAILABLE, RETRY_HEADERS)
+            return
         await responder.send(OK, JSON_HEADERS, body)
 
     async def _redirect(self, req: HttpRequest, responder: Responder) -> None:
@@ -120,23 +127,22 @@
         location = f'http://{leader}:{port}{req.request_target}'
         await responder.send(REDIRECT, ((b'Location', location.encode()),))
 
-    def _handle_heartbeat(self, call: HeartbeatCall, now: float) -> bytes:
-        if call.heartbeat:
-            known = self._node.fleet.registry.get(call.heartbeat.target)
-            if (
-                known is None
-                or known.heartbeat.leaving != call.heartbeat.leaving
-            ):
-                self._log.write(
-                    'target', 'heartbeat', **call.heartbeat._asdict()
-                )
-            self._node.on_heartbeat(call.heartbeat, now)
-        return self._codec.heartbeat_response(self._cfg.control)
-
-    def _handle_departure(self, call: DepartureCall, now: float) -> bytes:
+    def _handle_heartbeat(
+        self, call: HeartbeatCall, now: float
+    ) -> RecordDeparture | None:
+        heartbeat = call.heartbeat
+        if heartbeat is None:
+            return None
+        known = self._node.fleet.registry.get(heartbeat.target)
+        if known is None or known.heartbeat.leaving != heartbeat.leaving:
+            self._log.write('target', 'heartbeat', **heartbeat._asdict())
+        return self._node.on_heartbeat(heartbeat, now)
+
+    def _handle_departure(
+        self, call: DepartureCall, now: float
+    ) -> RecordDeparture:
         self._log.write('target', 'departed', target=call.target)
-        self._node.on_departure(call.target, now)
-        return EMPTY_JSON
+        return self._node.on_departure(call.target, now)
 
     async def _read_config(self, responder: Responder) -> None:
         call, fut = self._new_call()
@@ -149,11 +155,8 @@
         await responder.send(OK, JSON_HEADERS, published.document.encode())
 
     async def _commit(self, command: Command, responder: Responder) -> None:
-        call, fut = self._new_call()
         started_at = now_s()
-        self._node.propose(call, command, started_at)
-        self._run_effects()
-        outcome = await fut
+        outcome = await self._propose(command)
         status = _status_of(outcome)
         self._metrics.record_change(now_s() - started_at)
         fields = command._asdict()
@@ -168,6 +171,13 @@
         )
         await responder.send(status, JSON_HEADERS, EMPTY_JSON)
 
+    async def _propose(self, command: Command | RecordDeparture) -> object:
+        """Propose a command and return its outcome."""
+        call, fut = self._new_call()
+        self._node.propose(call, command, now_s())
+        self._run_effects()
+        return await fut
+
     def _new_call(self) -> tuple[int, 'asyncio.Future[object]']:
         self._next_call += 1
         fut: asyncio.Future[object] = asyncio.get_running_loop().create_future()
