--- a/packages/lovagemast-core/src/lovagemast_core/control/_node.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_node.py
@@ -366,7 +366,7 @@
         while self._outbox.local:
             message = self._outbox.local.popleft()
             self._receive(self.vm, message, now)
-        self._check_departures()
+        self._check_departures(now)
         self._check_leader(now)
         self._check_holders(now)
         self._check_published(now)
@@ -377,11 +377,11 @@
             if isinstance(effect, (SendPeer, PersistLog))
         )
 
-    def _check_departures(self) -> None:
+    def _check_departures(self, now: float) -> None:
         committed = self.replica.departures
         if committed is not self._last_departures:
             self._last_departures = committed
-            self.fleet.registry.set_departures(committed)
+            self.fleet.registry.set_departures(committed, now)
 
     def _check_holders(self, now: float) -> None:
         committed = self.replica.holders
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_registry.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_registry.py
@@ -9,7 +9,14 @@
 from ._removals import RemovalLog
 
 TARGET_TIMEOUT_S: Final = 4.5  # three missed heartbeats
-DEPARTURE_RETENTION_S: Final = 30.0  # late heartbeats are ignored until then
+# For this long after a departure, heartbeats of that incarnation count as late.
+# Those that come later show that another incarnation's departure was late.
+DEPARTURE_RETENTION_S: Final = 30.0
+
+
+class _Departed(NamedTuple):
+    incarnation: int
+    learned_at: float  # s
 
 
 class RegisteredTarget(NamedTuple):
@@ -32,8 +39,8 @@
         self.stamp = 0
         self.removals = RemovalLog()
         self._registered: dict[TargetName, RegisteredTarget] = {}
-        self._departed: dict[TargetName, tuple[int, float]] = {}
-        self._leaving: dict[TargetName, int] = {}
+        self._departed: dict[TargetName, _Departed] = {}
+        self._leaving: dict[TargetName, _Departed] = {}
 
     def reset(self) -> None:
         """Remove all targets, at the start of a term.
@@ -47,9 +54,17 @@
         for target in self._leaving:
             self.removals.record(target, self.next_stamp())
 
-    def set_departures(self, departures: Iterable[Departure]) -> None:
+    def set_departures(
+        self, departures: Iterable[Departure], now: float
+    ) -> None:
         """Set the incarnations whose departure was committed."""
-        self._leaving = dict(departures)
+        former = self._leaving
+        self._leaving = {}
+        for target, incarnation in departures:
+            known = former.get(target)
+            if known is None or known.incarnation != incarnation:
+                known = _Departed(incarnation, now)
+            self._leaving[target] = known
 
     def get(self, target: TargetName) -> RegisteredTarget | None:
         """Return the registration of a target, if it has one."""
@@ -65,9 +80,9 @@
 
     def record_heartbeat(self, heartbeat: TargetHeartbeat, now: float) -> bool:
         """Record a heartbeat; return whether it is the newest of its target."""
-        heartbeat = self._with_departure(heartbeat)
+        heartbeat = self._with_departure(heartbeat, now)
         departed = self._departed.get(heartbeat.target)
-        if departed and heartbeat.incarnation <= departed[0]:
+        if departed and heartbeat.incarnation <= departed.incarnation:
             return False
         registered = self._registered.get(heartbeat.target)
         if registered and not _is_newer(heartbeat, registered.heartbeat):
@@ -96,7 +111,7 @@
         if registered is None:
             return 0
         incarnation = registered.heartbeat.incarnation
-        self._departed[target] = (incarnation, now)
+        self._departed[target] = _Departed(incarnation, now)
         return incarnation
 
     def mark_changed(self, target: TargetName) -> None:
@@ -120,7 +135,7 @@
         self._departed = {
             name: departed
             for name, departed in self._departed.items()
-            if now - departed[1] < DEPARTURE_RETENTION_S
+            if now - departed.learned_at < DEPARTURE_RETENTION_S
         }
         return expired
 
@@ -132,13 +147,17 @@
     def has_departure(self, heartbeat: TargetHeartbeat) -> bool:
         """Return whether the departure of an incarnation was committed."""
         known = self._leaving.get(heartbeat.target)
-        return known is not None and heartbeat.incarnation <= known
+        return known is not None and heartbeat.incarnation <= known.incarnation
 
-    def _with_departure(self, heartbeat: TargetHeartbeat) -> TargetHeartbeat:
+    def _with_departure(
+        self, heartbeat: TargetHeartbeat, now: float
+    ) -> TargetHeartbeat:
         """Return a heartbeat, leaving if its incarnation said so before."""
-        if self.has_departure(heartbeat):
-            return heartbeat._replace(leaving=True)
-        return heartbeat
+        if not self.has_departure(heartbeat):
+            return heartbeat
+        learned_at = self._leaving[heartbeat.target].learned_at
+        is_late = now - learned_at < DEPARTURE_RETENTION_S
+        return heartbeat._replace(leaving=heartbeat.leaving or is_late)
 
     def _resolve_address_conflict(self, heartbeat: TargetHeartbeat) -> bool:
         """Drop older targets at the address; return whether none is newer."""
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -152,6 +152,19 @@
     assert receiver.usable() == ['t1', 't2']
 
 
+def test_late_departure_of_an_earlier_incarnation(
+    cluster: Cluster, receiver: Receiver
+) -> None:
+    """A target whose name deregistered late is used again after a while."""
+    announce_deregistered(cluster)
+    cluster.run(0.1)
+    for _second in range(32):
+        cluster.send_heartbeats('t1', 't2')
+        cluster.run(1.0)
+    receiver.sync()
+    assert receiver.usable() == ['t1', 't2']
+
+
 def test_new_leader_that_lacks_the_target(
     cluster: Cluster, receiver: Receiver
 ) -> None:
