Ignore a relay that knows less than the entry VM, until it catches up

Callers could see: after an entry VM has changed its relay, requests go to a target that has left (DRAIN), or leave one out that is there.

Cause: the first reply of another relay is a complete list in a sequence of its own, and replaced records whatever its age. A relay that has lost the leader is kept for MIN_STAY_S, so for 1 s and more older records undid newer ones. Configurations were safe: their version only rises. Class: state that goes back when its source changes; the same check covers a relay whose leader changes, where the epoch is the term.

Change: a reply of another sequence is applied only if a quorum confirmed it later than what the view has. Until then the entry VM keeps what it knows, and each request asks for all records.

Test: both new cases of test_targets.py::TestView failed before.

--- a/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
@@ -64,12 +64,16 @@
         ``asked_at`` is when the sync request that the reply names was sent: the
         configuration counts as confirmed at that time, less the quorum's
         age. Replies of an earlier term are ignored: they come from a leader
-        that has not noticed yet that it was replaced.
+        that has not noticed yet that it was replaced. So are those of
+        another relay that knows less than this view, until it has caught up:
+        its records would undo newer ones.
         """
         if reply.term < self.term:
             return False
-        is_newer = self._apply_published(reply.published, now)
         confirmed = asked_at - max(0.0, reply.quorum_age_s)
+        if reply.epoch != self.epoch and confirmed < self.confirmed_at:
+            return False
+        is_newer = self._apply_published(reply.published, now)
         self.confirmed_at = max(self.confirmed_at, confirmed)
         self.term = reply.term
         if reply.epoch != self.epoch:
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -200,3 +200,36 @@
         view.apply(older, 9.0, 9.0)
         assert view.targets['t1'].record.leaving
         assert view.age(9.0) > 7.0
+
+    def test_other_relay_does_not_undo_a_departure(self) -> None:
+        """A relay that knows less than the view is ignored until it catches up.
+
+        It has lost the leader, or has not had its latest changes yet.
+        """
+        view = FleetView()
+        leaving = make_record('t1')._replace(leaving=True)
+        newer = make_reply(epoch=5, stamp=9, targets=(leaving,))
+        view.apply(newer, 10.0, 10.0)
+        stale = make_reply(
+            epoch=6,
+            quorum_age_s=0.9,
+            stamp=4,
+            targets=(make_record('t1'), make_record('t2')),
+            is_complete=True,
+        )
+        view.apply(stale, 10.5, 10.5)
+        assert view.targets['t1'].record.leaving
+        assert set(view.targets) == {'t1'}
+        assert view.epoch == 5
+
+    def test_other_relay_is_used_once_it_caught_up(self) -> None:
+        """A relay is asked for all records until one reply is applied."""
+        view = FleetView()
+        first = make_reply(epoch=5, stamp=9, targets=(make_record('t1'),))
+        view.apply(first, 10.0, 10.0)
+        other = make_reply(epoch=6, targets=(make_record('t2'),), stamp=4)
+        view.apply(other._replace(quorum_age_s=0.9), 10.5, 10.5)
+        assert view.epoch == 5
+        view.apply(other._replace(quorum_age_s=0.2), 10.7, 10.7)
+        assert view.epoch == 6
+        assert set(view.targets) == {'t1', 't2'}
