Check a chosen target again when the request is sent

Callers could see: a request reaches a target that left, whose zone was taken out, or that started anew, while a connection to it was being opened (up to 0.2 s; DRAIN, EVAC).

Cause: the choice was made before the connection; only API keys were checked again at the moment of sending. Class: a decision that is used later than it was made.

Test: the three cases of test_calls.py::TestChosenTarget failed before.

--- a/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
@@ -123,6 +123,15 @@
         newest, since = self._newest.get((model, adapter), (0, 0.0))
         return newest if now - since > VERSION_GRACE_S else max(0, newest - 1)
 
+    def may_use(self, chosen: KnownTarget) -> bool:
+        """Return whether a target that was chosen before may still be used."""
+        current = self.targets.get(chosen.record.target)
+        if current is None or current.record.leaving:
+            return False
+        if current.record.incarnation != chosen.record.incarnation:
+            return False
+        return not self.zone_is_out(current.record.zone)
+
     def drop(self, target: TargetName) -> None:
         """Remove a target that is gone or turned out to be another one."""
         self.targets.pop(target, None)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -119,6 +119,10 @@
             return AttemptResult(
                 AttemptOutcome.NOT_RUN, 'keys could not be confirmed'
             )
+        if not state.view.may_use(self._candidate.known):
+            return AttemptResult(
+                AttemptOutcome.NOT_RUN, 'the target has left meanwhile'
+            )
         state.cold.record_request(self._target, now)
         self.may_have_run = True
         self._reserve_prefill()
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import pytest
 from lovagemast_core import PublishedState
@@ -14,6 +15,7 @@
     RouteSpec,
     Split,
 )
+from lovagemast_core.entry import FleetView
 from lovagemast_core.quota import QuotaBounds
 from lovagemast_core.targets import SyncReply, TargetRecord
 from lovagemast_node._clock import now_s
@@ -22,10 +24,13 @@
 from lovagemast_node.fleet._jsonlog import JsonLog
 from lovagemast_node.fleet._requesthandler import RequestHandler
 from lovagemast_node.http import (
+    ConnectFailed,
     HttpRequest,
     HttpServer,
     Responder,
     ServerLimits,
+    TargetConnection,
+    TargetPool,
 )
 from lovagemast_platform._entry import PlatformEntryCodec
 
@@ -76,6 +81,7 @@
     """A target that runs the same script for each request."""
 
     def __init__(self, script: Script) -> None:
+        self.connections = 0
         self.requests = 0
         self._script = script
 
@@ -89,6 +95,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
+        self.connections += 1
         try:
             await reader.readuntil(b'\r\n\r\n')
         except asyncio.IncompleteReadError:
@@ -131,12 +138,15 @@
     key: bytes = b'k1',
     path: str = '/x/a',
     age_s: float = 0.0,
+    prepare: Callable[[EntryState], None] = lambda _state: None,
 ) -> int:
     """Return the status that a client gets from an entry VM.
 
     The VM knows the targets; the leader confirmed its view ``age_s`` ago.
+    ``prepare`` may change the VM's state before the request.
     """
     state = EntryState(CFG, PlatformEntryCodec(), JsonLog('e1'), lambda: None)
+    prepare(state)
     records = [
         TargetRecord(
             f't{number}',
@@ -173,6 +183,72 @@
     return int(line.split()[1])
 
 
+class SlowPool(TargetPool):
+    """Connections that take until the view has changed.
+
+    The target at the address of the first one changes as ``change`` says, or
+    is removed without it.
+    """
+
+    def __init__(self, view: FleetView, change: dict[str, Any]) -> None:
+        super().__init__()
+        self._view = view
+        self._change = change
+        self._is_changed = False
+
+    async def acquire(
+        self,
+        address: str,
+        *,
+        fresh: bool,
+        timeout_s: float,
+        now: float,
+    ) -> TargetConnection | ConnectFailed:
+        """Open a connection, and change the view meanwhile."""
+        conn = await super().acquire(
+            address, fresh=fresh, timeout_s=timeout_s, now=now
+        )
+        if not self._is_changed:
+            self._is_changed = True
+            self._change_target(address)
+        return conn
+
+    def _change_target(self, address: str) -> None:
+        record = next(
+            known.record
+            for known in self._view.targets.values()
+            if known.record.address == address
+        )
+        reply = SyncReply(2, True, 'c', 1, 0.0)
+        if self._change:
+            changed = record._replace(**self._change)
+            reply = reply._replace(targets=(changed,))
+        else:
+            reply = reply._replace(removed=(record.target,))
+        self._view.apply(reply, now_s(), now_s())
+
+
+class TestChosenTarget:
+    @pytest.mark.parametrize(
+        'change', [{'leaving': True}, {'incarnation': 2}, {}]
+    )
+    def test_target_leaves_while_it_is_connected(
+        self, change: dict[str, Any]
+    ) -> None:
+        """A request is not sent to a target that left after it was chosen."""
+
+        def prepare(state: EntryState) -> None:
+            state.pool = SlowPool(state.view, change)
+
+        targets = [ScriptedTarget(GOOD), ScriptedTarget(GOOD)]
+        status = asyncio.run(
+            status_of(CallKind.UNSAFE, targets, prepare=prepare)
+        )
+        assert status == 200
+        assert sorted(target.requests for target in targets) == [0, 1]
+        assert targets[0].connections == targets[1].connections == 1
+
+
 class TestEnds:
     @pytest.mark.parametrize(
         ('kind', 'script', 'status', 'max_sends'),
