--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -115,14 +115,9 @@
     ) -> AttemptResult:
         state = self._state
         now = now_s()
-        if self._admitted.account and not state.are_keys_confirmed(now):
-            return AttemptResult(
-                AttemptOutcome.NOT_RUN, 'keys could not be confirmed'
-            )
-        if not state.view.may_use(self._candidate.known):
-            return AttemptResult(
-                AttemptOutcome.NOT_RUN, 'the target has left meanwhile'
-            )
+        obstacle = self._check_send(now)
+        if obstacle:
+            return AttemptResult(AttemptOutcome.NOT_RUN, obstacle)
         state.cold.record_request(self._target, now)
         self.may_have_run = True
         self._reserve_prefill()
@@ -152,6 +147,14 @@
             return self._fail('not the answer of the target')
         return await self._relay_response(conn, event)
 
+    def _check_send(self, now: float) -> str:
+        """Return what forbids to send the request now, empty if nothing."""
+        if self._admitted.account and not self._state.are_keys_confirmed(now):
+            return 'keys could not be confirmed'
+        if not self._state.view.may_use(self._candidate.known):
+            return 'the target has left meanwhile'
+        return ''
+
     def _reserve_prefill(self) -> None:
         if self._admitted.pool.engine:
             self._prefill_tokens = self._admitted.metadata.prompt_tokens
