--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
@@ -203,6 +203,7 @@
             label=str(candidate.label) if candidate.label else '',
             detail=result.detail,
             sends=self.sends,
+            age_s=round(self._state.view.age(chosen_at), 3),
             revision=self._state.view.published.revision,
             **self._timings(chosen_at),
         )
