Learn which prompt parts crash targets, and quarantine them

Cause: nothing attributed a crash to what ran there. Each entry VM sent such requests on, and repeated them at another target. Only repeats of one request were bounded.

Change: core/quarantine. A confirmed crash implicates the parts of requests without an answer; answers clear; suspects are sent as trials, one at a time in the fleet; three crashes, one of them in a trial, quarantine a part. The table is replicated, and pushed through relays. Checked at arrival, while waiting and at the moment of each send, for repeats too.

--- a/packages/lovagemast-core/src/lovagemast_core/_commands.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_commands.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from .agreement._roster import Roster
+from .quarantine._state import ClearParts, PartCrash, StartTrial
 
 
 class ApplyConfig(NamedTuple):
@@ -122,6 +123,9 @@
     | ReportCrash
     | SetHolders
     | RecordDeparture
+    | PartCrash
+    | ClearParts
+    | StartTrial
     | SetVoters
     | NoOp
 )
--- a/packages/lovagemast-core/src/lovagemast_core/_state.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_state.py
@@ -28,6 +28,15 @@
     SetZoneOut,
 )
 from .agreement._roster import Roster, find_entry, without_vm
+from .quarantine._state import (
+    ClearParts,
+    PartCrash,
+    QuarantineState,
+    StartTrial,
+    clear_parts,
+    record_crash,
+    start_trial,
+)
 
 MAX_STORED_OPERATIONS: Final = 20_000
 CLAIM_RETENTION_S: Final = 86_400.0
@@ -127,6 +136,7 @@
     suspicions: tuple[Suspicion, ...] = ()
     holders: HolderState = HolderState()
     departures: tuple[Departure, ...] = ()  # oldest first
+    quarantine: QuarantineState = QuarantineState()
 
 
 class ReplicatedState:
@@ -136,6 +146,7 @@
         self.published = PublishedState()
         self.holders = HolderState()
         self.departures: tuple[Departure, ...] = ()  # oldest first
+        self.quarantine = QuarantineState()
         self._operations: dict[str, Operation] = {}
         self._claims: dict[str, Claim] = {}
         self._suspicions: dict[str, Suspicion] = {}
@@ -151,6 +162,9 @@
             ReportCrash: self._report_crash,
             SetHolders: self._set_holders,
             RecordDeparture: self._record_departure,
+            PartCrash: self._record_part_crash,
+            ClearParts: self._clear_parts,
+            StartTrial: self._start_trial,
         }
 
     def apply(self, command: Command) -> Outcome:
@@ -169,6 +183,7 @@
             tuple(self._suspicions.values()),
             self.holders,
             self.departures,
+            self.quarantine,
         )
 
     def restore(self, snapshot: StateSnapshot) -> None:
@@ -176,6 +191,7 @@
         self.published = snapshot.published
         self.holders = snapshot.holders
         self.departures = snapshot.departures
+        self.quarantine = snapshot.quarantine
         self._operations = {
             operation.op_id: operation for operation in snapshot.operations
         }
@@ -293,6 +309,18 @@
         self.departures = (*others, newest)[-MAX_DEPARTURES:]
         return Applied(self.published.revision)
 
+    def _record_part_crash(self, command: PartCrash) -> Outcome:
+        self.quarantine = record_crash(self.quarantine, command)
+        return Applied(self.published.revision)
+
+    def _clear_parts(self, command: ClearParts) -> Outcome:
+        self.quarantine = clear_parts(self.quarantine, command)
+        return Applied(self.published.revision)
+
+    def _start_trial(self, command: StartTrial) -> Outcome:
+        self.quarantine = start_trial(self.quarantine, command)
+        return Applied(self.published.revision)
+
     def _claim(self, command: ClaimCall) -> Outcome:
         self._expire_claims(command.at)
         known = self._claims.get(command.claim)
--- a/packages/lovagemast-core/src/lovagemast_core/_types.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_types.py
@@ -9,6 +9,7 @@
 TargetName = str
 RequestId = str
 AttemptId = str
+PromptPart = str  # the id of a part that prompts share
 
 
 class Reason(StrEnum):
--- a/packages/lovagemast-core/src/lovagemast_core/agreement/_replica.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_replica.py
@@ -21,6 +21,7 @@
 from .._outbox import Outbox
 from .._state import Departure, HolderState, PublishedState
 from .._types import VmName
+from ..quarantine._state import QuarantineState
 from ._election import DEFAULT_TIMING, Election, Timing
 from ._follower import Follower
 from ._replicastate import (
@@ -97,6 +98,11 @@
         """Return the order holders according to the state machine."""
         return self._state.state_machine.holders
 
+    @property
+    def quarantine(self) -> QuarantineState:
+        """Return the suspected and quarantined prompt parts."""
+        return self._state.state_machine.quarantine
+
     @property
     def departures(self) -> tuple[Departure, ...]:
         """Return the targets that have left, oldest first."""
--- a/packages/lovagemast-core/src/lovagemast_core/control/_effects.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_effects.py
@@ -7,6 +7,7 @@
 from .._state import PublishedState
 from .._types import TargetName, VmName
 from ..adapters import Order, OrderOutcome
+from ..quarantine import QuarantineState
 
 
 class CommandDone(NamedTuple):
@@ -58,6 +59,13 @@
     former: int  # former lists whose orders may still arrive
 
 
+class QuarantineChanged(NamedTuple):
+    """Prompt parts were suspected, quarantined, tried or cleared."""
+
+    before: QuarantineState
+    after: QuarantineState
+
+
 class RelayFailed(NamedTuple):
     """A holder did not send a relayed order, or did not report its outcome."""
 
@@ -74,5 +82,6 @@
     | PushUpdates
     | LeaderChanged
     | HoldersNoticed
+    | QuarantineChanged
     | RelayFailed
 )
--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -12,6 +12,7 @@
     TargetReport,
 )
 from ..deployment import DeploymentIndex
+from ..quarantine import QuarantineController
 from ..quota import ISSUE_LEASE_S, QuotaBounds, TokenIssuer
 from ..targets import (
     RegisteredTarget,
@@ -78,6 +79,7 @@
         self._records: dict[TargetName, _CachedRecord] = {}
         self._index: DeploymentIndex | None = None
         self._published = PublishedState()
+        self.quarantine = QuarantineController()
 
     @property
     def term(self) -> int:
@@ -101,6 +103,7 @@
         self.registry.reset()
         self.planner.reset()
         self.issuer.reset()
+        self.quarantine.start_term(now)
         self._relays.clear()
 
     def apply_published(
@@ -196,6 +199,7 @@
             orders_in_s=max(0.0, self._orders_allowed_at - now),
             rank=ranked.index(ask.vm) if ask.vm in self._relays else 0,
             relays=tuple(RelayInfo(vm, self._relays[vm].zone) for vm in ranked),
+            quarantine=self.quarantine.newer_than(ask.quarantine),
         )
 
     def expire(self, now: float) -> list[TargetName]:
--- a/packages/lovagemast-core/src/lovagemast_core/control/_node.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_node.py
@@ -31,6 +31,7 @@
     HoldersNoticed,
     LeaderChanged,
     PushUpdates,
+    QuarantineChanged,
     RelayFailed,
     RequestReport,
     SendOrder,
@@ -217,6 +218,7 @@
                 term=self.replica.term,
                 quorum_age_s=UNCONFIRMED_AGE_S,
             )
+        self._handle_part_reports(ask, now)
         reply = self.fleet.on_ask(ask, self.quorum_age(now), now)
         self._schedule_plan(now)
         return reply
@@ -257,6 +259,7 @@
     def _step(self, now: float) -> None:
         if self.is_ready_leader():
             self._maintain_holders(now)
+            self._expire_quarantine(now)
             if self.fleet.expire(now):
                 self._effects.append(PushUpdates())
             for engine in self.fleet.planner.reports_due(now):
@@ -270,6 +273,20 @@
             self._outbox.send(self.leader, RelayHello(now))
         self._outbox.call_at(now + STEP_INTERVAL_S, self._step)
 
+    def _handle_part_reports(self, ask: SyncAsk, now: float) -> None:
+        commands = self.fleet.quarantine.on_reports(
+            ask.crashes, ask.answered, ask.trials, now
+        )
+        for command in commands:
+            self.replica.propose(command, now)
+        if commands:
+            self._finish_step(now)
+
+    def _expire_quarantine(self, now: float) -> None:
+        command = self.fleet.quarantine.expire(now)
+        if command:
+            self.replica.propose(command, now)
+
     def _maintain_holders(self, now: float) -> None:
         """Propose changes of the holders and time out relayed orders."""
         self.fleet.health.record_contact(self.vm, now)
@@ -367,6 +384,7 @@
             message = self._outbox.local.popleft()
             self._receive(self.vm, message, now)
         self._check_departures(now)
+        self._check_quarantine(now)
         self._check_leader(now)
         self._check_holders(now)
         self._check_published(now)
@@ -383,6 +401,16 @@
             self._last_departures = committed
             self.fleet.registry.set_departures(committed, now)
 
+    def _check_quarantine(self, now: float) -> None:
+        committed = self.replica.quarantine
+        known = self.fleet.quarantine.state
+        if committed.version <= known.version:
+            return
+        self.fleet.quarantine.update(committed, now)
+        self._effects.append(QuarantineChanged(known, committed))
+        if self.is_ready_leader():
+            self._effects.append(PushUpdates())
+
     def _check_holders(self, now: float) -> None:
         committed = self.replica.holders
         if committed == self.fleet.holders.state:
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
@@ -7,6 +7,7 @@
 from .._types import TargetName, ZoneName
 from ..adapters import AdapterLabel
 from ..deployment import DeploymentIndex
+from ..quarantine import QuarantineState
 from ..targets import RelayInfo, SyncReply, TargetRecord
 from ._targetindex import TargetIndex
 
@@ -37,6 +38,7 @@
 
     def __init__(self) -> None:
         self.published = PublishedState()
+        self.quarantine = QuarantineState()
         self.index: DeploymentIndex | None = None
         self.targets: dict[TargetName, KnownTarget] = {}
         self.confirmed_at = NEVER  # s
@@ -68,6 +70,7 @@
         another relay that knows less than this view, until it has caught up:
         its records would undo newer ones.
         """
+        self._apply_quarantine(reply.quarantine)
         if reply.term < self.term:
             return False
         confirmed = asked_at - max(0.0, reply.quorum_age_s)
@@ -152,6 +155,10 @@
             if known.record.pool == pool:
                 yield known
 
+    def _apply_quarantine(self, state: QuarantineState | None) -> None:
+        if state and state.version > self.quarantine.version:
+            self.quarantine = state
+
     def _apply_published(
         self,
         published: PublishedState | None,
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_entries.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_entries.py
@@ -22,6 +22,7 @@
         self.stamp = 0  # of the records that it was sent
         self.load_stamp = 0  # of the loads that it was sent
         self.version = 0  # of the published state that it was sent
+        self.quarantine = 0  # version of the quarantine state that it was sent
         self.replies = 0
         self.lots: list[TokenLot] = []  # granted and not sent yet
 
@@ -34,6 +35,7 @@
         holds = ask.stamp if ask.epoch == epoch else 0
         self.stamp = max(self.stamp, holds) if holds else 0
         self.version = max(self.version, ask.version)
+        self.quarantine = max(self.quarantine, ask.quarantine)
         self.ask = ask
         self.asked_at = now
 
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
@@ -12,6 +12,7 @@
 from .._types import VmName, ZoneName
 from ..adapters import AdapterLabel
 from ..entry import FleetView
+from ..quarantine import PartReports, TrialWish
 from ..targets import SyncAsk, SyncReply
 from ._entries import ConnectedEntries, EntryLink
 from ._loads import RelayedLoads
@@ -42,6 +43,8 @@
         self._loads = RelayedLoads()
         self._entries = ConnectedEntries()
         self._tokens = TokenSplitter()
+        self._reports = PartReports()
+        self._trials: dict[TrialWish, None] = {}
         self._uses_sent_at = float('-inf')
 
     def build_ask(self, number: int, now: float) -> SyncAsk:
@@ -64,11 +67,16 @@
             shut=self._entries.unreachable(),
             entries=len(self._entries),
             has_uses=has_uses,
+            quarantine=self.view.quarantine.version,
+            crashes=self._reports.crashes(number),
+            answered=self._reports.answered(number),
+            trials=self._take_trials(),
         )
 
     def on_reply(self, reply: SyncReply, asked_at: float, now: float) -> None:
         """Apply the leader's reply to the request sent at ``asked_at``."""
         self.view.apply(reply, asked_at, now)
+        self._reports.on_reply(reply.ask)
         self._note_adapters(self._records.update(self.view.targets))
         self._loads.update(reply.loads)
         if reply.removed or reply.is_complete:
@@ -87,6 +95,9 @@
             self._tokens.remove(ask.vm)
         for text in ask.missing:
             self._records.dispute(text.partition(' ')[0])
+        self._reports.add_crashes(ask.crashes)
+        self._reports.add_answered(ask.answered)
+        self._trials.update(dict.fromkeys(ask.trials))
         link = self._entries.record_ask(session, ask, self._epoch, now)
         self._tokens.set_wishes(ask.vm, ask.tokens, ask.seen, now)
         self._grant_tokens(now)
@@ -103,6 +114,8 @@
         """Return whether the leader should be asked at once."""
         if ask.missing or any(wish.waiting for wish in ask.wishes):
             return True
+        if ask.crashes or ask.answered or ask.trials:
+            return True
         return self._tokens.needs_tokens()
 
     def pushes_due(self, now: float) -> list[VmName]:
@@ -139,6 +152,8 @@
         is_complete = records.needs_all(link.stamp)
         published = view.published
         is_newer = published.version > link.version
+        quarantine = view.quarantine
+        has_quarantine = quarantine.version > link.quarantine
         link.replies += 1
         reply = SyncReply(
             link.ask.ask,
@@ -160,6 +175,7 @@
             rank=self._fleet_rank(vm),
             relays=view.relays,
             number=link.replies,
+            quarantine=quarantine if has_quarantine else None,
         )
         self._tokens.record_grant(vm, link.lots, link.replies, now)
         link.lots = []
@@ -168,8 +184,14 @@
         link.stamp = records.stamp
         link.load_stamp = self._loads.stamp
         link.version = max(link.version, published.version)
+        link.quarantine = max(link.quarantine, quarantine.version)
         return reply
 
+    def _take_trials(self) -> tuple[TrialWish, ...]:
+        trials = tuple(self._trials)
+        self._trials.clear()
+        return trials
+
     def _fleet_rank(self, vm: VmName) -> int:
         """Return an entry VM's rank among those of all relays.
 
@@ -194,6 +216,8 @@
     def _is_urgent(self, link: EntryLink) -> bool:
         if link.version < self.view.published.version:
             return True
+        if link.quarantine < self.view.quarantine.version:
+            return True
         if link.stamp < self._records.left_stamp:
             return True
         return bool(link.lots) or link.has_adapter
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
@@ -8,7 +8,8 @@
 from typing import NamedTuple
 
 from .._state import PublishedState
-from .._types import AccountName, TargetName, VmName, ZoneName
+from .._types import AccountName, PromptPart, TargetName, VmName, ZoneName
+from ..quarantine._state import PartCrash, QuarantineState, TrialWish
 
 
 class TokenWish(NamedTuple):
@@ -51,9 +52,10 @@
 class SyncAsk(NamedTuple):
     """The sync request of an entry VM to a relay, or of a relay to the leader.
 
-    ``missing`` lists adapters that targets turned out to lack, each in the
-    form ``target label``. A relay omits ``uses`` from most of its requests;
-    the last ones stay valid then.
+    ``crashes`` and ``answered`` report on prompt parts, and are repeated
+    until a reply has arrived. ``missing`` lists adapters that targets turned
+    out to lack, each in the form ``target label``. A relay omits ``uses`` from
+    most of its requests; the last ones stay valid then.
     """
 
     ask: int  # increases with each request of a connection
@@ -71,6 +73,10 @@
     entries: int = 1  # entry VMs that the sender speaks for
     seen: int = 0  # ``number`` of the newest reply received on the connection
     has_uses: bool = True
+    quarantine: int = 0  # version of the quarantine state that it holds
+    crashes: tuple[PartCrash, ...] = ()
+    answered: tuple[PromptPart, ...] = ()  # suspected parts
+    trials: tuple[TrialWish, ...] = ()
 
 
 class RelayInfo(NamedTuple):
@@ -151,3 +157,4 @@
     relays: tuple[RelayInfo, ...] = ()
     number: int = 0  # of this reply on its connection
     is_push: bool = False  # sent because of a change, not of a request
+    quarantine: QuarantineState | None = None
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -5,6 +5,7 @@
 
 from lovagemast_core.deployment import CallKind
 from lovagemast_core.entry import Candidate
+from lovagemast_core.quarantine import PartStatus
 
 from .._clock import now_s
 from ..http import (
@@ -21,6 +22,7 @@
 from ._admission import AdmittedRequest
 from ._codec import TargetRequestMetadata, TargetResponseMetadata
 from ._entrystate import EntryState
+from ._promptcheck import PromptCheck
 from ._relay import ResponseRelay
 
 TARGET_CONNECT_TIMEOUT_S: Final = 0.2
@@ -61,14 +63,17 @@
         admitted: AdmittedRequest,
         candidate: Candidate,
         relay: ResponseRelay,
+        prompt: PromptCheck,
     ) -> None:
         self._state = state
         self._admitted = admitted
         self._candidate = candidate
         self._relay = relay
+        self._prompt = prompt
         self._target = candidate.known.record.target
         self._prefill_tokens = 0.0  # counted against the target's limit
         self.may_have_run = False
+        self._has_answer = False  # has begun to answer
 
     async def run(self, *, is_last_attempt: bool) -> AttemptResult:
         """Send the request and relay the response to the caller.
@@ -126,9 +131,10 @@
             self._admitted.metadata.request_id.encode('latin-1'),
             state.codec.id_header,
         )
+        self._prompt.begin()
         event = await conn.next_event()
         if not isinstance(event, ResponseHead):
-            return self._on_incomplete(event)
+            return await self._on_incomplete(event)
         response = state.codec.decode_response_head(event)
         if response.running is not None:
             requests = response.running + (response.waiting or 0)
@@ -153,6 +159,8 @@
             return 'keys could not be confirmed'
         if not self._state.view.may_use(self._candidate.known):
             return 'the target has left meanwhile'
+        if self._prompt.verdict().status is not PartStatus.FREE:
+            return 'a part of its prompt is suspected'
         return ''
 
     def _reserve_prefill(self) -> None:
@@ -195,15 +203,25 @@
         line = f'{admitted.req.method} {admitted.req.request_target} HTTP/1.1'
         return encode_head(line, headers) + admitted.req.body
 
-    def _on_incomplete(self, event: object) -> AttemptResult:
-        self._state.health.record_failure(self._target, now_s())
-        outcome = (
-            AttemptOutcome.BROKEN
-            if self._relay.started
-            else AttemptOutcome.FAILED
-        )
+    async def _on_incomplete(self, event: object) -> AttemptResult:
         detail = event.detail if isinstance(event, ResponseFailed) else 'ended'
-        return AttemptResult(outcome, detail)
+        result = self._fail(detail)
+        await self._report_lost()
+        return result
+
+    async def _report_lost(self) -> None:
+        """Report a connection that ended before the answer began."""
+        if self._has_answer:
+            return
+        record = self._candidate.known.record
+        await self._prompt.record_lost(
+            record.target, record.incarnation, record.address
+        )
+
+    def _record_answer(self) -> None:
+        if not self._has_answer:
+            self._has_answer = True
+            self._prompt.record_answer()
 
     def _fail(self, detail: str) -> AttemptResult:
         self._state.health.record_failure(self._target, now_s())
@@ -221,6 +239,7 @@
         state = self._state
         label = self._candidate.label
         self.may_have_run = False
+        self._prompt.record_not_run()
         if not response.other_target:
             state.health.record_rejection(self._target, FULL_BACKOFF_S, now_s())
         elif label and label.adapter:
@@ -244,7 +263,7 @@
         else:
             failure = await self._relay_body(conn, head)
         if failure:
-            return self._fail(failure.detail)
+            return await self._on_incomplete(failure)
         if head.status < STATUS_SERVER_ERROR:
             self._state.health.record_success(self._target, now_s())
         if is_stream and self._admitted.route.gap_s:
@@ -266,6 +285,7 @@
                 if len(body) > MAX_BODY_BYTES:
                     return ResponseFailed('the body is too long')
             elif isinstance(event, ResponseEnd):
+                self._record_answer()
                 await self._relay.relay_body(head, bytes(body))
                 return None
             elif isinstance(event, ResponseFailed):
@@ -280,16 +300,21 @@
         while True:
             event = await conn.next_event()
             if isinstance(event, ResponseData):
-                self._release_prefill()
-                await self._relay.relay_events(head, event.chunk)
+                await self._relay_chunk(head, event.chunk)
                 if self._relay.partial_bytes > MAX_EVENT_BYTES:
                     return ResponseFailed('an event is too long')
             elif isinstance(event, ResponseEnd):
+                self._record_answer()
                 await self._relay.end_stream(head)
                 return None
             elif isinstance(event, ResponseFailed):
                 return event
 
+    async def _relay_chunk(self, head: ResponseHead, chunk: bytes) -> None:
+        self._release_prefill()
+        if await self._relay.relay_events(head, chunk):
+            self._record_answer()
+
 
 def _is_from_target(response: TargetResponseMetadata) -> bool:
     return response.stamped and not response.encoded
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_codec.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_codec.py
@@ -25,6 +25,7 @@
     tokens: float | None  # prompt and maximum output together
     prompt_tokens: float
     last_event_id: str
+    parts: tuple[str, ...] = ()  # of the prompt, but for its own last part
 
 
 class TargetResponseMetadata(NamedTuple):
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -21,6 +21,7 @@
     HoldersNoticed,
     LeaderChanged,
     PushUpdates,
+    QuarantineChanged,
     ReadDone,
     RelayFailed,
     RequestReport,
@@ -44,6 +45,7 @@
     PeerService,
     serve_peers,
 )
+from ._quarantinelog import log_part_changes, set_part_metrics
 from ._relayhost import RelayHost
 from ._settings import ControlSettings
 from ._syncservice import RelaySyncService, SyncHandler, SyncSession
@@ -202,8 +204,11 @@
             ),
             PushUpdates: lambda _effect: self._push_requested.set(),
             LeaderChanged: self._log_leader,
-            HoldersNoticed: self._log_holders,
+            HoldersNoticed: lambda effect: self._log.write(
+                'agree', 'holder set changed', **effect._asdict()
+            ),
             RelayFailed: self._log_relay_failed,
+            QuarantineChanged: self._on_quarantine,
         }
 
     def _log_leader(self, effect: LeaderChanged) -> None:
@@ -217,8 +222,10 @@
         )
         self._relay.on_leader_changed(effect.leader, effect.term)
 
-    def _log_holders(self, effect: HoldersNoticed) -> None:
-        self._log.write('agree', 'holder set changed', **effect._asdict())
+    def _on_quarantine(self, effect: QuarantineChanged) -> None:
+        set_part_metrics(self._metrics, effect.after)
+        if self._node.is_ready_leader():
+            log_part_changes(self._log, effect.before, effect.after)
 
     def _log_relay_failed(self, effect: RelayFailed) -> None:
         outcome = effect.outcome
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -155,12 +155,19 @@
             state.load.take_missing(),
             state.health.unreachable_targets(now_s()),
             seen=self._sync.seen,
+            quarantine=state.guard.version,
+            crashes=state.guard.reports.crashes(ask),
+            answered=state.guard.reports.answered(ask),
+            trials=state.guard.take_wishes(),
         )
 
     def _on_reply(self, reply: SyncReply, asked_at: float) -> None:
         state = self._state
         now = now_s()
         newer = state.view.apply(reply, asked_at, now)
+        state.guard.reports.on_reply(reply.ask)
+        if reply.quarantine:
+            self._apply_quarantine(now)
         if newer:
             self._apply_config()
         for lot in reply.lots:
@@ -172,9 +179,16 @@
             state.batch.retain(present)
             state.prefill.retain(present)
         # A reply that only confirms the state wakes no waiting requests.
-        if newer or reply.targets or reply.removed or reply.lots:
+        has_news = newer or bool(reply.quarantine)
+        if has_news or reply.targets or reply.removed or reply.lots:
             state.notify_update()
 
+    def _apply_quarantine(self, now: float) -> None:
+        guard = self._state.guard
+        guard.update(self._state.view.quarantine, now)
+        if guard.reports:
+            self._request_sync()
+
     def _apply_config(self) -> None:
         published = self._state.view.published
         parsed = self._codec.parse_deployment(published.document)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
@@ -14,6 +14,7 @@
     RetryBudget,
     TargetHealth,
 )
+from lovagemast_core.quarantine import PartGuard
 from lovagemast_core.quota import LocalTokens
 
 from ..http import TargetPool
@@ -46,6 +47,7 @@
         self.cold = ColdStartLimiter()
         self.batch = BatchLimit()
         self.prefill = PrefillLimit()
+        self.guard = PartGuard(cfg.vm)
         self.metrics = EntryMetrics()
         self.retries = RetryBudget(
             cfg.retry_ratio,
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
@@ -2,7 +2,12 @@
 
 from typing import Final
 
-from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+)
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
 from ..http import (
@@ -46,6 +51,16 @@
             ('end',),
             registry=self.registry,
         )
+        self._quarantined = Counter(
+            'lovagemast_quarantined_requests',
+            'Requests refused for a quarantined part of their prompts',
+            registry=self.registry,
+        )
+        self._crashes = Counter(
+            'lovagemast_implicating_crashes',
+            'Requests that ran, without an answer, when their target crashed',
+            registry=self.registry,
+        )
         self._placed_s = Histogram(
             'lovagemast_placed_seconds',
             'Time until a target was chosen',
@@ -72,6 +87,14 @@
         """Record the duration of a request whose response is complete."""
         self._answered_s.observe(took_s)
 
+    def record_quarantined(self) -> None:
+        """Count a request refused for a quarantined prompt part."""
+        self._quarantined.inc()
+
+    def record_crash(self) -> None:
+        """Count a request that ran, without an answer, at a crash."""
+        self._crashes.inc()
+
 
 class ControlMetrics:
     """Metrics of a control VM."""
@@ -95,6 +118,16 @@
             'Leaders that were noticed',
             registry=self.registry,
         )
+        self._suspected_parts = Gauge(
+            'lovagemast_suspected_parts',
+            'Prompt parts that are suspected, but not quarantined',
+            registry=self.registry,
+        )
+        self._quarantined_parts = Gauge(
+            'lovagemast_quarantined_parts',
+            'Prompt parts that are quarantined',
+            registry=self.registry,
+        )
 
     def record_order(self, result: str) -> None:
         """Count an order by its result."""
@@ -104,6 +137,11 @@
         """Record the duration of an operator's change."""
         self._changes_s.observe(took_s)
 
+    def set_parts(self, suspected: int, quarantined: int) -> None:
+        """Set the numbers of suspected and of quarantined prompt parts."""
+        self._suspected_parts.set(suspected)
+        self._quarantined_parts.set(quarantined)
+
     def record_leader_change(self) -> None:
         """Count a leader change that this VM observed."""
         self._leaders.inc()
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_relay.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_relay.py
@@ -49,13 +49,17 @@
         self._is_resumed = self.started
         self.target_pause_s = 0.0
 
-    async def relay_events(self, head: ResponseHead, chunk: bytes) -> None:
-        """Send the complete events and buffer an incomplete one."""
+    async def relay_events(self, head: ResponseHead, chunk: bytes) -> bool:
+        """Send the complete events and buffer an incomplete one.
+
+        Return whether there was a complete one.
+        """
         complete = self._event_buffer.feed(chunk)
         if complete:
             self._start(head)
             self._record_pause()
             await self._responder.write(complete)
+        return bool(complete)
 
     async def end_stream(self, head: ResponseHead) -> None:
         """End a stream that the target has completed."""
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
@@ -14,6 +14,7 @@
     choose_target,
     find_candidates,
 )
+from lovagemast_core.quarantine import PartStatus
 
 from .._clock import now_s
 from ..http import HttpRequest, Responder
@@ -21,6 +22,7 @@
 from ._attempt import Attempt, AttemptOutcome, AttemptResult
 from ._codec import RequestMetadata
 from ._entrystate import EntryState
+from ._promptcheck import PromptCheck
 from ._relay import ResponseRelay
 
 # Sends beyond the route's attempts, after targets proved not to have run it.
@@ -151,6 +153,7 @@
             admitted.metadata.model,
             admitted.metadata.adapter,
         )
+        self._prompt = PromptCheck(state, admitted.metadata)
         self._tried: set[str] = set()
         self._possible_runs = 0
         self.sends = 0
@@ -167,6 +170,9 @@
         if self._admitted.metadata.adapter:
             self._state.load.adapter_requested(*self._requirements)
         while True:
+            refusal = await self._wait_for_trial()
+            if refusal:
+                return refusal
             candidate = await self._find_target()
             if isinstance(candidate, HttpRefusal):
                 return candidate
@@ -178,7 +184,9 @@
                 return refusal
 
     async def _attempt(self, candidate: Candidate) -> AttemptResult:
-        attempt = Attempt(self._state, self._admitted, candidate, self._relay)
+        attempt = Attempt(
+            self._state, self._admitted, candidate, self._relay, self._prompt
+        )
         self.target = candidate.target
         self.sends += 1
         self._possible_runs += 1
@@ -256,6 +264,32 @@
             return HttpRefusal(502, reason)
         return HttpRefusal(503, reason, NOT_RUN_RETRY_AFTER_S)
 
+    async def _wait_for_trial(self) -> HttpRefusal | None:
+        """Wait until no part of the prompt holds the request back."""
+        give_up_at = self._wait_deadline()
+        try:
+            while True:
+                refusal = self._check_quarantine()
+                verdict = self._prompt.verdict()
+                if refusal or verdict.status is PartStatus.FREE:
+                    return refusal
+                if now_s() >= give_up_at:
+                    return self._as_possible_run(self._prompt.held_refusal())
+                self._prompt.wait_for(verdict.part)
+                await self._state.wait_for_update(POLL_INTERVAL_S)
+        finally:
+            self._prompt.wait_for('')
+
+    def _check_quarantine(self) -> HttpRefusal | None:
+        refusal = self._prompt.quarantine_refusal()
+        return self._as_possible_run(refusal) if refusal else None
+
+    def _as_possible_run(self, refusal: HttpRefusal) -> HttpRefusal:
+        """Return a refusal that does not deny an earlier attempt."""
+        if self._possible_runs:
+            return HttpRefusal(502, refusal.reason)
+        return refusal
+
     async def _find_target(self) -> Candidate | HttpRefusal:
         """Wait until a target with the adapter can take the request."""
         give_up_at = self._wait_deadline()
@@ -291,6 +325,9 @@
         give_up_at: float,
         now: float,
     ) -> HttpRefusal | None:
+        quarantined = self._check_quarantine()
+        if quarantined:
+            return quarantined
         if now >= give_up_at:
             return self._refuse_not_run('no target is free')
         orders_at = self._state.view.orders_allowed_at
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_syncservice.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_syncservice.py
@@ -111,8 +111,14 @@
         version = self.ask.version
         if reply.published:
             version = reply.published.version
+        quarantine = self.ask.quarantine
+        if reply.quarantine:
+            quarantine = reply.quarantine.version
         self.ask = self.ask._replace(
-            stamp=reply.stamp, epoch=reply.epoch, version=version
+            stamp=reply.stamp,
+            epoch=reply.epoch,
+            version=version,
+            quarantine=quarantine,
         )
 
 
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,508 @@
+"""Tests that prompt parts that crash targets are kept from them."""
+
+from typing import Any
+
+import pytest
+from lovagemast_core.entry import FleetView
+from lovagemast_core.quarantine import (
+    MAX_QUARANTINE_TRIALS,
+    ClearParts,
+    PartCrash,
+    PartGuard,
+    PartRecord,
+    PartStatus,
+    QuarantineController,
+    QuarantineState,
+    StartTrial,
+    TrialWish,
+    _state,
+    _timing,
+)
+from lovagemast_core.quarantine._state import (
+    clear_parts,
+    record_crash,
+    start_trial,
+)
+from lovagemast_core.syncrelay import SyncRelay
+from lovagemast_core.targets import SyncAsk, SyncReply
+
+from tests.controlcluster import VMS, Cluster
+from tests.quarantinefleet import QuarantineFleet
+
+NOW = 100.0
+EMPTY = QuarantineState()
+
+
+def crash(number: int, *parts: str, trial: bool = False) -> PartCrash:
+    """Return the crash of a target, with its parts in a trial or not."""
+    return PartCrash(f't{number}', 1, parts, parts if trial else ())
+
+
+def after(*crashes: PartCrash) -> QuarantineState:
+    """Return the state after some crashes."""
+    state = EMPTY
+    for one in crashes:
+        state = record_crash(state, one)
+    return state
+
+
+QUARANTINED = after(crash(1, 'p'), crash(2, 'p'), crash(3, 'p', trial=True))
+
+
+class TestState:
+    @pytest.mark.parametrize(
+        ('crashes', 'is_quarantined'),
+        [
+            ([crash(1, 'p')], False),
+            ([crash(1, 'p', trial=True)] * 3, False),
+            ([crash(number, 'p') for number in range(9)], False),
+            ([crash(1, 'p'), crash(2, 'p', trial=True)], False),
+            ([crash(1, 'p'), crash(2, 'p'), crash(3, 'p', trial=True)], True),
+        ],
+    )
+    def test_quarantine_follows_a_crashed_trial(
+        self, crashes: list[PartCrash], is_quarantined: bool
+    ) -> None:
+        """Crashes at the same time may have a cause of their own."""
+        record = after(*crashes).find('p')
+        assert record
+        assert record.is_quarantined is is_quarantined
+
+    def test_known_crash_changes_nothing(self) -> None:
+        """Reports are repeated, and come from several entry VMs."""
+        state = after(crash(1, 'p'))
+        assert record_crash(state, crash(1, 'p')) is state
+
+    def test_answer_clears(self) -> None:
+        """A part that was answered is not suspected any more."""
+        state = clear_parts(QUARANTINED, ClearParts(('p', 'other')))
+        assert state.parts == ()
+        assert state.version > QUARANTINED.version
+
+    def test_trial_is_given_once(self) -> None:
+        """The same trial is not given to two VMs."""
+        state = start_trial(after(crash(1, 'p')), StartTrial('p', 'e1', 1))
+        state = start_trial(state, StartTrial('p', 'e2', 1))
+        record = state.find('p')
+        assert record
+        assert record.holder == 'e1'
+
+    def test_trials_of_a_quarantined_part_are_limited(self) -> None:
+        """They share one budget for as long as requests come."""
+        state = QUARANTINED
+        for trial in range(1, 9):
+            state = start_trial(state, StartTrial('p', 'e1', trial))
+        record = state.find('p')
+        assert record
+        assert record.trials == MAX_QUARANTINE_TRIALS
+
+    def test_quarantined_parts_outlive_suspects(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Many suspects don't push a quarantined part out of the table."""
+        monkeypatch.setattr(_state, 'MAX_PARTS', 10)
+        state = QUARANTINED
+        for number in range(50):
+            state = record_crash(state, crash(number, f's{number}'))
+        assert len(state.parts) == 10
+        assert state.find('p')
+        assert state.find('s49')
+
+
+class TestAttribution:
+    def test_quarantined_part_explains_its_crashes(self) -> None:
+        """Requests that ran beside a quarantined part are not suspected."""
+        state = record_crash(QUARANTINED, crash(9, 'p', 's'))
+        assert [record.part for record in state.parts] == ['p']
+        assert record_crash(state, crash(9, 'other')) is state
+
+    def test_suspects_are_cleared_by_an_explanation(self) -> None:
+        """Parts that were only beside the guilty one are dropped."""
+        state = after(crash(1, 'p', 's'), crash(2, 's', 'p'))
+        state = record_crash(state, crash(3, 'p', trial=True))
+        assert [record.part for record in state.parts] == ['p']
+
+    @pytest.mark.parametrize(
+        ('before', 'quarantined'),
+        [
+            ((crash(1, 'a', 'b'), crash(2, 'a', 'b')), 'b'),
+            ((crash(1, 'a', 'b'), crash(2, 'a')), 'a'),
+        ],
+    )
+    def test_trial_of_several_suspects(
+        self, before: tuple[PartCrash, ...], quarantined: str
+    ) -> None:
+        """The most suspected part is blamed, or else the most specific."""
+        state = after(*before, crash(3, 'a', 'b', trial=True))
+        record = state.find(quarantined)
+        assert record
+        assert record.is_quarantined
+        others = [one.is_quarantined for one in state.parts]
+        assert others.count(True) == 1
+
+
+def make_guard(state: QuarantineState = EMPTY) -> PartGuard:
+    """Return the guard of the VM ``e1`` that knows a state."""
+    guard = PartGuard('e1')
+    guard.update(state, NOW)
+    return guard
+
+
+def status(guard: PartGuard, *parts: str, at: float = NOW) -> PartStatus:
+    """Return the status of a request at a VM in contact with the leader."""
+    return guard.check(parts, 0.1, at).status
+
+
+class TestGuard:
+    @pytest.mark.parametrize(
+        ('parts', 'expected'),
+        [
+            (('a',), PartStatus.FREE),
+            (('a', 's'), PartStatus.HELD),
+            (('p', 's'), PartStatus.QUARANTINED),
+            (('s', 'p'), PartStatus.QUARANTINED),
+            ((), PartStatus.FREE),
+        ],
+    )
+    def test_status(self, parts: tuple[str, ...], expected: PartStatus) -> None:
+        """The worst status of a request's parts counts."""
+        state = record_crash(QUARANTINED, crash(9, 's'))
+        assert status(make_guard(state), *parts) is expected
+
+    def test_crash_holds_back_before_the_leader_knows(self) -> None:
+        """A request that ran at a crash is not repeated at once."""
+        guard = make_guard()
+        guard.record_crash(crash(1, 'p'), NOW)
+        assert status(guard, 'p') is PartStatus.HELD
+        assert status(guard, 'p', at=NOW + 0.6) is PartStatus.FREE
+
+    def test_answered_part_is_not_blamed(self) -> None:
+        """Parts that many sound requests hold are not suspected."""
+        guard = make_guard()
+        guard.record_answer(('system',), NOW - 1.0)
+        implicated = guard.record_crash(crash(1, 'system', 'p'), NOW)
+        assert implicated
+        assert implicated.parts == ('p',)
+        assert status(guard, 'system') is PartStatus.FREE
+
+    def test_answer_elsewhere_clears(self) -> None:
+        """A VM that had an answer tells the leader of a false suspicion."""
+        guard = make_guard()
+        guard.record_answer(('s',), NOW - 1.0)
+        guard.update(after(crash(1, 's')), NOW)
+        assert guard.reports.answered(1) == ('s',)
+        assert status(guard, 's') is PartStatus.FREE
+
+    def test_old_answer_proves_nothing(self) -> None:
+        """A part may become deadly with a new version of an adapter."""
+        guard = make_guard()
+        guard.record_answer(('p',), NOW - 90.0)
+        assert guard.record_crash(crash(1, 'p'), NOW)
+
+    def test_trial_is_one_request(self) -> None:
+        """The holder of a trial sends one request, others none."""
+        state = start_trial(after(crash(1, 'p')), StartTrial('p', 'e1', 1))
+        guard = make_guard(state)
+        assert status(guard, 'p') is PartStatus.FREE
+        assert guard.begin(('p',), NOW) == ('p',)
+        assert status(guard, 'p') is PartStatus.HELD
+
+    def test_trial_that_did_not_run_is_repeated(self) -> None:
+        """A target that was full has not tried the part."""
+        state = start_trial(after(crash(1, 'p')), StartTrial('p', 'e1', 1))
+        guard = make_guard(state)
+        guard.cancel(guard.begin(('p',), NOW))
+        assert status(guard, 'p') is PartStatus.FREE
+
+    @pytest.mark.parametrize(
+        ('crashes', 'delay_s', 'expected'),
+        [
+            (1, 0.4, PartStatus.HELD),
+            (1, 0.6, PartStatus.FREE),
+            (2, 1.9, PartStatus.HELD),
+            (3, 9.0, PartStatus.QUARANTINED),
+            (5, 9.0, PartStatus.QUARANTINED),
+            (5, 11.0, PartStatus.FREE),
+        ],
+    )
+    def test_cut_off_vm_decides_for_itself(
+        self, crashes: int, delay_s: float, expected: PartStatus
+    ) -> None:
+        """Without a leader, a VM goes by the crashes that it saw."""
+        guard = make_guard()
+        for number in range(crashes):
+            guard.record_crash(crash(number, 'p'), NOW)
+        verdict = guard.check(('p',), 20.0, NOW + delay_s)
+        assert verdict.status is expected
+        assert len(guard.reports.crashes(1)) == crashes
+
+    def test_reports_are_kept_until_they_arrive(self) -> None:
+        """A report is repeated until the request with it is answered."""
+        guard = make_guard()
+        guard.record_crash(crash(1, 'p'), NOW)
+        assert guard.reports.crashes(4)
+        guard.reports.on_reply(3)
+        assert guard.reports.crashes(5)
+        guard.reports.on_reply(4)
+        assert not guard.reports
+
+
+def make_controller(state: QuarantineState) -> QuarantineController:
+    """Return the controller of a leader that knows a state."""
+    controller = QuarantineController()
+    controller.update(state, NOW)
+    return controller
+
+
+def granted(controller: QuarantineController, at: float) -> bool:
+    """Return whether a wish for a trial of ``p`` is granted."""
+    wishes = (TrialWish('p', 'e1'),)
+    return bool(controller.on_reports((), (), wishes, at))
+
+
+class TestController:
+    @pytest.mark.parametrize(
+        ('at', 'expected'), [(NOW + 9.9, False), (NOW + 10.1, True)]
+    )
+    def test_quarantined_part_is_tried_after_a_while(
+        self, at: float, expected: bool
+    ) -> None:
+        """The first trial comes after the first of the delays."""
+        assert _timing.QUARANTINE_TRIAL_DELAYS_S[0] == 10.0
+        assert granted(make_controller(QUARANTINED), at) is expected
+
+    def test_second_trial_waits_for_the_first(self) -> None:
+        """A suspect is tried by one VM at a time, until its lease ends."""
+        state = after(crash(1, 'p'))
+        assert granted(make_controller(state), NOW)
+        tried = start_trial(state, StartTrial('p', 'e2', 1))
+        assert not granted(make_controller(tried), NOW + 1.0)
+        assert granted(make_controller(tried), NOW + 2.0)
+
+    def test_new_leader_waits_for_earlier_trials(self) -> None:
+        """A trial that a former leader granted may still be under way."""
+        state = start_trial(after(crash(1, 'p')), StartTrial('p', 'e2', 1))
+        controller = make_controller(state)
+        controller.start_term(NOW + 50.0)
+        assert not granted(controller, NOW + 51.0)
+        assert granted(controller, NOW + 52.0)
+
+    @pytest.mark.parametrize(
+        ('state', 'idle_s', 'expected'),
+        [
+            (after(crash(1, 'p')), 59.0, None),
+            (after(crash(1, 'p')), 61.0, ClearParts(('p',))),
+            (QUARANTINED, 890.0, None),
+            (QUARANTINED, 910.0, ClearParts(('p',))),
+        ],
+    )
+    def test_parts_without_requests_are_dropped(
+        self,
+        state: QuarantineState,
+        idle_s: float,
+        expected: ClearParts | None,
+    ) -> None:
+        """A part is kept for as long as requests with it come."""
+        controller = make_controller(state)
+        granted(controller, NOW + 30.0)
+        assert controller.expire(NOW + 30.0 + idle_s) == expected
+
+    def test_quarantine_lasts_while_requests_come(self) -> None:
+        """After its trials, a part stays quarantined."""
+        spent = PartRecord('p', ('a', 'b', 'c'), 4, 4, MAX_QUARANTINE_TRIALS)
+        controller = make_controller(QuarantineState(1, (spent,)))
+        for minute in range(1, 120):
+            assert not granted(controller, NOW + 60.0 * minute)
+            assert controller.expire(NOW + 60.0 * minute) is None
+
+
+def make_ask(vm: str, **changes: Any) -> SyncAsk:
+    """Return a sync request of an entry VM or a relay."""
+    return SyncAsk(1, vm, 'z1', 0, 0, 0)._replace(**changes)
+
+
+class TestRelay:
+    """Reports go up through a relay, and the state comes down."""
+
+    def make_relay(self) -> SyncRelay:
+        """Return a relay with two entry VMs, in sync with a leader."""
+        relay = SyncRelay('c1', 'z1', 5)
+        relay.on_reply(SyncReply(1, True, 'c2', 1, 0.0), NOW, NOW)
+        for number in (1, 2):
+            relay.on_ask(number, make_ask(f'e{number}'), NOW)
+        return relay
+
+    def test_reports_are_passed_on_until_they_arrive(self) -> None:
+        """A leader that is lost before its reply gets nothing to forget."""
+        relay = self.make_relay()
+        wishes = (TrialWish('p', 'e1'),)
+        ask = make_ask(
+            'e1', crashes=(crash(1, 'p'),), answered=('s',), trials=wishes
+        )
+        assert relay.needs_leader(ask)
+        relay.on_ask(1, ask, NOW)
+        first = relay.build_ask(2, NOW)
+        assert first.crashes == ask.crashes
+        assert first.answered == ask.answered
+        assert first.trials == wishes
+        assert relay.build_ask(3, NOW).crashes == ask.crashes
+        relay.on_reply(SyncReply(2, True, 'c2', 1, 0.0), NOW, NOW)
+        assert not relay.build_ask(4, NOW).crashes
+
+    def test_state_is_pushed_at_once(self) -> None:
+        """All entry VMs get a new state without asking."""
+        relay = self.make_relay()
+        assert not relay.pushes_due(NOW)
+        reply = SyncReply(1, True, 'c2', 1, 0.0, quarantine=QUARANTINED)
+        relay.on_reply(reply, NOW, NOW)
+        assert sorted(relay.pushes_due(NOW)) == ['e1', 'e2']
+        push = relay.make_push('e1', NOW)
+        assert push
+        assert push.quarantine == QUARANTINED
+        assert relay.pushes_due(NOW) == ['e2']
+        assert relay.build_ask(2, NOW).quarantine == QUARANTINED.version
+
+    def test_state_of_an_older_relay_changes_nothing(self) -> None:
+        """A relay that is behind does not undo a quarantine."""
+        view = FleetView()
+        newer = SyncReply(1, True, 'c1', 1, 0.0, quarantine=QUARANTINED)
+        view.apply(newer, NOW, NOW)
+        older = newer._replace(epoch=9, quarantine=after(crash(1, 'p')))
+        view.apply(older, NOW, NOW)
+        assert view.quarantine == QUARANTINED
+
+
+class TestReplication:
+    """What is learnt is in the replicated log."""
+
+    def learn(self, cluster: Cluster) -> None:
+        """Report three crashes to the leader, the last one of a trial."""
+        for number in (1, 2, 3):
+            crashes = (crash(number, 'p', trial=number == 3),)
+            leader = cluster.nodes[cluster.leader()]
+            leader.on_ask(make_ask('r1', crashes=crashes), cluster.now)
+            cluster.run(0.1)
+
+    @pytest.mark.parametrize('stopped', [1, 3])
+    def test_restarts_forget_no_quarantine(self, stopped: int) -> None:
+        """It survives the loss of the leader, and a restart of all."""
+        cluster = Cluster()
+        cluster.run(2.0)
+        self.learn(cluster)
+        vms = [cluster.leader(), *(vm for vm in VMS if vm != cluster.leader())]
+        for vm in vms[:stopped]:
+            cluster.stop(vm)
+        for vm in vms[:stopped]:
+            cluster.start(vm)
+        cluster.run(3.0)
+        leader = cluster.nodes[cluster.leader()]
+        reply = leader.on_ask(make_ask('r1'), cluster.now)
+        assert reply.quarantine
+        record = reply.quarantine.find('p')
+        assert record
+        assert record.is_quarantined
+
+    def test_trial_is_granted_to_one_of_two_vms(self) -> None:
+        """Wishes that come at the same moment get one trial."""
+        cluster = Cluster()
+        cluster.run(2.0)
+        leader = cluster.nodes[cluster.leader()]
+        leader.on_ask(make_ask('r1', crashes=(crash(1, 'p'),)), cluster.now)
+        cluster.run(0.1)
+        for vm in ('e1', 'e2'):
+            wishes = (TrialWish('p', vm),)
+            leader.on_ask(make_ask('r1', trials=wishes), cluster.now)
+        cluster.run(0.1)
+        reply = leader.on_ask(make_ask('r1'), cluster.now)
+        assert reply.quarantine
+        assert [one.holder for one in reply.quarantine.parts] == ['e1']
+
+
+@pytest.mark.parametrize('seed', range(1, 6))
+class TestFleet:
+    @pytest.mark.parametrize(
+        ('vms', 'targets', 'deadly', 'load'),
+        [
+            (7, 5, ('d1',), 1),
+            (7, 5, ('d1', 'd2'), 1),
+            (63, 40, ('d1',), 8),
+            (193, 120, ('d1', 'd2', 'd3'), 20),
+        ],
+    )
+    def test_deadly_parts_stop_crashing_targets(
+        self,
+        seed: int,
+        vms: int,
+        targets: int,
+        deadly: tuple[str, ...],
+        load: int,
+    ) -> None:
+        """At most three requests reach targets 3 s after the fifth crash."""
+        fleet = QuarantineFleet(
+            vms=vms,
+            targets=targets,
+            deadly=deadly,
+            sound_per_s=3.0 * load,
+            deadly_per_s=1.7 * load,
+            seed=seed,
+        )
+        fleet.run(40.0)
+        for part in deadly:
+            assert len(fleet.late_arrivals(part)) <= 3
+        assert fleet.ever_quarantined == set(deadly)
+        assert fleet.outcomes['sound', 'quarantined'] == 0
+
+    def test_loss_of_power_blames_no_part(self, seed: int) -> None:
+        """Crashes of all targets at once quarantine nothing."""
+        fleet = QuarantineFleet(deadly_per_s=0.0, seed=seed)
+        fleet.run(3.0)
+        for _time in range(3):
+            fleet.lose_power()
+            fleet.run(5.0)
+        assert not fleet.ever_quarantined
+        assert not fleet.state.quarantine.parts
+        served = fleet.outcomes['sound', 'served']
+        held = fleet.outcomes['sound', 'held']
+        assert held <= served / 100
+
+    def test_new_leader_does_not_forget(self, seed: int) -> None:
+        """The part is learnt though leaders are lost meanwhile."""
+        fleet = QuarantineFleet(seed=seed)
+        for _time in range(4):
+            fleet.run(0.8)
+            fleet.lose_leader()
+            fleet.run(1.0)
+            fleet.elect()
+        fleet.run(30.0)
+        assert len(fleet.late_arrivals('d1')) <= 3
+        assert fleet.ever_quarantined == {'d1'}
+
+    def test_cut_off_vms_decide_and_merge(self, seed: int) -> None:
+        """VMs without a leader bound the crashes, and report them later."""
+        fleet = QuarantineFleet(seed=seed)
+        for vm in fleet.vms[:2]:
+            vm.is_cut_off = True
+        fleet.run(15.0)
+        cut_off = [
+            arrival
+            for arrival in fleet.arrivals
+            if arrival.is_cut_off and 'd1' in arrival.parts
+        ]
+        assert len(cut_off) <= 12
+        for vm in fleet.vms[:2]:
+            vm.is_cut_off = False
+        fleet.run(25.0)
+        assert len(fleet.late_arrivals('d1')) <= 3
+        assert fleet.quarantined() == {'d1'}
+
+    def test_answers_lift_a_false_quarantine(self, seed: int) -> None:
+        """A part that is deadly no more is served again after a trial."""
+        fleet = QuarantineFleet(seed=seed)
+        fleet.run(10.0)
+        assert fleet.ever_quarantined == {'d1'}
+        fleet.deadly = ('another',)
+        fleet.deadly_per_s = 0.0
+        for _second in range(120):
+            fleet._add_request(('d1',))
+            fleet.run(1.0)
+        assert fleet.state.quarantine.find('d1') is None
