Count only what was sent as a retry

Cause: an attempt whose connection was refused used up the retry budget and one of the sends, though no target had received anything. After a crash, each entry VM goes on choosing targets that are down until it has met a refused connection at each. Class: a bound that counts something else than what it bounds.

Change: such attempts are NOT_SENT ('was not sent' in the log and in the metric's label). They draw on nothing; the wait for a target bounds them, since a refused connection keeps the target out for 0.3 s and more. The same for a target that left, and a part that was suspected, just before the send.

Test: 4 cases of test_calls.py::TestDeadTargets failed before.

--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -42,6 +42,7 @@
     """
 
     DONE = 'answered'
+    NOT_SENT = 'was not sent'  # the target got nothing
     NOT_RUN = 'did not run it'
     FAILED = 'failed'  # may have run; nothing was sent to the caller
     BROKEN = 'broke off'  # a part of the response was sent to the caller
@@ -92,7 +93,7 @@
             )
             if isinstance(conn, ConnectFailed):
                 state.health.record_unreachable(self._target, now_s())
-                return AttemptResult(AttemptOutcome.NOT_RUN, conn.detail)
+                return AttemptResult(AttemptOutcome.NOT_SENT, conn.detail)
             return await self._run_over(conn, is_last_attempt=is_last_attempt)
         finally:
             state.load.request_ended(self._target, self._candidate.label)
@@ -122,7 +123,7 @@
         now = now_s()
         obstacle = self._check_send(now)
         if obstacle:
-            return AttemptResult(AttemptOutcome.NOT_RUN, obstacle)
+            return obstacle
         state.cold.record_request(self._target, now)
         self.may_have_run = True
         self._reserve_prefill()
@@ -153,15 +154,20 @@
             return self._fail('not the answer of the target')
         return await self._relay_response(conn, event)
 
-    def _check_send(self, now: float) -> str:
-        """Return what forbids to send the request now, empty if nothing."""
+    def _check_send(self, now: float) -> AttemptResult | None:
+        """Return why the request is not sent; ``None`` if it may be."""
         if self._admitted.account and not self._state.are_keys_confirmed(now):
-            return 'keys could not be confirmed'
+            return AttemptResult(
+                AttemptOutcome.NOT_RUN, 'keys could not be confirmed'
+            )
+        detail = ''
         if not self._state.view.may_use(self._candidate.known):
-            return 'the target has left meanwhile'
-        if self._prompt.verdict().status is not PartStatus.FREE:
-            return 'a part of its prompt is suspected'
-        return ''
+            detail = 'the target has left meanwhile'
+        elif self._prompt.verdict().status is not PartStatus.FREE:
+            detail = 'a part of its prompt is suspected'
+        if detail:
+            return AttemptResult(AttemptOutcome.NOT_SENT, detail)
+        return None
 
     def _reserve_prefill(self) -> None:
         if self._admitted.pool.engine:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
@@ -179,6 +179,8 @@
             result = await self._attempt(candidate)
             if result.outcome is AttemptOutcome.DONE:
                 return None
+            if result.outcome is AttemptOutcome.NOT_SENT:
+                continue
             refusal = self._check_retry(result)
             if refusal:
                 return refusal
@@ -188,12 +190,13 @@
             self._state, self._admitted, candidate, self._relay, self._prompt
         )
         self.target = candidate.target
-        self.sends += 1
         self._possible_runs += 1
         chosen_at = now_s()
         result = await attempt.run(is_last_attempt=not self._may_retry())
         if not attempt.may_have_run:
             self._possible_runs -= 1
+        if result.outcome is not AttemptOutcome.NOT_SENT:
+            self.sends += 1
         target = candidate.target
         metrics = self._state.metrics
         metrics.record_attempt(
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -15,7 +15,7 @@
     RouteSpec,
     Split,
 )
-from lovagemast_core.entry import FleetView
+from lovagemast_core.entry import FleetView, RetryBudget
 from lovagemast_core.quota import QuotaBounds
 from lovagemast_core.targets import SyncReply, TargetRecord
 from lovagemast_node._clock import now_s
@@ -106,6 +106,21 @@
         writer.close()
 
 
+class DeadTarget(ScriptedTarget):
+    """A target whose address takes no connections."""
+
+    def __init__(self) -> None:
+        super().__init__(break_off)
+
+    async def serve(self) -> int:
+        """Return a port on which nothing listens."""
+        server = await asyncio.start_server(self._on_connection, HOST, 0)
+        port = int(server.sockets[0].getsockname()[1])
+        server.close()
+        await server.wait_closed()
+        return port
+
+
 def answer(head: bytes) -> Script:
     """Return a script that responds with a head and no body."""
 
@@ -291,6 +306,31 @@
         assert asyncio.run(status_of(CallKind.SAFE, targets)) == 200
 
 
+class TestDeadTargets:
+    """Targets that have crashed refuse connections until they are back."""
+
+    @pytest.mark.parametrize('kind', [CallKind.SAFE, CallKind.UNSAFE])
+    @pytest.mark.parametrize('dead', [1, 8])
+    def test_refused_connections_use_up_no_retries(
+        self, kind: CallKind, dead: int
+    ) -> None:
+        """A request that no target has received is no retry elsewhere."""
+
+        def prepare(state: EntryState) -> None:
+            state.retries = RetryBudget(0.0, 0.0, 10.0)
+
+        good = ScriptedTarget(GOOD)
+        targets = [DeadTarget() for _one in range(dead)]
+        status = asyncio.run(status_of(kind, [*targets, good], prepare=prepare))
+        assert status == 200
+        assert good.requests == 1
+
+    def test_all_dead(self) -> None:
+        """Without a target that is alive, the request is refused in time."""
+        targets: list[ScriptedTarget] = [DeadTarget(), DeadTarget()]
+        assert asyncio.run(status_of(CallKind.SAFE, targets)) == 503
+
+
 class TestDenials:
     @pytest.mark.parametrize(
         ('key', 'path', 'age_s', 'status'),
