Treat a stream that ends inside an event as broken off

Callers could see: a stream as complete whose last event is cut, when its target ends the connection of an answer with neither a length nor chunks.

Cause: the end of the response ended the stream, and passed on what was buffered of an incomplete event. Change: such a stream failed; it is resumed elsewhere if its route allows, else broken off towards the caller. Blank lines at the end are no event. Answers without length or chunks were whole already; a reset one was not.

--- a/packages/lovagemast-core/src/lovagemast_core/entry/_eventstream.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_eventstream.py
@@ -18,6 +18,14 @@
         """Return the size of the incomplete event."""
         return len(self._partial)
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether an event has begun and is not complete.
+
+        Blank lines between events and at the end of a stream are no event.
+        """
+        return bool(self._partial.strip())
+
     def feed(self, chunk: bytes) -> bytes:
         """Take the next chunk and return the events that are now complete."""
         buffered = self._partial + chunk
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -310,12 +310,17 @@
                 if self._relay.partial_bytes > MAX_EVENT_BYTES:
                     return ResponseFailed('an event is too long')
             elif isinstance(event, ResponseEnd):
-                self._record_answer()
-                await self._relay.end_stream(head)
-                return None
+                return await self._end_stream(head)
             elif isinstance(event, ResponseFailed):
                 return event
 
+    async def _end_stream(self, head: ResponseHead) -> ResponseFailed | None:
+        if self._relay.is_inside_event:
+            return ResponseFailed('the stream ended inside an event')
+        self._record_answer()
+        await self._relay.end_stream(head)
+        return None
+
     async def _relay_chunk(self, head: ResponseHead, chunk: bytes) -> None:
         self._release_prefill()
         if await self._relay.relay_events(head, chunk):
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_relay.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_relay.py
@@ -39,6 +39,11 @@
         """Return the size of the incomplete event that is buffered."""
         return self._event_buffer.partial_bytes
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether a part of an incomplete event is buffered."""
+        return self._event_buffer.is_inside_event
+
     def begin_stream(self) -> None:
         """Prepare for the events of a target.
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -1,6 +1,7 @@
 """Tests of the status that clients get when targets fail or refuse."""
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -54,7 +55,7 @@
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
-def make_index(kind: CallKind) -> DeploymentIndex:
+def make_index(kind: CallKind, *, resumable: bool = False) -> DeploymentIndex:
     """Return a deployment with one route and one account."""
     route = RouteSpec(
         'r1',
@@ -68,7 +69,7 @@
         priority=0,
         max_attempts=2,
         open=False,
-        resumable=False,
+        resumable=resumable,
     )
     account = AccountSpec('acme', ('k1',), None, 0.0, 0.0, False, 1.0)
     pool = PoolSpec('p', '/health', 100, 0.0, 0.0)
@@ -147,15 +148,27 @@
 
 
 async def status_of(
+    kind: CallKind, targets: list[ScriptedTarget], **options: Any
+) -> int:
+    """Return the status that a client gets from an entry VM.
+
+    The options are those of ``response_of``.
+    """
+    response = await response_of(kind, targets, **options)
+    return int(response.split()[1])
+
+
+async def response_of(
     kind: CallKind,
     targets: list[ScriptedTarget],
     *,
     key: bytes = b'k1',
     path: str = '/x/a',
     age_s: float = 0.0,
+    resumable: bool = False,
     prepare: Callable[[EntryState], None] = lambda _state: None,
-) -> int:
-    """Return the status that a client gets from an entry VM.
+) -> bytes:
+    """Return all bytes that a client gets from an entry VM.
 
     The VM knows the targets; the leader confirmed its view ``age_s`` ago.
     ``prepare`` may change the VM's state before the request.
@@ -178,7 +191,7 @@
     reply = SyncReply(1, True, 'c', 1, 0.0, PublishedState(1, 3))
     reply = reply._replace(targets=tuple(records))
     state.view.apply(reply, now_s() - age_s, now_s())
-    state.view.set_index(make_index(kind))
+    state.view.set_index(make_index(kind, resumable=resumable))
 
     async def handle(req: HttpRequest, responder: Responder) -> None:
         await RequestHandler(state, req, responder).run()
@@ -190,12 +203,15 @@
     reader, writer = await asyncio.open_connection(HOST, port)
     writer.write(
         b'GET %b HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\n'
-        b'X-Deadline-Ms: 2000\r\nAuthorization: Bearer %b\r\n\r\n'
-        % (path.encode(), key),
+        b'X-Deadline-Ms: 2000\r\nConnection: close\r\n'
+        b'Authorization: Bearer %b\r\n\r\n' % (path.encode(), key),
     )
-    line = await reader.readline()
+    response = bytearray()
+    with contextlib.suppress(ConnectionError):
+        while chunk := await reader.read(65_536):
+            response += chunk
     writer.close()
-    return int(line.split()[1])
+    return bytes(response)
 
 
 class SlowPool(TargetPool):
