--- a/packages/lovagemast-cli/src/lovagemast_cli/_actions.py
+++ b/packages/lovagemast-cli/src/lovagemast_cli/_actions.py
@@ -18,7 +18,7 @@
 from ._client import ApiClient, UnreachableError
 from ._diff import diff_documents
 from ._fleetapi import FleetApi
-from ._format import format_event, format_status
+from ._format import format_event, format_parts, format_status
 from ._outcome import CommandResult, ExitStatus
 from ._sources import (
     Document,
@@ -29,6 +29,7 @@
 )
 
 KEY_BYTES: Final = 32
+QUARANTINE_PATH: Final = '/admin/quarantine'
 
 
 class Actions:
@@ -126,6 +127,20 @@
             reply.document,
         )
 
+    def quarantine(self) -> CommandResult:
+        """List suspected and quarantined prompt parts, or clear one."""
+        part = self._options.clear
+        if part is None:
+            document = self._client.get(QUARANTINE_PATH).document
+            return CommandResult(
+                ExitStatus.DONE, format_parts(document['parts']), document
+            )
+        reply = self._client.post(QUARANTINE_PATH, {'clear': part})
+        done = reply.status < 300
+        text = 'cleared' if done else reply.document['reason']
+        status = ExitStatus.DONE if done else ExitStatus.REFUSED
+        return CommandResult(status, f'part {part}: {text}', reply.document)
+
     def key(self) -> CommandResult:
         """Grant or withdraw a key."""
         if self._options.state == 'grant':
--- a/packages/lovagemast-cli/src/lovagemast_cli/_format.py
+++ b/packages/lovagemast-cli/src/lovagemast_cli/_format.py
@@ -55,6 +55,25 @@
     return f'{header}\n\n{vms}\n\n{targets}'
 
 
+def format_parts(parts: list[dict[str, Any]]) -> str:
+    """Return suspected and quarantined prompt parts as a table."""
+    if not parts:
+        return 'no part is suspected or quarantined'
+    return table(
+        ['PART', 'STATUS', 'CRASHES', 'TRIALS', 'TARGETS'],
+        [
+            [
+                part['part'],
+                part['status'],
+                len(part['crashes']),
+                part['trials'],
+                ' '.join(part['crashes']),
+            ]
+            for part in parts
+        ],
+    )
+
+
 def format_event(event: dict[str, Any]) -> str:
     """Return a timeline event as one line."""
     at = datetime.datetime.fromtimestamp(event['at'], datetime.UTC)
--- a/packages/lovagemast-cli/src/lovagemast_cli/_main.py
+++ b/packages/lovagemast-cli/src/lovagemast_cli/_main.py
@@ -119,6 +119,12 @@
     )
     zone.add_argument('state', choices=('out', 'in'))
     zone.add_argument('zone', help='availability zone')
+    quarantine = commands.add_parser(
+        'quarantine',
+        help='list the prompt parts that are suspected or quarantined for '
+        'crashes of targets (asks control VMs on the platform)',
+    )
+    quarantine.add_argument('--clear', metavar='PART', help='clear a part')
     key = commands.add_parser('key', help='grant or withdraw a key')
     key.add_argument('state', choices=('grant', 'withdraw'))
     key.add_argument(
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_controlapi.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_controlapi.py
@@ -1,6 +1,7 @@
 """The HTTP API of a control VM, for operators and targets."""
 
 import asyncio
+import json
 from collections.abc import Callable
 from typing import Final
 
@@ -13,6 +14,7 @@
     SetZoneOut,
 )
 from lovagemast_core.control import ControlNode, RecordDeparture
+from lovagemast_core.quarantine import ClearParts
 
 from .._clock import now_s
 from ..http import Headers, HttpRequest, Responder
@@ -28,6 +30,8 @@
 )
 from ._jsonlog import JsonLog
 from ._metrics import ControlMetrics
+from ._quarantineapi import PATH as QUARANTINE_PATH
+from ._quarantineapi import QuarantineApi
 from ._settings import ControlSettings
 
 OK: Final = 200
@@ -66,6 +70,9 @@
         self._log = log
         self._pending_calls: dict[int, asyncio.Future[object]] = {}
         self._next_call = 0
+        self._quarantine = QuarantineApi(
+            lambda: node.replica.quarantine, self._propose, log
+        )
 
     def resolve(self, call: int, answer: object) -> None:
         """Complete a pending call with the node's answer."""
@@ -75,6 +82,11 @@
 
     async def serve(self, req: HttpRequest, responder: Responder) -> None:
         """Serve one call; redirect it if only the leader can answer it."""
+        if req.path == QUARANTINE_PATH:
+            reply = await self._quarantine.serve(req)
+            body = json.dumps(reply.document).encode()
+            await responder.send(reply.status, JSON_HEADERS, body)
+            return
         call = self._codec.decode_call(req)
         if isinstance(call, InvalidCall):
             self._log.write(
@@ -171,7 +183,9 @@
         )
         await responder.send(status, JSON_HEADERS, EMPTY_JSON)
 
-    async def _propose(self, command: Command | RecordDeparture) -> object:
+    async def _propose(
+        self, command: Command | RecordDeparture | ClearParts
+    ) -> object:
         """Propose a command and return its outcome."""
         call, fut = self._new_call()
         self._node.propose(call, command, now_s())
