Split the forwarding of requests from their handling and from the choice

_requesthandler.py had grown to 416 lines with three jobs: a request's life, sends and waits (_forwarder.py), and the limits on a target's choice (_targetchoice.py). No change of behaviour; tests as before.

--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
@@ -1,44 +1,15 @@
-"""Handles a caller's request: admission, target selection and retries."""
+"""Handles a caller's request from its arrival to the end of the response."""
 
 import asyncio
-from typing import Final
-
-from lovagemast_core.entry import (
-    Candidate,
-    Choice,
-    EntryShare,
-    KnownTarget,
-    NoReadyTarget,
-    SelectionCriteria,
-    TargetRequirements,
-    choose_target,
-    find_candidates,
-)
-from lovagemast_core.quarantine import PartStatus
 
 from .._clock import now_s
 from ..http import HttpRequest, Responder
-from ._admission import POLL_INTERVAL_S, Admission, AdmittedRequest, HttpRefusal
-from ._attempt import Attempt, AttemptOutcome, AttemptResult
+from ._admission import Admission, AdmittedRequest, HttpRefusal
 from ._codec import RequestMetadata
 from ._entrystate import EntryState
-from ._promptcheck import PromptCheck
+from ._forwarder import NOT_RUN_RETRY_AFTER_S, RequestForwarder
 from ._relay import ResponseRelay
 
-# Sends beyond the route's attempts, after targets proved not to have run it.
-MAX_EXTRA_SENDS: Final = 3
-# The wait for a free target is bounded by a multiple of the route's latency
-# objective and by a fraction of the time to the deadline.
-TARGET_WAIT_OBJECTIVES: Final = 2.0
-TARGET_WAIT_FRACTION: Final = 0.3
-NOT_RUN_RETRY_AFTER_S: Final = 0.2
-EXPECTED_ADAPTER_WAIT_S: Final = 0.4  # a load and the leader's round trip
-# Load that a target's unprocessed prompts add when they reach the prefill
-# limit; 1.0 is a target with all slots in use.
-PREFILL_LOAD_WEIGHT: Final = 0.1
-# Part of a target's connection limit that all entry VMs together may use.
-CONNECTION_LIMIT_FRACTION: Final = 0.9
-
 
 class RequestHandler:
     """Handles one request from its arrival to the end of the response."""
@@ -77,7 +48,7 @@
             await self._refuse(refusal)
 
     def _refund(
-        self, forwarder: 'RequestForwarder', admitted: AdmittedRequest
+        self, forwarder: RequestForwarder, admitted: AdmittedRequest
     ) -> None:
         """Refund the cost of a request that no target has run."""
         if admitted.account and not forwarder.may_have_run:
@@ -88,7 +59,7 @@
 
     async def _deliver(
         self,
-        forwarder: 'RequestForwarder',
+        forwarder: RequestForwarder,
         admitted: AdmittedRequest,
     ) -> HttpRefusal | None:
         try:
@@ -130,287 +101,3 @@
             refusal.reason,
         )
         await self._responder.send(refusal.status, headers)
-
-
-class RequestForwarder:
-    """Sends a request to targets in turn until one responds.
-
-    It gives up when the route, the retry budget or the wait for a target
-    allows no further attempt.
-    """
-
-    def __init__(
-        self,
-        state: EntryState,
-        admitted: AdmittedRequest,
-        relay: ResponseRelay,
-    ) -> None:
-        self._state = state
-        self._admitted = admitted
-        self._relay = relay
-        self._requirements = TargetRequirements(
-            admitted.pool.name,
-            admitted.metadata.model,
-            admitted.metadata.adapter,
-        )
-        self._prompt = PromptCheck(state, admitted.metadata)
-        self._tried: set[str] = set()
-        self._possible_runs = 0
-        self.sends = 0
-        self.target = ''  # of the last attempt
-
-    @property
-    def may_have_run(self) -> bool:
-        """Return whether a target may have run the request."""
-        return self._possible_runs > 0
-
-    async def run(self) -> HttpRefusal | None:
-        """Relay a response, or return why there is none."""
-        self._state.retries.record_request(now_s())
-        if self._admitted.metadata.adapter:
-            self._state.load.adapter_requested(*self._requirements)
-        while True:
-            refusal = await self._wait_for_trial()
-            if refusal:
-                return refusal
-            candidate = await self._find_target()
-            if isinstance(candidate, HttpRefusal):
-                return candidate
-            result = await self._attempt(candidate)
-            if result.outcome is AttemptOutcome.DONE:
-                return None
-            if result.outcome is AttemptOutcome.NOT_SENT:
-                continue
-            refusal = self._check_retry(result)
-            if refusal:
-                return refusal
-
-    async def _attempt(self, candidate: Candidate) -> AttemptResult:
-        attempt = Attempt(
-            self._state, self._admitted, candidate, self._relay, self._prompt
-        )
-        self.target = candidate.target
-        self._possible_runs += 1
-        chosen_at = now_s()
-        result = await attempt.run(is_last_attempt=not self._may_retry())
-        if not attempt.may_have_run:
-            self._possible_runs -= 1
-        if result.outcome is not AttemptOutcome.NOT_SENT:
-            self.sends += 1
-        target = candidate.target
-        metrics = self._state.metrics
-        metrics.record_attempt(
-            result.outcome.name, chosen_at - self._admitted.arrived_at
-        )
-        if result.outcome is AttemptOutcome.DONE:
-            metrics.record_response(now_s() - self._admitted.arrived_at)
-        self._state.log.write(
-            'request',
-            result.outcome.value,
-            id=self._admitted.metadata.request_id,
-            target=target,
-            account=self._admitted.account_name,
-            tokens=self._admitted.metadata.tokens,
-            label=str(candidate.label) if candidate.label else '',
-            detail=result.detail,
-            sends=self.sends,
-            age_s=round(self._state.view.age(chosen_at), 3),
-            revision=self._state.view.published.revision,
-            **self._timings(chosen_at),
-        )
-        if result.outcome is not AttemptOutcome.DONE:
-            self._tried.add(target)
-        return result
-
-    def _timings(self, chosen_at: float) -> dict[str, float | None]:
-        """Return the duration of each phase of the request, in seconds."""
-        arrived_at = self._admitted.arrived_at
-        first_at = self._relay.first_at
-        return {
-            'chosen_s': round(chosen_at - arrived_at, 4),
-            'first_s': round(first_at - arrived_at, 4) if first_at else None,
-            'pause_s': round(self._relay.longest_pause_s, 4),
-            'took_s': round(now_s() - arrived_at, 4),
-        }
-
-    def _may_retry(self) -> bool:
-        """Return whether the request may be sent again after this attempt."""
-        route = self._admitted.route
-        return route.idempotent and self._possible_runs < route.max_attempts
-
-    def _check_retry(self, result: AttemptResult) -> HttpRefusal | None:
-        """Return why the request may not be sent again, ``None`` if it may."""
-        route = self._admitted.route
-        possible_run_refusal = HttpRefusal(
-            502, f'the target {result.outcome.value}: {result.detail}'
-        )
-        if result.outcome is not AttemptOutcome.NOT_RUN:
-            if (
-                not route.idempotent
-                or self._possible_runs >= route.max_attempts
-            ):
-                return possible_run_refusal
-        elif self.sends >= route.max_attempts + MAX_EXTRA_SENDS:
-            return self._refuse_not_run('targets are full')
-        if not self._state.retries.try_acquire(
-            self._state.view.entries, now_s()
-        ):
-            return (
-                possible_run_refusal
-                if self._possible_runs
-                else self._refuse_not_run('no retries left')
-            )
-        return None
-
-    def _refuse_not_run(self, reason: str) -> HttpRefusal:
-        if self._possible_runs:
-            return HttpRefusal(502, reason)
-        return HttpRefusal(503, reason, NOT_RUN_RETRY_AFTER_S)
-
-    async def _wait_for_trial(self) -> HttpRefusal | None:
-        """Wait until no part of the prompt holds the request back."""
-        give_up_at = self._wait_deadline()
-        try:
-            while True:
-                refusal = self._check_quarantine()
-                verdict = self._prompt.verdict()
-                if refusal or verdict.status is PartStatus.FREE:
-                    return refusal
-                if now_s() >= give_up_at:
-                    return self._as_possible_run(self._prompt.held_refusal())
-                self._prompt.wait_for(verdict.part)
-                await self._state.wait_for_update(POLL_INTERVAL_S)
-        finally:
-            self._prompt.wait_for('')
-
-    def _check_quarantine(self) -> HttpRefusal | None:
-        refusal = self._prompt.quarantine_refusal()
-        return self._as_possible_run(refusal) if refusal else None
-
-    def _as_possible_run(self, refusal: HttpRefusal) -> HttpRefusal:
-        """Return a refusal that does not deny an earlier attempt."""
-        if self._possible_runs:
-            return HttpRefusal(502, refusal.reason)
-        return refusal
-
-    async def _find_target(self) -> Candidate | HttpRefusal:
-        """Wait until a target with the adapter can take the request."""
-        give_up_at = self._wait_deadline()
-        is_waiting = False
-        try:
-            while True:
-                now = now_s()
-                choice = self._choose(now)
-                if isinstance(choice, Choice):
-                    return choice.candidate
-                refusal = self._check_wait(choice, give_up_at, now)
-                if refusal:
-                    return refusal
-                if not is_waiting and self._lacks_adapter(choice):
-                    is_waiting = True
-                    self._report_waiting(1)
-                await self._state.wait_for_update(_poll_delay_s(choice, now))
-        finally:
-            if is_waiting:
-                self._report_waiting(-1)
-
-    def _lacks_adapter(self, choice: NoReadyTarget) -> bool:
-        return bool(self._requirements.adapter) and not choice.holder_count
-
-    def _report_waiting(self, change: int) -> None:
-        """Report a change in the requests that wait for the adapter."""
-        self._state.load.adapter_awaited(*self._requirements, change)
-        self._state.request_sync()
-
-    def _check_wait(
-        self,
-        choice: NoReadyTarget,
-        give_up_at: float,
-        now: float,
-    ) -> HttpRefusal | None:
-        quarantined = self._check_quarantine()
-        if quarantined:
-            return quarantined
-        if now >= give_up_at:
-            return self._refuse_not_run('no target is free')
-        orders_at = self._state.view.orders_allowed_at
-        if self._lacks_adapter(choice) and orders_at > give_up_at:
-            return self._refuse_not_loaded(now)
-        return None
-
-    def _refuse_not_loaded(self, now: float) -> HttpRefusal:
-        """Refuse a request whose adapter cannot be loaded in time."""
-        if self._possible_runs:
-            return HttpRefusal(502, 'no other target holds the adapter')
-        wait_s = (
-            self._state.view.orders_allowed_at - now + EXPECTED_ADAPTER_WAIT_S
-        )
-        return HttpRefusal(503, 'no adapter can be loaded yet', wait_s)
-
-    def _wait_deadline(self) -> float:
-        admitted = self._admitted
-        if self._relay.started:
-            return admitted.deadline
-        max_wait_s = TARGET_WAIT_FRACTION * (
-            admitted.deadline - admitted.arrived_at
-        )
-        objectives_s = TARGET_WAIT_OBJECTIVES * admitted.route.objective_s
-        return admitted.arrived_at + min(max_wait_s, objectives_s)
-
-    def _choose(self, now: float) -> Choice | NoReadyTarget:
-        state = self._state
-        criteria = SelectionCriteria(
-            state.health,
-            lambda known: self._load_of(known, now),
-            lambda known: self._may_send(known, now),
-            frozenset(self._tried),
-            state.cfg.zone,
-            state.cfg.vm,
-        )
-        candidates = find_candidates(state.view, self._requirements, now)
-        return choose_target(candidates, criteria, now)
-
-    def _load_of(self, known: KnownTarget, now: float) -> float:
-        state = self._state
-        entries = state.view.entries
-        load = state.load.load_of(known, entries, state.view.age(now), now)
-        prefill_used = state.prefill.utilization(known.record.target, entries)
-        return load + PREFILL_LOAD_WEIGHT * prefill_used
-
-    def _may_send(self, known: KnownTarget, now: float) -> bool:
-        state = self._state
-        entries = state.view.entries
-        target = known.record.target
-        max_running = (
-            self._admitted.pool.max_connections
-            * CONNECTION_LIMIT_FRACTION
-            / entries
-        )
-        if state.load.running_at(target) >= max(2, int(max_running)):
-            return False
-        if self._exceeds_batch_limit(known, now):
-            return False
-        tokens = self._admitted.metadata.prompt_tokens
-        if not state.prefill.may_send(target, tokens, entries):
-            return False
-        if not known.is_cold(now):
-            return True
-        per_s = self._admitted.pool.cold_per_s
-        share = EntryShare(state.view.rank, entries)
-        return state.cold.may_send(target, per_s, share, now)
-
-    def _exceeds_batch_limit(self, known: KnownTarget, now: float) -> bool:
-        if self._admitted.pool.engine is None:
-            return False
-        state = self._state
-        view = state.view
-        load = state.load.load_of(known, view.entries, view.age(now), now)
-        target = known.record.target
-        return load >= state.batch.limit(target, self._admitted.priority)
-
-
-def _poll_delay_s(choice: NoReadyTarget, now: float) -> float:
-    """Return the delay before the next search for a target."""
-    if choice.ready_at is None:
-        return POLL_INTERVAL_S
-    return min(POLL_INTERVAL_S, max(0.001, choice.ready_at - now))
--- /dev/null
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_targetchoice.py
@@ -0,0 +1,93 @@
+"""Chooses the target of a request, within the limits of this entry VM."""
+
+from typing import Final
+
+from lovagemast_core.entry import (
+    Choice,
+    EntryShare,
+    KnownTarget,
+    NoReadyTarget,
+    SelectionCriteria,
+    TargetRequirements,
+    choose_target,
+    find_candidates,
+)
+
+from ._admission import AdmittedRequest
+from ._entrystate import EntryState
+
+# Load that a target's unprocessed prompts add when they reach the prefill
+# limit; 1.0 is a target with all slots in use.
+PREFILL_LOAD_WEIGHT: Final = 0.1
+# Part of a target's connection limit that all entry VMs together may use.
+CONNECTION_LIMIT_FRACTION: Final = 0.9
+
+
+class TargetChooser:
+    """Applies the limits of an entry VM to the choice of a target."""
+
+    def __init__(self, state: EntryState, admitted: AdmittedRequest) -> None:
+        self._state = state
+        self._admitted = admitted
+        self.requirements = TargetRequirements(
+            admitted.pool.name,
+            admitted.metadata.model,
+            admitted.metadata.adapter,
+        )
+
+    def choose(
+        self, tried: frozenset[str], now: float
+    ) -> Choice | NoReadyTarget:
+        """Return the target to send the request to, if one is ready.
+
+        Targets in ``tried`` were already sent the request.
+        """
+        state = self._state
+        criteria = SelectionCriteria(
+            state.health,
+            lambda known: self._load_of(known, now),
+            lambda known: self._may_send(known, now),
+            tried,
+            state.cfg.zone,
+            state.cfg.vm,
+        )
+        candidates = find_candidates(state.view, self.requirements, now)
+        return choose_target(candidates, criteria, now)
+
+    def _load_of(self, known: KnownTarget, now: float) -> float:
+        state = self._state
+        entries = state.view.entries
+        load = state.load.load_of(known, entries, state.view.age(now), now)
+        prefill_used = state.prefill.utilization(known.record.target, entries)
+        return load + PREFILL_LOAD_WEIGHT * prefill_used
+
+    def _may_send(self, known: KnownTarget, now: float) -> bool:
+        state = self._state
+        entries = state.view.entries
+        target = known.record.target
+        max_running = (
+            self._admitted.pool.max_connections
+            * CONNECTION_LIMIT_FRACTION
+            / entries
+        )
+        if state.load.running_at(target) >= max(2, int(max_running)):
+            return False
+        if self._exceeds_batch_limit(known, now):
+            return False
+        tokens = self._admitted.metadata.prompt_tokens
+        if not state.prefill.may_send(target, tokens, entries):
+            return False
+        if not known.is_cold(now):
+            return True
+        per_s = self._admitted.pool.cold_per_s
+        share = EntryShare(state.view.rank, entries)
+        return state.cold.may_send(target, per_s, share, now)
+
+    def _exceeds_batch_limit(self, known: KnownTarget, now: float) -> bool:
+        if self._admitted.pool.engine is None:
+            return False
+        state = self._state
+        view = state.view
+        load = state.load.load_of(known, view.entries, view.age(now), now)
+        target = known.record.target
+        return load >= state.batch.limit(target, self._admitted.priority)
