--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -23,6 +23,43 @@
 from lovagemast_platform._settings import SettingsFile
 
 
+@pytest.mark.parametrize(
+    ('name', 'text'),
+    [
+        ('X-Token-Count', '-5,1'),
+        ('X-Token-Count', 'nan,1'),
+        ('X-Token-Count', '1,inf'),
+        ('X-Deadline-Ms', 'nan'),
+        ('X-Deadline-Ms', 'inf'),
+        ('X-Deadline-Ms', '-1'),
+    ],
+)
+def test_invalid_numbers_count_as_absent(name: str, text: str) -> None:
+    """Such a number would refill a quota, or end no wait."""
+    headers = ((b'X-Request-Id', b'r'), (name.encode(), text.encode()))
+    metadata = PlatformEntryCodec().decode_request(headers)
+    assert metadata
+    assert metadata.tokens is None
+    assert metadata.deadline_s is None
+
+
+@pytest.mark.parametrize(
+    ('text', 'parts'),
+    [
+        ('', ()),
+        ('a1:5', ()),
+        ('A1:5,b2:7, c3:9', ('a1', 'b2')),
+        ('a1:5,,a1:6,b2', ('a1',)),
+    ],
+)
+def test_shared_parts_of_a_prompt(text: str, parts: tuple[str, ...]) -> None:
+    """The last part is the request's own, and is left out."""
+    headers = ((b'X-Request-Id', b'r'), (b'X-Prompt-Prefix', text.encode()))
+    metadata = PlatformEntryCodec().decode_request(headers)
+    assert metadata
+    assert metadata.parts == parts
+
+
 def make_route(**changes: Any) -> dict[str, Any]:
     """Return a route of a configuration document."""
     route = {
