Bound the quarantine state, and close gaps found when reading it again

- A VM that only refused requests got a trial that it had nothing for: wishes say whether a request waits.
- Without a leader, a part that the leader suspected was held for the whole cut, since nobody grants its trials: such a VM tries it by its own rule.
A quarantined one stays quarantined, and is refused at once.
- A part that was answered and then turns deadly was cleared by old answers for 60 s: three crashes without a new answer outweigh one.

Each has a case in test_quarantine.py that fails without it.

--- a/packages/lovagemast-core/src/lovagemast_core/quarantine/_controller.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quarantine/_controller.py
@@ -91,7 +91,7 @@
         if record is None:
             return None
         self._wished_at[wish.part] = now
-        if not self._is_due(record, now):
+        if not wish.waits or not self._is_due(record, now):
             return None
         trial = record.trials + 1
         proposed, proposed_at = self._proposed.get(wish.part, (0, 0.0))
--- a/packages/lovagemast-core/src/lovagemast_core/quarantine/_guard.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quarantine/_guard.py
@@ -5,9 +5,9 @@
 from enum import Enum
 from typing import NamedTuple
 
-from .._types import PromptPart, TargetName, VmName
+from .._types import PromptPart, VmName
 from ._answered import AnsweredParts
-from ._local import MANY_CRASHES, LocalSuspicions
+from ._local import MANY_CRASHES, MAX_CONTACT_AGE_S, LocalSuspicions
 from ._records import KnownRecords
 from ._reports import PartReports
 from ._state import PartCrash, PartRecord, QuarantineState, TrialWish
@@ -116,6 +116,8 @@
 
         ``crash.parts`` are those of a request that ran and had no answer.
         """
+        name = f'{crash.target}#{crash.incarnation}'
+        self._answered.record_crash(crash.parts, name)
         suspected = tuple(
             part
             for part in crash.parts
@@ -123,7 +125,6 @@
         )
         if not suspected:
             return None
-        name = _crash_name(crash.target, crash.incarnation)
         for part in suspected:
             self._local.record_crash(part, name, now)
         implicated = crash._replace(parts=suspected)
@@ -142,7 +143,9 @@
         self._waiting = +self._waiting
         parts = sorted({*self._waiting, *self._refused})
         self._refused.clear()
-        return tuple(TrialWish(part, self._vm) for part in parts)
+        return tuple(
+            TrialWish(part, self._vm, part in self._waiting) for part in parts
+        )
 
     def _check_part(
         self, part: PromptPart, age_s: float, now: float
@@ -154,11 +157,29 @@
             return self._check_local(part, age_s, now)
         if self._holds_trial(part):
             return FREE
-        status = PartStatus.HELD
-        if record.is_quarantined and not self._is_trial_due(record, now):
-            status = PartStatus.QUARANTINED
-        record_age_s = self._known.age_s(part, now)
-        return PartVerdict(status, part, len(record.crashes), record_age_s)
+        if record.is_quarantined:
+            return self._check_quarantined(record, age_s, now)
+        if age_s > MAX_CONTACT_AGE_S:
+            self._local.adopt(part, record.crashes, now)
+            return self._check_local(part, age_s, now)
+        return self._verdict(PartStatus.HELD, record, now)
+
+    def _check_quarantined(
+        self, record: PartRecord, age_s: float, now: float
+    ) -> PartVerdict:
+        """Hold a request for the next trial if it is due, or refuse it."""
+        delay_s = trial_delay_s(record)
+        if delay_s is None or age_s > MAX_CONTACT_AGE_S:
+            return self._verdict(PartStatus.QUARANTINED, record, now)
+        is_due = self._known.age_s(record.part, now) >= delay_s
+        status = PartStatus.HELD if is_due else PartStatus.QUARANTINED
+        return self._verdict(status, record, now)
+
+    def _verdict(
+        self, status: PartStatus, record: PartRecord, now: float
+    ) -> PartVerdict:
+        age_s = self._known.age_s(record.part, now)
+        return PartVerdict(status, record.part, len(record.crashes), age_s)
 
     def _check_local(
         self, part: PromptPart, age_s: float, now: float
@@ -177,13 +198,3 @@
         if record is None or record.holder != self._vm:
             return False
         return self._used.get(part) != record.trials
-
-    def _is_trial_due(self, record: PartRecord, now: float) -> bool:
-        delay_s = trial_delay_s(record)
-        if delay_s is None:
-            return False
-        return self._known.age_s(record.part, now) >= delay_s
-
-
-def _crash_name(target: TargetName, incarnation: int) -> str:
-    return f'{target}#{incarnation}'
--- a/packages/lovagemast-core/src/lovagemast_core/quarantine/_local.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quarantine/_local.py
@@ -39,6 +39,17 @@
         suspicion.crashes.add(crash)
         suspicion.at = now
 
+    def adopt(
+        self, part: PromptPart, crashes: tuple[str, ...], now: float
+    ) -> None:
+        """Take over the leader's suspicion of a part, if there is no own one.
+
+        Without a leader, nobody grants a trial of it.
+        """
+        if part not in self._suspicions:
+            for crash in crashes:
+                self.record_crash(part, crash, now)
+
     def record_trial(self, part: PromptPart, now: float) -> None:
         """Record that a request with a part is sent, if it is suspected."""
         suspicion = self._suspicions.get(part)
--- a/packages/lovagemast-core/src/lovagemast_core/quarantine/_state.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quarantine/_state.py
@@ -8,7 +8,7 @@
 # crashes may have had another cause, such as a loss of power.
 QUARANTINE_CRASHES: Final = 3
 MAX_QUARANTINE_TRIALS: Final = 3
-MAX_PARTS: Final = 1_024
+MAX_PARTS: Final = 128  # the whole table is sent to every entry VM
 MAX_STORED_CRASHES: Final = 16  # per part; the newest are kept
 
 
@@ -31,10 +31,11 @@
 
 
 class TrialWish(NamedTuple):
-    """An entry VM has a request that needs a trial of a part."""
+    """An entry VM has, or had to refuse, a request with a suspected part."""
 
     part: PromptPart
     vm: VmName
+    waits: bool = True  # for a trial; false if it was refused
 
 
 class StartTrial(NamedTuple):
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -127,12 +127,12 @@
         state.cold.record_request(self._target, now)
         self.may_have_run = True
         self._reserve_prefill()
+        self._prompt.begin()
         conn.send(
             self._encode(now),
             self._admitted.metadata.request_id.encode('latin-1'),
             state.codec.id_header,
         )
-        self._prompt.begin()
         event = await conn.next_event()
         if not isinstance(event, ResponseHead):
             return await self._on_incomplete(event)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -199,6 +199,14 @@
         guard.record_answer(('p',), NOW - 90.0)
         assert guard.record_crash(crash(1, 'p'), NOW)
 
+    def test_crashes_outweigh_an_answer(self) -> None:
+        """A part that was answered is suspected after three more crashes."""
+        guard = make_guard()
+        guard.record_answer(('p',), NOW)
+        for number in (1, 1, 2):
+            assert guard.record_crash(crash(number, 'p'), NOW) is None
+        assert guard.record_crash(crash(3, 'p'), NOW)
+
     def test_trial_is_one_request(self) -> None:
         """The holder of a trial sends one request, others none."""
         state = start_trial(after(crash(1, 'p')), StartTrial('p', 'e1', 1))
@@ -236,6 +244,22 @@
         assert verdict.status is expected
         assert len(guard.reports.crashes(1)) == crashes
 
+    def test_cut_off_vm_tries_what_others_suspect(self) -> None:
+        """Without a leader, nobody would grant a trial of a known suspect."""
+        guard = make_guard(after(crash(1, 's')))
+        held = [guard.check(('s',), 2.0, NOW + at).status for at in (0.0, 0.4)]
+        assert held == [PartStatus.HELD] * 2
+        assert guard.check(('s',), 2.0, NOW + 0.6).status is PartStatus.FREE
+        guard.begin(('s',), NOW + 0.6)
+        assert guard.check(('s',), 2.0, NOW + 0.7).status is PartStatus.HELD
+
+    def test_cut_off_vm_keeps_a_quarantine(self) -> None:
+        """Without a leader, a quarantined part is not tried."""
+        guard = make_guard(QUARANTINED)
+        for second in range(0, 600, 20):
+            verdict = guard.check(('p',), 2.0 + second, NOW + second)
+            assert verdict.status is PartStatus.QUARANTINED
+
     def test_reports_are_kept_until_they_arrive(self) -> None:
         """A report is repeated until the request with it is answered."""
         guard = make_guard()
@@ -254,9 +278,11 @@
     return controller
 
 
-def granted(controller: QuarantineController, at: float) -> bool:
+def granted(
+    controller: QuarantineController, at: float, *, waits: bool = True
+) -> bool:
     """Return whether a wish for a trial of ``p`` is granted."""
-    wishes = (TrialWish('p', 'e1'),)
+    wishes = (TrialWish('p', 'e1', waits),)
     return bool(controller.on_reports((), (), wishes, at))
 
 
@@ -279,6 +305,12 @@
         assert not granted(make_controller(tried), NOW + 1.0)
         assert granted(make_controller(tried), NOW + 2.0)
 
+    def test_refused_request_gets_no_trial(self) -> None:
+        """A trial is not given to a VM that has nothing to send."""
+        controller = make_controller(QUARANTINED)
+        assert not granted(controller, NOW + 20.0, waits=False)
+        assert granted(controller, NOW + 20.0)
+
     def test_new_leader_waits_for_earlier_trials(self) -> None:
         """A trial that a former leader granted may still be under way."""
         state = start_trial(after(crash(1, 'p')), StartTrial('p', 'e2', 1))
