Blame the right one of several suspects, and try quarantined parts later

- A request with several suspects waits for a trial of the one that would be blamed only.
- Trials of two parts may meet at one target.
- A trial of a quarantined part costs its target and all that runs there; the evidence is three crashes.
The trials come after 30, 120 and 600 s (10, 60, 300).
A false quarantine is lifted by the first.

Ruled out: to rank all parts by their crashes anew at each crash; that took a quarantine back for a session's part that two deadly parts had in common. test_quarantine.py::TestAttribution and TestFleet.

--- a/packages/lovagemast-core/src/lovagemast_core/quarantine/_guard.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quarantine/_guard.py
@@ -74,17 +74,19 @@
     ) -> PartVerdict:
         """Return whether a request with these parts may be sent now.
 
-        ``age_s`` is the age of the state that came from the leader.
+        ``age_s`` is the age of the state that came from the leader. Of several
+        suspects, the most suspected one counts, or else the last one in the
+        prompt: a trial of it tries the others too.
         """
-        held = FREE
+        prime = FREE
         for part in parts:
             verdict = self._check_part(part, age_s, now)
             if verdict.status is PartStatus.QUARANTINED:
                 self._refused.add(part)
                 return verdict
-            if verdict.status is PartStatus.HELD:
-                held = verdict
-        return held
+            if verdict.crashes and verdict.crashes >= prime.crashes:
+                prime = verdict
+        return prime
 
     def begin(
         self, parts: Iterable[PromptPart], now: float
@@ -156,7 +158,7 @@
         if record is None:
             return self._check_local(part, age_s, now)
         if self._holds_trial(part):
-            return FREE
+            return self._verdict(PartStatus.FREE, record, now)
         if record.is_quarantined:
             return self._check_quarantined(record, age_s, now)
         if age_s > MAX_CONTACT_AGE_S:
--- a/packages/lovagemast-core/src/lovagemast_core/quarantine/_state.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quarantine/_state.py
@@ -59,7 +59,7 @@
 
     part: PromptPart
     crashes: tuple[str, ...] = ()  # TARGET#INCARNATION, oldest first
-    crashed_trials: int = 0
+    trial_crashes: tuple[str, ...] = ()  # those in a trial of this part
     trials: int = 0
     quarantine_trials: int = 0  # of ``trials``, those since the quarantine
     holder: VmName = ''
@@ -68,7 +68,7 @@
     def is_quarantined(self) -> bool:
         """Return whether requests with the part are refused."""
         has_crashes = len(self.crashes) >= QUARANTINE_CRASHES
-        return has_crashes and self.crashed_trials > 0
+        return has_crashes and bool(self.trial_crashes)
 
     @property
     def may_be_tried(self) -> bool:
@@ -96,19 +96,16 @@
 
 
 def record_crash(state: QuarantineState, crash: PartCrash) -> QuarantineState:
-    """Return the state after a crash; one that is known changes nothing.
-
-    A quarantined part explains its crashes: no other part is suspected for
-    them.
-    """
+    """Return the state after a crash; one that is known changes nothing."""
     name = f'{crash.target}#{crash.incarnation}'
     records = {record.part: record for record in state.parts}
     tried = _prime_suspect(crash.trials, records)
-    for part in _implicated(crash, name, records):
+    for part in _implicated(crash, name, tried, records):
         known = records.get(part) or PartRecord(part)
         if name not in known.crashes:
             records.pop(part, None)
             records[part] = _with_crash(known, name, is_trial=part == tried)
+    _resolve_trials(records, name)
     return _replace_parts(state, _drop_excess(_without_explained(records)))
 
 
@@ -126,16 +123,28 @@
 
 
 def _implicated(
-    crash: PartCrash, name: str, records: _Records
+    crash: PartCrash, name: str, tried: PromptPart | None, records: _Records
 ) -> tuple[PromptPart, ...]:
-    """Return the parts to which a crash is attributed."""
+    """Return the parts whose records a crash is added to.
+
+    Where a quarantined part ran, others are not suspected, unless there is
+    more evidence against one of them.
+    """
     quarantined = [one for one in records.values() if one.is_quarantined]
     parts = {one.part for one in quarantined}
     present = tuple(part for part in crash.parts if part in parts)
     if present:
         return present
-    is_explained = any(name in one.crashes for one in quarantined)
-    return () if is_explained else crash.parts
+    explaining = [one for one in quarantined if name in one.crashes]
+    if not explaining:
+        return crash.parts
+    most = max(_suspicion(one) for one in explaining)
+    candidates = (
+        _with_crash(records[part], name, is_trial=part == tried)
+        for part in crash.parts
+        if part in records
+    )
+    return tuple(one.part for one in candidates if _suspicion(one) > most)
 
 
 def _prime_suspect(
@@ -157,18 +166,39 @@
     return prime
 
 
+def _resolve_trials(records: _Records, name: str) -> None:
+    """Attribute a crash to the most suspected of the parts tried there.
+
+    Trials of several parts may run at the same target.
+    """
+    tried = [one for one in records.values() if name in one.trial_crashes]
+    most = max((_suspicion(one) for one in tried), default=(0, 0))
+    for record in tried:
+        if _suspicion(record) < most:
+            others = tuple(one for one in record.trial_crashes if one != name)
+            records[record.part] = record._replace(trial_crashes=others)
+
+
+def _suspicion(record: PartRecord) -> tuple[int, int]:
+    return len(record.crashes), len(record.trial_crashes)
+
+
 def _without_explained(records: _Records) -> _Records:
-    """Drop the crashes of quarantined parts from the records of suspects."""
+    """Drop the crashes of quarantined parts from the records of others.
+
+    Parts with as much evidence against them keep it: they may be the cause,
+    or another one.
+    """
     explained = {
         name
         for record in records.values()
         if record.is_quarantined
         for name in record.crashes
     }
-    kept = {}
+    kept: _Records = {}
     for part, record in records.items():
         crashes = record.crashes
-        if not record.is_quarantined:
+        if not record.trial_crashes and len(crashes) < QUARANTINE_CRASHES:
             crashes = tuple(name for name in crashes if name not in explained)
         if crashes:
             kept[part] = record._replace(crashes=crashes)
@@ -178,7 +208,9 @@
 def _with_crash(known: PartRecord, name: str, *, is_trial: bool) -> PartRecord:
     return known._replace(
         crashes=(*known.crashes, name)[-MAX_STORED_CRASHES:],
-        crashed_trials=known.crashed_trials + is_trial,
+        trial_crashes=(*known.trial_crashes, name)
+        if is_trial
+        else known.trial_crashes,
         holder='' if is_trial else known.holder,
     )
 
--- a/packages/lovagemast-core/src/lovagemast_core/quarantine/_timing.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quarantine/_timing.py
@@ -12,7 +12,7 @@
 # For a request to be sent and its answer to begin, or its target to crash.
 TRIAL_LEASE_S: Final = 1.5
 # Before each of the trials of a quarantined part.
-QUARANTINE_TRIAL_DELAYS_S: Final = (10.0, 60.0, 300.0)
+QUARANTINE_TRIAL_DELAYS_S: Final = (30.0, 120.0, 600.0)
 # Records are dropped after this time without a request for the part.
 SUSPECT_RETENTION_S: Final = 60.0
 QUARANTINE_RETENTION_S: Final = 900.0
