Refuse quarantined prompts before tokens; bound the wait for another relay

- A request with a quarantined part waited for its account's tokens before it was refused.
It is checked before the quota now (HttpRefusal has a module of its own, to break the circle of imports).
- An entry VM whose new relay knows less asks for all records until it has caught up.
Without a leader it never does, and requests that wait wake such asks up to 100 times a second: after 1 s its records are taken as they are.

Both found when the diff was read; test_quarantined_request_waits_for_no_tokens and test_waiting_for_another_relay_is_bounded fail without.

--- a/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
@@ -19,6 +19,9 @@
 # one. Operators allow 5 s from their acknowledgement, which leaves 3 s for the
 # update to arrive.
 VERSION_GRACE_S: Final = 2.0
+# For this long a relay that knows less than the view is asked for all records
+# with each request. Without a leader, none catches up.
+MAX_CATCH_UP_S: Final = 1.0
 
 
 class KnownTarget(NamedTuple):
@@ -50,6 +53,7 @@
         self.led_since = 0.0  # s
         self.orders_allowed_at = 0.0  # s, when the leader may send orders
         self._stamp = 0  # of the newest target records
+        self._behind_since: float | None = None  # s, the current relay
         self._has_all_targets = False
         self._index = TargetIndex()
         self._newest: dict[tuple[str, str], tuple[int, float]] = {}
@@ -74,8 +78,9 @@
         if reply.term < self.term:
             return False
         confirmed = asked_at - max(0.0, reply.quorum_age_s)
-        if reply.epoch != self.epoch and confirmed < self.confirmed_at:
+        if reply.epoch != self.epoch and self._is_behind(confirmed, now):
             return False
+        self._behind_since = None
         is_newer = self._apply_published(reply.published, now)
         self.confirmed_at = max(self.confirmed_at, confirmed)
         self.term = reply.term
@@ -155,6 +160,14 @@
             if known.record.pool == pool:
                 yield known
 
+    def _is_behind(self, confirmed: float, now: float) -> bool:
+        """Return whether to wait for another relay to catch up."""
+        if confirmed >= self.confirmed_at:
+            return False
+        if self._behind_since is None:
+            self._behind_since = now
+        return now - self._behind_since < MAX_CATCH_UP_S
+
     def _apply_quarantine(self, state: QuarantineState | None) -> None:
         if state and state.version > self.quarantine.version:
             self.quarantine = state
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_admission.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_admission.py
@@ -1,8 +1,8 @@
 """Admission control: checks a request before a target is chosen.
 
-The checks run in this order: route, API key, pool, quota. A check either
-passes the request on or rejects it with a response that the entry VM
-generates itself.
+The checks run in this order: route, API key, pool, prompt parts, quota. A
+check either passes the request on or rejects it with a response that the
+entry VM generates itself.
 """
 
 from typing import Final, NamedTuple
@@ -18,6 +18,8 @@
 from ..http import HttpRequest, header_value
 from ._codec import RequestMetadata
 from ._entrystate import EntryState
+from ._promptcheck import PromptCheck
+from ._refusal import HttpRefusal
 
 # If the leader has not confirmed the configuration for this long, a newer one
 # may exist, so 401 and 404 are replaced by 503.
@@ -34,17 +36,6 @@
 ELECTION_RETRY_AFTER_S: Final = 1.0  # about the duration of an election
 
 
-class HttpRefusal(NamedTuple):
-    """An error response that the entry VM generates itself.
-
-    Callers get ``reason`` in a header; its texts are part of the interface.
-    """
-
-    status: int
-    reason: str
-    retry_after_s: float | None = None
-
-
 class AdmittedRequest(NamedTuple):
     """A request that passed all checks.
 
@@ -106,7 +97,8 @@
                 503, 'the route has no pool', CONFIG_RETRY_AFTER_S
             )
         cost = _cost(account, metadata)
-        refusal = await self._charge_quota(account, route, cost)
+        refusal = PromptCheck(self._state, metadata).quarantine_refusal()
+        refusal = refusal or await self._charge_quota(account, route, cost)
         if refusal:
             return refusal
         timeout_s = route.timeout_s
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
@@ -6,10 +6,11 @@
 from lovagemast_core.quarantine import PartStatus
 
 from .._clock import now_s
-from ._admission import POLL_INTERVAL_S, AdmittedRequest, HttpRefusal
+from ._admission import POLL_INTERVAL_S, AdmittedRequest
 from ._attempt import Attempt, AttemptOutcome, AttemptResult
 from ._entrystate import EntryState
 from ._promptcheck import PromptCheck
+from ._refusal import HttpRefusal
 from ._relay import ResponseRelay
 from ._targetchoice import TargetChooser
 
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_promptcheck.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_promptcheck.py
@@ -6,9 +6,9 @@
 
 from .._clock import now_s
 from ..http import ConnectFailed
-from ._admission import HttpRefusal
 from ._codec import RequestMetadata
 from ._entrystate import EntryState
+from ._refusal import HttpRefusal
 
 # First words of the refusal's reason, which callers may rely on.
 QUARANTINED_CODE: Final = 'prompt-part-quarantined'
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
@@ -4,10 +4,11 @@
 
 from .._clock import now_s
 from ..http import HttpRequest, Responder
-from ._admission import Admission, AdmittedRequest, HttpRefusal
+from ._admission import Admission, AdmittedRequest
 from ._codec import RequestMetadata
 from ._entrystate import EntryState
 from ._forwarder import NOT_RUN_RETRY_AFTER_S, RequestForwarder
+from ._refusal import HttpRefusal
 from ._relay import ResponseRelay
 
 
--- a/tests/test_promptcheck.py
+++ b/tests/test_promptcheck.py
@@ -197,6 +197,25 @@
     assert target.requests == 1
 
 
+def test_quarantined_request_waits_for_no_tokens() -> None:
+    """It is refused before its account's quota is looked at."""
+
+    async def play() -> Answer:
+        vm = EntryVm()
+        await vm.serve(CrashingTarget())
+        index = make_index(CallKind.STREAM)
+        account = index.accounts['acme']._replace(rate=1.0, burst=1.0)
+        index.accounts['acme'] = account
+        vm.state.view.set_index(index)
+        vm.quarantine(QUARANTINED)
+        return await vm.request('sys:9,d:1,own:1')
+
+    answer = asyncio.run(play())
+    assert answer.status == 503
+    assert answer.reason.startswith('prompt-part-quarantined')
+    assert answer.took_s < 0.1
+
+
 def test_waiting_request_is_refused_at_once() -> None:
     """A request that waits for a target is refused once it is quarantined."""
 
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -222,6 +222,18 @@
         assert set(view.targets) == {'t1'}
         assert view.epoch == 5
 
+    def test_waiting_for_another_relay_is_bounded(self) -> None:
+        """Without a leader no relay catches up, and full lists are costly."""
+        view = FleetView()
+        view.apply(make_reply(epoch=5, stamp=9), 10.0, 10.0)
+        stale = make_reply(epoch=6, stamp=4, targets=(make_record('t1'),))
+        for step in range(12):
+            now = 10.5 + step / 10
+            view.apply(stale._replace(quorum_age_s=now - 9.0), now, now)
+        assert view.epoch == 6
+        assert set(view.targets) == {'t1'}
+        assert view.confirmed_at == pytest.approx(9.9)
+
     def test_other_relay_is_used_once_it_caught_up(self) -> None:
         """A relay is asked for all records until one reply is applied."""
         view = FleetView()
