--- a/tests/test_promptcheck.py
+++ b/tests/test_promptcheck.py
@@ -27,7 +27,7 @@
 )
 from lovagemast_platform._entry import PlatformEntryCodec
 
-from tests.test_calls import CFG, HOST, make_index
+from tests.test_calls import CFG, HOST, ScriptedTarget, make_index
 
 STREAM = (
     b'HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n'
@@ -86,7 +86,7 @@
         )
         self._port = 0
 
-    async def serve(self, *targets: CrashingTarget) -> None:
+    async def serve(self, *targets: CrashingTarget | ScriptedTarget) -> None:
         """Listen, with some targets in the view."""
         records = [
             TargetRecord(
