Keep to the limits that targets name, all entry VMs together

A target in need names in its answers the requests a second that it takes from all VMs together.

Cause: what a target says of itself was known to nobody. Change: a limit is an account whose tokens are requests, and each send spends one (targetlimits/, SendLimiter). The leader issues tokens through relays, as it does for client accounts. Entry VMs report a limit with the next sync; the newest answer wins. A VM that the leader does not reach uses an equal share by rank. What can't get a token in time is refused, adapters move to engines with room, and those are kept for the adapters in most demand. The wait for a target is a module of its own.

--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_enginetable.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_enginetable.py
@@ -16,12 +16,14 @@
 # their slots, and another engine less than this ratio of what they use.
 COPY_MIN_LOAD: Final = 0.3
 COPY_MAX_LOAD_RATIO: Final = 0.6
+COPY_EVICTION_RATIO: Final = 2.0  # of a copy's demand to its victim's
 RUNNING_COST: Final = 0.5  # requests/s, for each running request
 # Cost of a load from the weight store, which all engines share. An engine
 # that has the adapter in its host's memory loads it at once.
 STORE_LOAD_COST: Final = 8.0  # requests/s
 ENGINE_TIMEOUT_S: Final = 2.7  # two missed heartbeats; then not usable
 LOADING_COST: Final = 0.5  # requests/s, for each adapter that is loading
+OVER_LIMIT_COST: Final = 4.0  # for each request/s beyond an engine's limit
 
 Name = tuple[str, str]
 
@@ -42,6 +44,8 @@
         self.history = HostHistory()
         self.requests: Counter[TargetName] = Counter()  # of all targets
         self._demand = demand
+        self._limits: dict[TargetName, float] = {}  # requests/s
+        self._exhausted: frozenset[TargetName] = frozenset()
         self._holders: dict[Name, list[EngineState]] = {}
         self._adapter_demand: dict[TargetName, float] = {}
         self._now = 0.0  # s, when the state was last refreshed
@@ -93,6 +97,15 @@
             for engine in self
         }
 
+    def set_limits(
+        self,
+        limits: dict[TargetName, float],
+        exhausted: frozenset[TargetName],
+    ) -> None:
+        """Set the limits that engines name, and those that are used up."""
+        self._limits = limits
+        self._exhausted = exhausted
+
     def loads_in_flight(self, now: float) -> int:
         """Return how many adapters are loading over all engines."""
         return sum(engine.loads_in_flight(now) for engine in self)
@@ -109,6 +122,32 @@
             if self.is_usable(engine)
         )
 
+    def has_capacity(self, name: Name) -> bool:
+        """Return whether an engine with a current version takes requests.
+
+        One that is sent all that its limit allows does not.
+        """
+        return any(
+            self.holds_current(engine, name)
+            for engine in self.holders(name)
+            if self.is_usable(engine) and not self.is_exhausted(engine)
+        )
+
+    def eviction_ratio(self, engine: EngineState, name: Name) -> float:
+        """Return how many times its victim's demand an adapter must have.
+
+        While some engines take few requests, the others are kept for the
+        adapters with the most demand.
+        """
+        if self.has_capacity(name):
+            return COPY_EVICTION_RATIO
+        is_kept = bool(self._limits) and engine.target not in self._limits
+        return 1.0 if is_kept else 0.0
+
+    def is_exhausted(self, engine: EngineState) -> bool:
+        """Return whether an engine is sent all that its limit allows."""
+        return engine.target in self._exhausted
+
     def is_usable(self, engine: EngineState) -> bool:
         """Return whether entry VMs can send requests to an engine."""
         if engine.heartbeat.leaving or engine.heartbeat.zone in self.zones_out:
@@ -148,9 +187,13 @@
         )
 
     def demand_per_holder(self, label: AdapterLabel, now: float) -> float:
-        """Return the requests per second for an adapter at each holder."""
-        copies = max(1, len(self.holders(label.name)))
-        return self._demand.rate(label.name, now) / copies
+        """Return the requests per second for an adapter at each holder.
+
+        Holders that are sent all that their limits allow take no part.
+        """
+        holders = self.holders(label.name)
+        copies = sum(not self.is_exhausted(engine) for engine in holders)
+        return self._demand.rate(label.name, now) / max(1, copies)
 
     def loadable_engines(self, now: float) -> list[EngineState]:
         """Return the engines that can be ordered to load an adapter."""
@@ -173,7 +216,9 @@
         """
         cost = LOADING_COST * engine.loads_in_flight(now)
         cost += RUNNING_COST * engine.running_total
-        return cost + self._adapter_demand.get(engine.target, 0)
+        demand = self._adapter_demand.get(engine.target, 0)
+        limit = self._limits.get(engine.target, demand)
+        return cost + demand + OVER_LIMIT_COST * max(0.0, demand - limit)
 
     def store_cost(self, engine: EngineState, name: Name) -> float:
         """Return the cost of fetching an adapter, in requests/s."""
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
@@ -33,7 +33,6 @@
 MAX_COPIED_ADAPTERS: Final = 24  # most requested, that may have copies
 MIN_COPY_RATE: Final = 0.5  # requests/s per holder, including the copy
 NO_TARGETS: Final[frozenset[TargetName]] = frozenset()
-COPY_EVICTION_RATIO: Final = 2.0  # of a copy's demand to its victim's
 USES_TTL_S: Final = 3.0
 UNREACHABLE_TTL_S: Final = 0.6  # entry VMs repeat it more often
 
@@ -237,7 +236,7 @@
             if self.engines.is_outdated(name):
                 self._wishes.setdefault(name, now)
         missing = [
-            one for one in self._wishes if not self.engines.is_served(one)
+            one for one in self._wishes if not self.engines.has_capacity(one)
         ]
         missing.sort(key=lambda name: -self.demand.rate(name, now))
         return missing
@@ -292,7 +291,7 @@
         label = self._newest_label(name)
         gain = self.engines.demand_per_holder(label, now)
         loss = self.engines.demand_per_holder(victim, now)
-        if self.engines.is_served(name) and gain < COPY_EVICTION_RATIO * loss:
+        if gain < self.engines.eviction_ratio(engine, name) * loss:
             return None
         return engine.make_order(victim, fence, load=False)
 
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_round.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_round.py
@@ -45,13 +45,16 @@
     def engines_for(self, name: Name) -> list[EngineState]:
         """Return the engines that can take an adapter, the cheapest first.
 
-        They do not hold it yet, and have a free slot or can free one.
+            They do not hold it yet, have a free slot or can free one, and are
+        not sent all that their limits allow.
         """
         holders = {engine.target for engine in self._engines.holders(name)}
         able = [
             engine
             for engine in self._with_room()
-            if name[0] in engine.models and engine.target not in holders
+            if name[0] in engine.models
+            and engine.target not in holders
+            and not self._engines.is_exhausted(engine)
         ]
         able.sort(key=lambda one: self._cost(one, name))
         return able
--- a/packages/lovagemast-core/src/lovagemast_core/control/_effects.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_effects.py
@@ -8,6 +8,7 @@
 from .._types import TargetName, VmName
 from ..adapters import Order, OrderOutcome
 from ..quarantine import QuarantineState
+from ..targets import LimitReport
 
 
 class CommandDone(NamedTuple):
@@ -66,6 +67,12 @@
     after: QuarantineState
 
 
+class LimitsChanged(NamedTuple):
+    """The leader has learned of new limits of targets, or of their end."""
+
+    reports: tuple[LimitReport, ...]
+
+
 class RelayFailed(NamedTuple):
     """A holder did not send a relayed order, or did not report its outcome."""
 
@@ -83,5 +90,6 @@
     | LeaderChanged
     | HoldersNoticed
     | QuarantineChanged
+    | LimitsChanged
     | RelayFailed
 )
--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -14,6 +14,7 @@
 from ..deployment import DeploymentIndex
 from ..quarantine import QuarantineController
 from ..quota import ISSUE_LEASE_S, QuotaBounds, TokenIssuer
+from ..targetlimits import SendBounds, TargetLimits
 from ..targets import (
     RegisteredTarget,
     RelayInfo,
@@ -68,6 +69,8 @@
         self.registry = TargetRegistry()
         self.planner = AdapterPlanner()
         self.issuer = TokenIssuer(quota)
+        self.limits = TargetLimits()
+        self._send_issuer = TokenIssuer(SendBounds())
         self._vm = vm
         self.holders = OrderHolders(takeover_s)
         self.health = HolderHealth()
@@ -103,6 +106,8 @@
         self.registry.reset()
         self.planner.reset()
         self.issuer.reset()
+        self.limits.clear()
+        self._send_issuer.reset()
         self.quarantine.start_term(now)
         self._relays.clear()
 
@@ -132,6 +137,7 @@
     def on_departure(self, target: TargetName, now: float) -> int:
         """Remove a target that has deregistered and return its incarnation."""
         self.planner.remove_engine(target)
+        self.limits.remove(target)
         return self.registry.remove(target, now)
 
     def on_ask(
@@ -149,6 +155,7 @@
         if ask.has_uses:
             self.planner.record_uses(ask.vm, ask.uses, now)
         self.planner.record_unreachable(ask.shut, now)
+        self.limits.merge(ask.limits, now)
         for text in ask.missing:
             target, _, label = text.partition(' ')
             self.planner.record_missing(
@@ -162,8 +169,14 @@
             reply = reply._replace(loads=self._target_loads())
         if quorum_age_s > ISSUE_LEASE_S or self._index is None:
             return reply
-        lots = self.issuer.issue(ask.tokens, self._index.accounts, now)
-        return reply._replace(lots=lots)
+        return reply._replace(
+            lots=self.issuer.issue(
+                ask.tokens, self._index.accounts, now, ask.vm
+            ),
+            send_lots=self._send_issuer.issue(
+                ask.sends, self.limits.accounts(), now, ask.vm
+            ),
+        )
 
     def updates_for(
         self,
@@ -172,7 +185,9 @@
         now: float,
     ) -> SyncReply:
         """Return a reply with all changes that a relay does not know."""
-        known_stamp = ask.stamp if ask.epoch == self._term else 0
+        is_current = ask.epoch == self._term
+        known_stamp = ask.stamp if is_current else 0
+        limit_stamp = ask.limit_stamp if is_current else 0
         removals = self.registry.removals
         is_complete = known_stamp == 0 or known_stamp < removals.horizon
         self._drop_silent_relays(now)
@@ -200,6 +215,8 @@
             rank=ranked.index(ask.vm) if ask.vm in self._relays else 0,
             relays=tuple(RelayInfo(vm, self._relays[vm].zone) for vm in ranked),
             quarantine=self.quarantine.newer_than(ask.quarantine),
+            limits=self.limits.changed_since(limit_stamp, now),
+            limit_stamp=self.limits.stamp,
         )
 
     def expire(self, now: float) -> list[TargetName]:
@@ -207,6 +224,7 @@
         expired = self.registry.expire(now)
         for target in expired:
             self.planner.remove_engine(target)
+            self.limits.remove(target)
         return expired
 
     def plan(self, quorum_age_s: float, now: float) -> list[Order]:
@@ -221,6 +239,10 @@
         blocked = frozenset(
             target for target, wait_s in waits.items() if wait_s > 0
         )
+        self.planner.engines.set_limits(
+            self.limits.current(),
+            self._send_issuer.exhausted(self.limits.accounts(), now),
+        )
         fence = self.holders.fencing_token(self._term)
         orders = self.planner.plan(fence, now, blocked)
         for order in orders:
--- a/packages/lovagemast-core/src/lovagemast_core/control/_node.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_node.py
@@ -30,6 +30,7 @@
     ControlEffect,
     HoldersNoticed,
     LeaderChanged,
+    LimitsChanged,
     PushUpdates,
     QuarantineChanged,
     RelayFailed,
@@ -219,7 +220,12 @@
                 quorum_age_s=UNCONFIRMED_AGE_S,
             )
         self._handle_part_reports(ask, now)
+        limits = self.fleet.limits
+        stamp = limits.stamp
         reply = self.fleet.on_ask(ask, self.quorum_age(now), now)
+        if limits.stamp != stamp:
+            changes = limits.changed_since(stamp, now)
+            self._effects.extend((LimitsChanged(changes), PushUpdates()))
         self._schedule_plan(now)
         return reply
 
--- a/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
@@ -16,6 +16,7 @@
     choose_target,
     find_candidates,
 )
+from ._sendlimiter import SendLimiter, SendTerms
 from ._view import FleetView, KnownTarget
 
 __all__ = [
@@ -33,6 +34,8 @@
     'PrefillLimit',
     'RetryBudget',
     'SelectionCriteria',
+    'SendLimiter',
+    'SendTerms',
     'TargetHealth',
     'TargetRequirements',
     'choose_target',
--- a/packages/lovagemast-core/src/lovagemast_core/quota/_localtokens.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quota/_localtokens.py
@@ -1,12 +1,13 @@
 """The entry VM's side of quotas: tokens that it holds and may spend."""
 
 import math
+from collections.abc import Collection
 from typing import Final
 
 from .._types import AccountName
 from ..deployment import AccountSpec
 from ..targets import TokenLot, TokenWish
-from ._bounds import QuotaBounds
+from ._bounds import TokenBounds
 
 DEMAND_WINDOW_S: Final = 2.0  # over which demand is averaged
 PREFETCH_S: Final = 2.5  # of demand; covers the election of a leader
@@ -26,6 +27,7 @@
         self.demand_at = now
         self.waiting = 0.0  # tokens that queued requests need
         self.short_at = float('-inf')  # s, of the last shortage
+        self.short_wait_s = 0.0  # expected at the last shortage
         self.granted = 0.0  # tokens/s
         self.granted_at = now
 
@@ -58,7 +60,7 @@
 class LocalTokens:
     """Spends tokens for requests and requests more from the leader."""
 
-    def __init__(self, bounds: QuotaBounds) -> None:
+    def __init__(self, bounds: TokenBounds) -> None:
         self._bounds = bounds
         self._accounts: dict[AccountName, _AccountTokens] = {}
 
@@ -68,6 +70,12 @@
         """Count a request's cost as demand, whether or not it is admitted."""
         self._account(account.name, now).record_demand(cost, now)
 
+    def can_spend(self, account: AccountSpec, cost: float, now: float) -> bool:
+        """Return whether enough tokens are held for a cost."""
+        state = self._account(account.name, now)
+        state.expire(now)
+        return account.rate <= 0 or state.held() >= cost
+
     def spend(self, account: AccountSpec, cost: float, now: float) -> bool:
         """Spend a request's cost; return whether enough tokens were held.
 
@@ -76,10 +84,9 @@
         """
         if account.rate <= 0:
             return True
-        state = self._account(account.name, now)
-        state.expire(now)
-        if state.held() < cost:
+        if not self.can_spend(account, cost, now):
             return False
+        state = self._account(account.name, now)
         remaining = cost
         while remaining > 0 and state.lots:
             granted_at, tokens = state.lots[0]
@@ -116,6 +123,16 @@
         state = self._account(account.name, now)
         return now - state.short_at < SHORTAGE_TTL_S
 
+    def shortage_wait_s(self, account: AccountSpec, now: float) -> float:
+        """Return the wait that the leader expected at the last shortage.
+
+        It is 0 if there was none just now. Requests from all VMs wait.
+        """
+        if not self.is_short(account, now):
+            return 0.0
+        state = self._account(account.name, now)
+        return max(0.0, state.short_wait_s - (now - state.short_at))
+
     def add(self, lot: TokenLot, now: float) -> None:
         """Add a lot of tokens that the leader has issued.
 
@@ -124,6 +141,7 @@
         state = self._account(lot.account, now)
         if lot.short:
             state.short_at = now
+            state.short_wait_s = lot.wait_s
         if lot.tokens > 0:
             state.lots.append((now - lot.age_s, lot.tokens))
             state.record_grant(lot.tokens, now)
@@ -169,5 +187,10 @@
         rate = max(state.granted, even_share, MIN_RATE)
         return (state.waiting + cost) / rate
 
+    def retain(self, names: Collection[AccountName]) -> None:
+        """Forget the accounts that are not in ``names``."""
+        for name in set(self._accounts) - set(names):
+            self._accounts.pop(name)
+
     def _account(self, name: AccountName, now: float) -> _AccountTokens:
         return self._accounts.setdefault(name, _AccountTokens(now))
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_entries.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_entries.py
@@ -23,8 +23,10 @@
         self.load_stamp = 0  # of the loads that it was sent
         self.version = 0  # of the published state that it was sent
         self.quarantine = 0  # version of the quarantine state that it was sent
+        self.limit_stamp = 0  # of the targets' limits that it was sent
         self.replies = 0
         self.lots: list[TokenLot] = []  # granted and not sent yet
+        self.send_lots: list[TokenLot] = []  # the same, for limited targets
 
     def record_ask(self, ask: SyncAsk, epoch: int, now: float) -> None:
         """Store a request and what it says the entry VM holds.
@@ -34,6 +36,8 @@
         """
         holds = ask.stamp if ask.epoch == epoch else 0
         self.stamp = max(self.stamp, holds) if holds else 0
+        if ask.epoch == epoch:
+            self.limit_stamp = max(self.limit_stamp, ask.limit_stamp)
         self.version = max(self.version, ask.version)
         self.quarantine = max(self.quarantine, ask.quarantine)
         self.ask = ask
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
@@ -13,6 +13,7 @@
 from ..adapters import AdapterLabel
 from ..entry import FleetView
 from ..quarantine import PartReports, TrialWish
+from ..targetlimits import LimitExchange
 from ..targets import SyncAsk, SyncReply
 from ._entries import ConnectedEntries, EntryLink
 from ._loads import RelayedLoads
@@ -43,6 +44,8 @@
         self._loads = RelayedLoads()
         self._entries = ConnectedEntries()
         self._tokens = TokenSplitter()
+        self._sends = TokenSplitter()  # for requests to limited targets
+        self._limits = LimitExchange()
         self._reports = PartReports()
         self._trials: dict[TrialWish, None] = {}
         self._uses_sent_at = float('-inf')
@@ -71,18 +74,24 @@
             crashes=self._reports.crashes(number),
             answered=self._reports.answered(number),
             trials=self._take_trials(),
+            limits=self._limits.reports(number, now),
+            limit_stamp=self._limits.server_stamp,
+            sends=self._sends.total_wishes(now),
         )
 
     def on_reply(self, reply: SyncReply, asked_at: float, now: float) -> None:
         """Apply the leader's reply to the request sent at ``asked_at``."""
         self.view.apply(reply, asked_at, now)
         self._reports.on_reply(reply.ask)
+        self._limits.on_reply(reply, now)
         self._note_adapters(self._records.update(self.view.targets))
         self._loads.update(reply.loads)
         if reply.removed or reply.is_complete:
             self._loads.remove(set(self.view.targets))
-        if reply.lots:
+            self._limits.known.retain(self.view.targets)
+        if reply.lots or reply.send_lots:
             self._tokens.add(reply.lots, now)
+            self._sends.add(reply.send_lots, now)
             self._grant_tokens(now)
 
     def on_ask(self, session: int, ask: SyncAsk, now: float) -> SyncReply:
@@ -92,14 +101,16 @@
         one is lost.
         """
         if self.session_of(ask.vm) != session:
-            self._tokens.remove(ask.vm)
+            self._remove_wishes(ask.vm)
         for text in ask.missing:
             self._records.dispute(text.partition(' ')[0])
         self._reports.add_crashes(ask.crashes)
         self._reports.add_answered(ask.answered)
         self._trials.update(dict.fromkeys(ask.trials))
+        self._limits.known.merge(ask.limits, now)
         link = self._entries.record_ask(session, ask, self._epoch, now)
         self._tokens.set_wishes(ask.vm, ask.tokens, ask.seen, now)
+        self._sends.set_wishes(ask.vm, ask.sends, ask.seen, now)
         self._grant_tokens(now)
         return self._reply(ask.vm, link, now)
 
@@ -108,7 +119,7 @@
         link = self._entries.links.get(vm)
         if link and link.session == session:
             self._entries.links.pop(vm)
-            self._tokens.remove(vm)
+            self._remove_wishes(vm)
 
     def needs_leader(self, ask: SyncAsk) -> bool:
         """Return whether the leader should be asked at once."""
@@ -116,7 +127,9 @@
             return True
         if ask.crashes or ask.answered or ask.trials:
             return True
-        return self._tokens.needs_tokens()
+        if self._limits.has_reports():
+            return True
+        return self._tokens.needs_tokens() or self._sends.needs_tokens()
 
     def pushes_due(self, now: float) -> list[VmName]:
         """Return the entry VMs to push changes to, those that wait first."""
@@ -176,9 +189,15 @@
             relays=view.relays,
             number=link.replies,
             quarantine=quarantine if has_quarantine else None,
+            limits=self._limits.known.changed_since(link.limit_stamp, now),
+            limit_stamp=self._limits.known.stamp,
+            send_lots=tuple(link.send_lots),
         )
         self._tokens.record_grant(vm, link.lots, link.replies, now)
+        self._sends.record_grant(vm, link.send_lots, link.replies, now)
         link.lots = []
+        link.send_lots = []
+        link.limit_stamp = reply.limit_stamp
         link.has_adapter = False
         link.replied_at = now
         link.stamp = records.stamp
@@ -202,10 +221,17 @@
         return self._entries.rank(vm) * relays + self.view.rank
 
     def _grant_tokens(self, now: float) -> None:
+        links = self._entries.links
         for vm, lots in self._tokens.distribute(now).items():
-            link = self._entries.links.get(vm)
-            if link:
-                link.lots.extend(lots)
+            if vm in links:
+                links[vm].lots.extend(lots)
+        for vm, lots in self._sends.distribute(now).items():
+            if vm in links:
+                links[vm].send_lots.extend(lots)
+
+    def _remove_wishes(self, vm: VmName) -> None:
+        self._tokens.remove(vm)
+        self._sends.remove(vm)
 
     def _note_adapters(self, labels: set[str]) -> None:
         """Mark the entry VMs whose requests wait for one of the adapters."""
@@ -220,7 +246,9 @@
             return True
         if link.stamp < self._records.left_stamp:
             return True
-        return bool(link.lots) or link.has_adapter
+        if link.limit_stamp < self._limits.known.stamp:
+            return True
+        return bool(link.lots or link.send_lots) or link.has_adapter
 
     def _push_at(self, link: EntryLink) -> float:
         """Return when to push to an entry VM; never if nothing changed."""
@@ -234,4 +262,4 @@
 
     def _drop_silent(self, now: float) -> None:
         for vm in self._entries.drop_silent(now):
-            self._tokens.remove(vm)
+            self._remove_wishes(vm)
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_tokens.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_tokens.py
@@ -48,7 +48,7 @@
         self._wishes: dict[AccountName, dict[VmName, _Wish]] = defaultdict(dict)
         self._grants: dict[VmName, list[_Grant]] = {}
         self._pools: dict[AccountName, TokenPool] = defaultdict(TokenPool)
-        self._short: set[AccountName] = set()
+        self._short: dict[AccountName, float] = {}  # expected wait, s
 
     def set_wishes(
         self,
@@ -87,7 +87,7 @@
         """Add lots that the leader has issued."""
         for lot in lots:
             if lot.short:
-                self._short.add(lot.account)
+                self._short[lot.account] = lot.wait_s
             if lot.tokens > 0:
                 self._pools[lot.account].add(lot.tokens, now - lot.age_s)
 
@@ -181,7 +181,16 @@
             by_vm[vm] = wish.reduced_by(tokens, extra)
             is_unmet = account in self._short and tokens < wish.tokens
             if tokens + extra > 0 or is_unmet:
-                yield vm, TokenLot(account, tokens + extra, is_unmet, age_s)
+                yield (
+                    vm,
+                    TokenLot(
+                        account,
+                        tokens + extra,
+                        is_unmet,
+                        age_s,
+                        self._short.get(account, 0.0),
+                    ),
+                )
 
 
 def _wished_since(wish: tuple[VmName, _Wish]) -> float:
--- a/packages/lovagemast-core/src/lovagemast_core/targets/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/__init__.py
@@ -6,6 +6,7 @@
 from ._sync import (
     AdapterUse,
     AdapterWish,
+    LimitReport,
     RelayInfo,
     ResidentAdapter,
     SyncAsk,
@@ -19,6 +20,7 @@
 __all__ = [
     'AdapterUse',
     'AdapterWish',
+    'LimitReport',
     'RegisteredTarget',
     'RelayInfo',
     'RemovalLog',
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
@@ -15,7 +15,8 @@
 class TokenWish(NamedTuple):
     """Tokens of a client account that an entry VM requests.
 
-    ``tokens`` are for queued requests, ``ahead`` for expected ones.
+    ``tokens`` are for queued requests, ``ahead`` for expected ones. Wishes for
+    requests to a limited target name the target as the account.
     """
 
     account: AccountName
@@ -49,13 +50,27 @@
     started: int  # since the last sync
 
 
+class LimitReport(NamedTuple):
+    """What a target last said of the requests that it takes.
+
+    ``per_s`` is the limit, in requests/s from all entry VMs together. It is
+    ``None`` if the target has answered without one after it had named one.
+    """
+
+    target: TargetName
+    incarnation: int  # of the target, as in its record
+    per_s: float | None
+    age_s: float  # since the answer arrived
+
+
 class SyncAsk(NamedTuple):
     """The sync request of an entry VM to a relay, or of a relay to the leader.
 
     ``crashes`` and ``answered`` report on prompt parts, and are repeated
     until a reply has arrived. ``missing`` lists adapters that targets turned
     out to lack, each in the form ``target label``. A relay omits ``uses`` from
-    most of its requests; the last ones stay valid then.
+    most of its requests; the last ones stay valid then. ``sends`` are wishes
+    for requests to limited targets.
     """
 
     ask: int  # increases with each request of a connection
@@ -77,6 +92,9 @@
     crashes: tuple[PartCrash, ...] = ()
     answered: tuple[PromptPart, ...] = ()  # suspected parts
     trials: tuple[TrialWish, ...] = ()
+    limits: tuple[LimitReport, ...] = ()  # learned since the last reply
+    limit_stamp: int = 0  # of the newest limits that it holds
+    sends: tuple[TokenWish, ...] = ()
 
 
 class RelayInfo(NamedTuple):
@@ -119,12 +137,13 @@
 
 
 class TokenLot(NamedTuple):
-    """Tokens issued to an entry VM for a client account."""
+    """Tokens issued to an entry VM, for an account or a limited target."""
 
     account: AccountName
     tokens: float
     short: bool = False  # the bucket held fewer than ``tokens`` of the wish
     age_s: float = 0.0  # since the relay received them
+    wait_s: float = 0.0  # expected until all unmet wishes are met, if short
 
 
 class SyncReply(NamedTuple):
@@ -158,3 +177,6 @@
     number: int = 0  # of this reply on its connection
     is_push: bool = False  # sent because of a change, not of a request
     quarantine: QuarantineState | None = None
+    limits: tuple[LimitReport, ...] = ()  # since the request's stamp
+    limit_stamp: int = 0
+    send_lots: tuple[TokenLot, ...] = ()
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -24,6 +24,7 @@
 from ._entrystate import EntryState
 from ._promptcheck import PromptCheck
 from ._relay import ResponseRelay
+from ._targetlimits import record_limit, send_terms
 
 TARGET_CONNECT_TIMEOUT_S: Final = 0.2
 FULL_BACKOFF_S: Final = 0.03  # before a full target is tried again
@@ -137,6 +138,7 @@
         if not isinstance(event, ResponseHead):
             return await self._on_incomplete(event)
         response = state.codec.decode_response_head(event)
+        record_limit(state, self._candidate.known, response, now)
         if response.running is not None:
             requests = response.running + (response.waiting or 0)
             state.load.target_reported(self._target, requests, now_s())
@@ -165,10 +167,22 @@
             detail = 'the target has left meanwhile'
         elif self._prompt.verdict().status is not PartStatus.FREE:
             detail = 'a part of its prompt is suspected'
+        elif not self._try_limited_send(now):
+            detail = 'the target takes no more within its limit'
         if detail:
             return AttemptResult(AttemptOutcome.NOT_SENT, detail)
         return None
 
+    def _try_limited_send(self, now: float) -> bool:
+        """Count the request against its target's limit, if there is one."""
+        state = self._state
+        known = self._candidate.known
+        if not state.sends.try_send(known, send_terms(state, now), now):
+            return False
+        if state.sends.limit_of(known) is not None:
+            state.metrics.record_limited_send()
+        return True
+
     def _reserve_prefill(self) -> None:
         if self._admitted.pool.engine:
             self._prefill_tokens = self._admitted.metadata.prompt_tokens
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_codec.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_codec.py
@@ -38,6 +38,7 @@
     running: int | None  # requests at the target, if it reports them
     waiting: int | None
     encoded: bool  # has a content encoding, which targets do not apply
+    limit: float | None = None  # requests/s that it takes; NaN if unreadable
 
 
 class TargetRequestMetadata(NamedTuple):
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -20,6 +20,7 @@
     ControlNode,
     HoldersNoticed,
     LeaderChanged,
+    LimitsChanged,
     PushUpdates,
     QuarantineChanged,
     ReadDone,
@@ -37,6 +38,7 @@
 from ._controlapi import ControlApi
 from ._engines import EngineClient
 from ._jsonlog import JsonLog
+from ._limitlog import log_limits
 from ._logwriter import LogWriter
 from ._metrics import ControlMetrics, MetricsPage
 from ._peers import (
@@ -209,6 +211,9 @@
             ),
             RelayFailed: self._log_relay_failed,
             QuarantineChanged: self._on_quarantine,
+            LimitsChanged: lambda effect: log_limits(
+                self._log, effect.reports, 'relay'
+            ),
         }
 
     def _log_leader(self, effect: LeaderChanged) -> None:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -20,6 +20,7 @@
 from ._codec import EntryCodec
 from ._entrystate import EntryState
 from ._jsonlog import JsonLog
+from ._limitlog import log_limits
 from ._metrics import MetricsPage
 from ._requesthandler import RequestHandler
 from ._settings import EntrySettings
@@ -159,6 +160,9 @@
             crashes=state.guard.reports.crashes(ask),
             answered=state.guard.reports.answered(ask),
             trials=state.guard.take_wishes(),
+            limits=state.sends.exchange.reports(ask, now_s()),
+            limit_stamp=state.sends.exchange.server_stamp,
+            sends=state.sends.wishes(now_s()),
         )
 
     def _on_reply(self, reply: SyncReply, asked_at: float) -> None:
@@ -172,17 +176,29 @@
             self._apply_config()
         for lot in reply.lots:
             state.tokens.add(lot, now)
+        self._apply_limits(reply, now)
         state.load.fleet_reported(reply.loads)
         if reply.removed or reply.is_complete:
             present = set(state.view.targets)
             state.health.retain(present)
             state.batch.retain(present)
             state.prefill.retain(present)
+            state.sends.retain(present)
         # A reply that only confirms the state wakes no waiting requests.
         has_news = newer or bool(reply.quarantine)
+        has_news = has_news or bool(reply.limits or reply.send_lots)
         if has_news or reply.targets or reply.removed or reply.lots:
             state.notify_update()
 
+    def _apply_limits(self, reply: SyncReply, now: float) -> None:
+        sends = self._state.sends
+        changes = sends.exchange.on_reply(reply, now)
+        log_limits(self._log, changes, 'sync')
+        for lot in reply.send_lots:
+            sends.add(lot, now)
+        limited = sends.exchange.known.current()
+        self._state.metrics.set_limited_targets(len(limited))
+
     def _apply_quarantine(self, now: float) -> None:
         guard = self._state.guard
         guard.update(self._state.view.quarantine, now)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
@@ -12,6 +12,7 @@
     FleetView,
     PrefillLimit,
     RetryBudget,
+    SendLimiter,
     TargetHealth,
 )
 from lovagemast_core.quarantine import PartGuard
@@ -45,6 +46,7 @@
         self.load = LoadTracker()
         self.pool = TargetPool()
         self.cold = ColdStartLimiter()
+        self.sends = SendLimiter()
         self.batch = BatchLimit()
         self.prefill = PrefillLimit()
         self.guard = PartGuard(cfg.vm)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
@@ -1,8 +1,8 @@
-"""Forwards an admitted request: target selection, waits and retries."""
+"""Forwards an admitted request: attempts and retries."""
 
 from typing import Final
 
-from lovagemast_core.entry import Candidate, Choice, NoReadyTarget
+from lovagemast_core.entry import Candidate
 from lovagemast_core.quarantine import PartStatus
 
 from .._clock import now_s
@@ -12,16 +12,10 @@
 from ._promptcheck import PromptCheck
 from ._refusal import HttpRefusal
 from ._relay import ResponseRelay
-from ._targetchoice import TargetChooser
+from ._targetwait import NOT_RUN_RETRY_AFTER_S, TargetWait
 
 # Sends beyond the route's attempts, after targets proved not to have run it.
 MAX_EXTRA_SENDS: Final = 3
-# The wait for a free target is bounded by a multiple of the route's latency
-# objective and by a fraction of the time to the deadline.
-TARGET_WAIT_OBJECTIVES: Final = 2.0
-TARGET_WAIT_FRACTION: Final = 0.3
-NOT_RUN_RETRY_AFTER_S: Final = 0.2
-EXPECTED_ADAPTER_WAIT_S: Final = 0.4  # a load and the leader's round trip
 
 
 class RequestForwarder:
@@ -41,7 +35,7 @@
         self._admitted = admitted
         self._relay = relay
         self._prompt = PromptCheck(state, admitted.metadata)
-        self._chooser = TargetChooser(state, admitted)
+        self._wait = TargetWait(state, admitted, self._prompt)
         self._tried: set[str] = set()
         self._possible_runs = 0
         self.sends = 0
@@ -55,8 +49,7 @@
     async def run(self) -> HttpRefusal | None:
         """Relay a response, or return why there is none."""
         self._state.retries.record_request(now_s())
-        if self._admitted.metadata.adapter:
-            self._state.load.adapter_requested(*self._chooser.requirements)
+        self._wait.record_request()
         while True:
             refusal = await self._wait_for_trial()
             if refusal:
@@ -117,6 +110,7 @@
         return {
             'chosen_s': round(chosen_at - arrived_at, 4),
             'first_s': round(first_at - arrived_at, 4) if first_at else None,
+            'limited_s': round(self._wait.limited_s, 4),
             'pause_s': round(self._relay.longest_pause_s, 4),
             'took_s': round(now_s() - arrived_at, 4),
         }
@@ -182,74 +176,15 @@
         return refusal
 
     async def _find_target(self) -> Candidate | HttpRefusal:
-        """Wait until a target with the adapter can take the request."""
-        give_up_at = self._wait_deadline()
-        is_waiting = False
-        try:
-            while True:
-                now = now_s()
-                choice = self._chooser.choose(frozenset(self._tried), now)
-                if isinstance(choice, Choice):
-                    return choice.candidate
-                refusal = self._check_wait(choice, give_up_at, now)
-                if refusal:
-                    return refusal
-                if not is_waiting and self._lacks_adapter(choice):
-                    is_waiting = True
-                    self._report_waiting(1)
-                await self._state.wait_for_update(_poll_delay_s(choice, now))
-        finally:
-            if is_waiting:
-                self._report_waiting(-1)
-
-    def _lacks_adapter(self, choice: NoReadyTarget) -> bool:
-        return (
-            bool(self._chooser.requirements.adapter) and not choice.holder_count
-        )
-
-    def _report_waiting(self, change: int) -> None:
-        """Report a change in the requests that wait for the adapter."""
-        self._state.load.adapter_awaited(*self._chooser.requirements, change)
-        self._state.request_sync()
-
-    def _check_wait(
-        self,
-        choice: NoReadyTarget,
-        give_up_at: float,
-        now: float,
-    ) -> HttpRefusal | None:
-        quarantined = self._check_quarantine()
-        if quarantined:
-            return quarantined
-        if now >= give_up_at:
-            return self._refuse_not_run('no target is free')
-        orders_at = self._state.view.orders_allowed_at
-        if self._lacks_adapter(choice) and orders_at > give_up_at:
-            return self._refuse_not_loaded(now)
-        return None
-
-    def _refuse_not_loaded(self, now: float) -> HttpRefusal:
-        """Refuse a request whose adapter cannot be loaded in time."""
-        if self._possible_runs:
-            return HttpRefusal(502, 'no other target holds the adapter')
-        wait_s = (
-            self._state.view.orders_allowed_at - now + EXPECTED_ADAPTER_WAIT_S
+        found = await self._wait.find(
+            frozenset(self._tried), self._wait_deadline()
         )
-        return HttpRefusal(503, 'no adapter can be loaded yet', wait_s)
+        if isinstance(found, HttpRefusal):
+            return self._as_possible_run(found)
+        return found
 
     def _wait_deadline(self) -> float:
-        admitted = self._admitted
+        """Return until when to wait; a stream that has begun goes on."""
         if self._relay.started:
-            return admitted.deadline
-        max_wait_s = TARGET_WAIT_FRACTION * (
-            admitted.deadline - admitted.arrived_at
-        )
-        objectives_s = TARGET_WAIT_OBJECTIVES * admitted.route.objective_s
-        return admitted.arrived_at + min(max_wait_s, objectives_s)
-
-
-def _poll_delay_s(choice: NoReadyTarget, now: float) -> float:
-    """Return the delay before the next search for a target."""
-    if choice.ready_at is None:
-        return POLL_INTERVAL_S
-    return min(POLL_INTERVAL_S, max(0.001, choice.ready_at - now))
+            return self._admitted.deadline
+        return self._wait.deadline()
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
@@ -61,6 +61,21 @@
             'Requests that ran, without an answer, when their target crashed',
             registry=self.registry,
         )
+        self._limited_targets = Gauge(
+            'lovagemast_limited_targets',
+            'Targets that name a limit for their requests',
+            registry=self.registry,
+        )
+        self._limited_sends = Counter(
+            'lovagemast_limited_sends',
+            'Requests sent to targets that name a limit',
+            registry=self.registry,
+        )
+        self._limit_refusals = Counter(
+            'lovagemast_limit_refusals',
+            'Requests refused for the limits of their targets',
+            registry=self.registry,
+        )
         self._placed_s = Histogram(
             'lovagemast_placed_seconds',
             'Time until a target was chosen',
@@ -91,6 +106,18 @@
         """Count a request refused for a quarantined prompt part."""
         self._quarantined.inc()
 
+    def set_limited_targets(self, count: int) -> None:
+        """Set the number of targets that name a limit."""
+        self._limited_targets.set(count)
+
+    def record_limited_send(self) -> None:
+        """Count a request sent to a target that names a limit."""
+        self._limited_sends.inc()
+
+    def record_limit_refusal(self) -> None:
+        """Count a request refused for the limits of its targets."""
+        self._limit_refusals.inc()
+
     def record_crash(self) -> None:
         """Count a request that ran, without an answer, at a crash."""
         self._crashes.inc()
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
@@ -7,9 +7,10 @@
 from ._admission import Admission, AdmittedRequest
 from ._codec import RequestMetadata
 from ._entrystate import EntryState
-from ._forwarder import NOT_RUN_RETRY_AFTER_S, RequestForwarder
+from ._forwarder import RequestForwarder
 from ._refusal import HttpRefusal
 from ._relay import ResponseRelay
+from ._targetwait import NOT_RUN_RETRY_AFTER_S
 
 
 class RequestHandler:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_syncservice.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_syncservice.py
@@ -119,6 +119,7 @@
             epoch=reply.epoch,
             version=version,
             quarantine=quarantine,
+            limit_stamp=reply.limit_stamp,
         )
 
 
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_targetchoice.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_targetchoice.py
@@ -15,6 +15,7 @@
 
 from ._admission import AdmittedRequest
 from ._entrystate import EntryState
+from ._targetlimits import send_terms
 
 # Load that a target's unprocessed prompts add when they reach the prefill
 # limit; 1.0 is a target with all slots in use.
@@ -34,6 +35,8 @@
             admitted.metadata.model,
             admitted.metadata.adapter,
         )
+        # Targets that only their limits held back, at the last choice.
+        self.limited: list[KnownTarget] = []
 
     def choose(
         self, tried: frozenset[str], now: float
@@ -43,6 +46,7 @@
         Targets in ``tried`` were already sent the request.
         """
         state = self._state
+        self.limited = []
         criteria = SelectionCriteria(
             state.health,
             lambda known: self._load_of(known, now),
@@ -62,6 +66,15 @@
         return load + PREFILL_LOAD_WEIGHT * prefill_used
 
     def _may_send(self, known: KnownTarget, now: float) -> bool:
+        if not self._has_room(known, now):
+            return False
+        terms = send_terms(self._state, now)
+        if self._state.sends.may_send(known, terms, now):
+            return True
+        self.limited.append(known)
+        return False
+
+    def _has_room(self, known: KnownTarget, now: float) -> bool:
         state = self._state
         entries = state.view.entries
         target = known.record.target
--- a/tests/relayfleet.py
+++ b/tests/relayfleet.py
@@ -16,7 +16,7 @@
     ModelSpec,
     PoolSpec,
 )
-from lovagemast_core.entry import FleetView
+from lovagemast_core.entry import FleetView, SendLimiter
 from lovagemast_core.quota import LocalTokens, QuotaBounds
 from lovagemast_core.syncrelay import (
     ENTRY_SYNC,
@@ -66,6 +66,7 @@
         self.zone = zone
         self.view = FleetView()
         self.tokens = LocalTokens(QUOTA)
+        self.sends = SendLimiter()
         self.search = RelaySearch(vm, zone, seeds)
         self.waiting = 0.0  # tokens
         self.spent = 0.0
@@ -85,6 +86,9 @@
             self.tokens.wishes(index, self.view.entries, now),
             self.wishes,
             seen=self.seen,
+            limits=self.sends.exchange.reports(number, now),
+            limit_stamp=self.sends.exchange.server_stamp,
+            sends=self.sends.wishes(now),
         )
 
     def on_reply(self, reply: SyncReply, asked_at: float, now: float) -> None:
@@ -93,6 +97,9 @@
         self.view.apply(reply, asked_at, now)
         for lot in reply.lots:
             self.tokens.add(lot, now)
+        self.sends.exchange.on_reply(reply, now)
+        for lot in reply.send_lots:
+            self.sends.add(lot, now)
         if self.waiting and self.tokens.spend(ACCOUNT, self.waiting, now):
             self.tokens.add_waiting(ACCOUNT, -self.waiting, now)
             self.spent += self.waiting
@@ -225,6 +232,7 @@
                 self._run_client(name)
             for name, relay in self.relays.items():
                 self._push_from_relay(name, relay)
+            self._end_step()
 
     def run_until(self, check: Callable[[], bool], limit_s: float) -> float:
         """Run until a check holds; return how long it took, in seconds."""
@@ -235,6 +243,9 @@
             self.run(STEP_S)
         return self.now - started_at
 
+    def _end_step(self) -> None:
+        """Run what a subclass adds to each step."""
+
     def _run_client(self, name: str) -> None:
         stream = self._streams.get(name)
         if stream is None:
@@ -252,10 +263,10 @@
         entry = self.entries.get(name)
         if entry:
             ask = entry.build_ask(number, self.now)
-            is_waiting = bool(entry.waiting or entry.wishes)
+            is_waiting = bool(entry.waiting or entry.wishes or ask.sends)
         else:
             ask = self.relays[name].build_ask(number, self.now)
-            is_waiting = bool(ask.tokens or ask.wishes)
+            is_waiting = bool(ask.tokens or ask.wishes or ask.sends)
         delay_s = timing.min_interval_s if is_waiting else timing.interval_s
         stream.next_at = self.now + delay_s
         self._send(name, stream, lambda: self._serve(name, stream, ask))
