Never write a second head into a response that has begun

A resumable stream broke off after its first event; the next target answered 500, 404 or 302. Callers got that answer's whole head and body inside their stream, and the closing chunk, as if complete; the log said "answered".

Cause: the forwarding code chose by the status how to pass an answer on, and the responder took a second head. Now such an answer ends the attempt, so that a further target is tried or the stream is cut off visibly, and the responder refuses a second head by its own state.

Ruled out: the project's own deployment, which sends no stream to a second target.

--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -144,6 +144,8 @@
             state.load.target_reported(self._target, requests, now_s())
         if response.not_executed or response.other_target:
             return self._on_not_executed(response)
+        if self._relay.started and response.status >= STATUS_REDIRECT:
+            return self._fail(f'{response.status}, as the stream goes on')
         if response.status >= STATUS_SERVER_ERROR:
             state.health.record_failure(self._target, now_s())
             if not is_last_attempt:
--- a/packages/lovagemast-node/src/lovagemast_node/http/__init__.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/__init__.py
@@ -17,12 +17,18 @@
     header_value,
 )
 from ._responsesize import MAX_BODY_BYTES, MAX_EVENT_BYTES
-from ._server import HttpServer, Responder, ServerLimits
+from ._server import (
+    AlreadyStartedError,
+    HttpServer,
+    Responder,
+    ServerLimits,
+)
 from ._sockets import split_address
 
 __all__ = [
     'MAX_BODY_BYTES',
     'MAX_EVENT_BYTES',
+    'AlreadyStartedError',
     'ConnectFailed',
     'Headers',
     'HttpRequest',
--- a/packages/lovagemast-node/src/lovagemast_node/http/_server.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_server.py
@@ -27,8 +27,16 @@
     idle_timeout_s: float = 15.0
 
 
+class AlreadyStartedError(RuntimeError):
+    """A second head for a response that has begun."""
+
+
 class Responder:
-    """Writes the response to one request."""
+    """Writes the response to one request.
+
+    A response has one head. An attempt to write another ends it, visibly
+    truncated, since the caller would read the head as a part of the body.
+    """
 
     def __init__(self, conn: 'ServerConnection', *, head_only: bool) -> None:
         self._conn = conn
@@ -54,7 +62,13 @@
         headers: Headers,
         length: int | None,
     ) -> None:
-        """Write the head; without a length the body is chunked."""
+        """Write the head; without a length the body is chunked.
+
+        Raises :exc:`AlreadyStartedError` if the response has begun.
+        """
+        if self.started:
+            self.abort()
+            raise AlreadyStartedError(f'a second head, with status {status}')
         framing: list[tuple[bytes, bytes]] = []
         if length is None:
             self._chunked = True
