--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -142,12 +142,23 @@
         if response.running is not None:
             requests = response.running + (response.waiting or 0)
             state.load.target_reported(self._target, requests, now_s())
+        obstacle = self._check_response(
+            response, is_last_attempt=is_last_attempt
+        )
+        if obstacle:
+            return obstacle
+        return await self._relay_response(conn, event)
+
+    def _check_response(
+        self, response: TargetResponseMetadata, *, is_last_attempt: bool
+    ) -> AttemptResult | None:
+        """Return why a response is not relayed; ``None`` if it may be."""
         if response.not_executed or response.other_target:
             return self._on_not_executed(response)
         if self._relay.started and response.status >= STATUS_REDIRECT:
             return self._fail(f'{response.status}, as the stream goes on')
         if response.status >= STATUS_SERVER_ERROR:
-            state.health.record_failure(self._target, now_s())
+            self._state.health.record_failure(self._target, now_s())
             if not is_last_attempt:
                 return AttemptResult(
                     AttemptOutcome.FAILED, str(response.status)
@@ -156,7 +167,7 @@
             response
         ):
             return self._fail('not the answer of the target')
-        return await self._relay_response(conn, event)
+        return None
 
     def _check_send(self, now: float) -> AttemptResult | None:
         """Return why the request is not sent; ``None`` if it may be."""
--- a/tests/test_resumedstream.py
+++ b/tests/test_resumedstream.py
@@ -1,6 +1,7 @@
 """Tests of streams that break off and are resumed at a target in trouble."""
 
 import asyncio
+import contextlib
 
 import pytest
 from lovagemast_core.deployment import CallKind
@@ -13,7 +14,7 @@
 )
 
 from tests.test_calls import HOST, ScriptedTarget, response_of
-from tests.test_unframed import EVENT, HALF, UNFRAMED
+from tests.test_unframed import EVENT, HALF, UNFRAMED, raw
 
 CHUNK = b'%x\r\n%b\r\n' % (len(EVENT), EVENT)
 ERRORS = [
@@ -32,17 +33,12 @@
     first: bytes, error: bytes
 ) -> None:
     """The caller gets the first event only, and a stream visibly cut."""
-    sends = iter([first, error])
-    resets = first.endswith(EVENT)
+    scripts = iter([raw(first, resets=first.endswith(EVENT)), raw(error)])
 
     async def play(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        writer.write(next(sends))
-        await writer.drain()
-        if resets:
-            await asyncio.sleep(0.02)
-            writer.transport.abort()
+        await next(scripts)(reader, writer)
 
     targets = [ScriptedTarget(play), ScriptedTarget(play)]
     response = asyncio.run(
@@ -73,11 +69,9 @@
         reader, writer = await asyncio.open_connection(HOST, port)
         writer.write(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
         received = bytearray()
-        try:
+        with contextlib.suppress(ConnectionError):
             while chunk := await reader.read(65_536):
                 received += chunk
-        except ConnectionError:
-            pass
         writer.close()
         return bytes(received)
 
