Believe a refusal only if it names the request

A faulty target may write an earlier refusal once more on a connection. One without a request id was believed: callers were told "not run" though the target was running the request, or it went to a second target.

Cause: a missing id counted as the right one. A refusal now proves that a request has not run only if it echoes the id; otherwise the attempt has failed and may have run (502, or another target where that is allowed).

Ruled out: refusals with another id (skipped), bytes before the request is sent (they close the connection).

--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -142,6 +142,9 @@
         if response.running is not None:
             requests = response.running + (response.waiting or 0)
             state.load.target_reported(self._target, requests, now_s())
+        is_refusal = response.not_executed or response.other_target
+        if is_refusal and not event.echoes_id:
+            return self._fail('a refusal without the id of the request')
         obstacle = self._check_response(
             response, is_last_attempt=is_last_attempt
         )
--- a/packages/lovagemast-node/src/lovagemast_node/http/_client.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_client.py
@@ -23,11 +23,15 @@
 
 
 class ResponseHead(NamedTuple):
-    """The status, headers and content length of a response."""
+    """The status, headers and content length of a response.
+
+    A response without an id may belong to an earlier request.
+    """
 
     status: int
     headers: Headers
     length: int | None
+    echoes_id: bool = True  # has the request's id, not just no other one
 
 
 class ResponseData(NamedTuple):
@@ -137,15 +141,20 @@
         self._read_keep_alive(headers.get(b'keep-alive', b''))
         self._is_in_body = True
         status = self._parser.get_status_code()
-        response_id = headers.get(self._request_id_header, self._request_id)
-        is_foreign = response_id != self._request_id
+        response_id = headers.get(self._request_id_header)
+        is_foreign = response_id not in {None, self._request_id}
         self._is_skipping = is_foreign or status < MIN_FINAL_STATUS
         if is_foreign:
             self.is_reusable = False
         if self._is_skipping:
             return
         self._events.put_nowait(
-            ResponseHead(status, tuple(self._headers), self._length),
+            ResponseHead(
+                status,
+                tuple(self._headers),
+                self._length,
+                response_id is not None,
+            ),
         )
 
     def on_body(self, body: bytes) -> None:
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -141,7 +141,7 @@
     """Close the connection without a response."""
 
 
-FULL = answer(b'503 Full\r\nX-Not-Executed: 1')
+FULL = answer(b'503 Full\r\nX-Request-Id: r\r\nX-Not-Executed: 1')
 FAILED = answer(b'500 Failed\r\nX-Server-Stamp: s')
 FORGED = answer(b'200 OK')
 GOOD = answer(b'200 OK\r\nX-Server-Stamp: s')
