Refuse requests at once behind more than targets can take in time

Cause: a wait is bounded by time only, not by what waits ahead. An entry VM now divides the requests that wait, those as urgent or more, by the rate at which targets take requests, and refuses at once, with that wait as Retry-After, what could not be served before it gives up. This holds for any load, not only for limits.

--- a/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
@@ -18,6 +18,7 @@
 )
 from ._sendlimiter import SendLimiter, SendTerms
 from ._view import FleetView, KnownTarget
+from ._waitqueue import WaitQueue
 
 __all__ = [
     'BatchLimit',
@@ -38,6 +39,7 @@
     'SendTerms',
     'TargetHealth',
     'TargetRequirements',
+    'WaitQueue',
     'choose_target',
     'find_candidates',
 ]
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
@@ -14,6 +14,7 @@
     RetryBudget,
     SendLimiter,
     TargetHealth,
+    WaitQueue,
 )
 from lovagemast_core.quarantine import PartGuard
 from lovagemast_core.quota import LocalTokens
@@ -47,6 +48,7 @@
         self.pool = TargetPool()
         self.cold = ColdStartLimiter()
         self.sends = SendLimiter()
+        self.queue = WaitQueue()
         self.batch = BatchLimit()
         self.prefill = PrefillLimit()
         self.guard = PartGuard(cfg.vm)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_targetwait.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_targetwait.py
@@ -37,6 +37,8 @@
         self._prompt = prompt
         self._chooser = TargetChooser(state, admitted)
         self._tokens = TokenWait(state)
+        self._pool = admitted.pool.name
+        self._is_waiting = False
         self._is_reported = False  # as waiting for its adapter
 
     @property
@@ -67,7 +69,11 @@
                 now = now_s()
                 choice = self._chooser.choose(tried, now)
                 if isinstance(choice, Choice):
+                    self._state.queue.record_send(self._pool, now)
                     return choice.candidate
+                crowded = self._join(give_up_at, now)
+                if crowded:
+                    return crowded
                 self._tokens.update(self._chooser.limited, now)
                 refusal = self._check(choice, give_up_at, now)
                 if refusal:
@@ -76,8 +82,31 @@
                     self._report_waiting()
                 await self._state.wait_for_update(_poll_delay_s(choice, now))
         finally:
-            self._tokens.end()
-            self._end_report()
+            self._end()
+
+    def _end(self) -> None:
+        self._tokens.end()
+        self._leave()
+        self._end_report()
+
+    def _join(self, give_up_at: float, now: float) -> HttpRefusal | None:
+        """Join the requests that wait, unless too many of them do."""
+        if self._is_waiting:
+            return None
+        queue = self._state.queue
+        priority = self._admitted.priority
+        wait_s = queue.expected_wait_s(self._pool, priority, now)
+        if now + wait_s > give_up_at:
+            reason = f'too many requests wait: {wait_s:.1f} s'
+            return HttpRefusal(503, reason, wait_s)
+        self._is_waiting = True
+        queue.join(self._pool, priority)
+        return None
+
+    def _leave(self) -> None:
+        if self._is_waiting:
+            self._is_waiting = False
+            self._state.queue.leave(self._pool, self._admitted.priority)
 
     def _check(
         self, choice: NoReadyTarget, give_up_at: float, now: float
--- a/tests/test_adapters.py
+++ b/tests/test_adapters.py
@@ -407,7 +407,7 @@
     @pytest.mark.parametrize(
         ('demand', 'is_loaded'), [(0.1, False), (9.0, True)]
     )
-    def test_unlimited_engine_keeps_what_is_asked_for_more(
+    def test_unlimited_engine_yields_to_demand(
         self, demand: float, is_loaded: bool
     ) -> None:
         """A full engine without a limit yields to higher demand only."""
--- a/tests/test_strayrefusal.py
+++ b/tests/test_strayrefusal.py
@@ -29,9 +29,7 @@
 
 @pytest.mark.parametrize('head', [NOT_RUN, WRONG_TARGET])
 @pytest.mark.parametrize('kind', [CallKind.UNSAFE, CallKind.SAFE])
-def test_refusal_without_id_denies_no_run(
-    kind: CallKind, head: bytes
-) -> None:
+def test_refusal_without_id_denies_no_run(kind: CallKind, head: bytes) -> None:
     """The caller is not told "not run", and an unsafe request runs once."""
     targets = [ScriptedTarget(stray_then_answer(head)) for _target in range(2)]
     response = asyncio.run(response_of(kind, targets))
