List limited targets with lovagectl, and at control VMs

Operators could see limits of targets only in logs. GET /admin/limits at any control VM lists them from what its relay knows, with value and age, and `lovagectl limits` prints them.

--- a/packages/lovagemast-cli/src/lovagemast_cli/_actions.py
+++ b/packages/lovagemast-cli/src/lovagemast_cli/_actions.py
@@ -18,7 +18,12 @@
 from ._client import ApiClient, UnreachableError
 from ._diff import diff_documents
 from ._fleetapi import FleetApi
-from ._format import format_event, format_parts, format_status
+from ._format import (
+    format_event,
+    format_limits,
+    format_parts,
+    format_status,
+)
 from ._outcome import CommandResult, ExitStatus
 from ._sources import (
     Document,
@@ -30,6 +35,7 @@
 
 KEY_BYTES: Final = 32
 QUARANTINE_PATH: Final = '/admin/quarantine'
+LIMITS_PATH: Final = '/admin/limits'
 
 
 class Actions:
@@ -141,6 +147,13 @@
         status = ExitStatus.DONE if done else ExitStatus.REFUSED
         return CommandResult(status, f'part {part}: {text}', reply.document)
 
+    def limits(self) -> CommandResult:
+        """List the targets that name a limit for their requests."""
+        document = self._client.get(LIMITS_PATH).document
+        return CommandResult(
+            ExitStatus.DONE, format_limits(document['limits']), document
+        )
+
     def key(self) -> CommandResult:
         """Grant or withdraw a key."""
         if self._options.state == 'grant':
--- a/packages/lovagemast-cli/src/lovagemast_cli/_format.py
+++ b/packages/lovagemast-cli/src/lovagemast_cli/_format.py
@@ -74,6 +74,23 @@
     )
 
 
+def format_limits(limits: list[dict[str, Any]]) -> str:
+    """Return the limits that targets name, or have named, as a table."""
+    if not limits:
+        return 'no target names a limit'
+    return table(
+        ['TARGET', 'REQUESTS/S', 'CHANGED'],
+        [
+            [
+                limit['target'],
+                'ended' if limit['per_s'] is None else limit['per_s'],
+                f'{limit["age_s"]:.1f} s ago',
+            ]
+            for limit in limits
+        ],
+    )
+
+
 def format_event(event: dict[str, Any]) -> str:
     """Return a timeline event as one line."""
     at = datetime.datetime.fromtimestamp(event['at'], datetime.UTC)
--- a/packages/lovagemast-cli/src/lovagemast_cli/_main.py
+++ b/packages/lovagemast-cli/src/lovagemast_cli/_main.py
@@ -125,6 +125,11 @@
         'crashes of targets (asks control VMs on the platform)',
     )
     quarantine.add_argument('--clear', metavar='PART', help='clear a part')
+    commands.add_parser(
+        'limits',
+        help='list the targets that name a limit for their requests (asks '
+        'control VMs on the platform)',
+    )
     key = commands.add_parser('key', help='grant or withdraw a key')
     key.add_argument('state', choices=('grant', 'withdraw'))
     key.add_argument(
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
@@ -14,7 +14,7 @@
 from ..entry import FleetView
 from ..quarantine import PartReports, TrialWish
 from ..targetlimits import LimitExchange
-from ..targets import SyncAsk, SyncReply
+from ..targets import LimitReport, SyncAsk, SyncReply
 from ._entries import ConnectedEntries, EntryLink
 from ._loads import RelayedLoads
 from ._records import RelayedRecords
@@ -131,6 +131,10 @@
             return True
         return self._tokens.needs_tokens() or self._sends.needs_tokens()
 
+    def limits(self, now: float) -> tuple[LimitReport, ...]:
+        """Return what targets last said of their limits."""
+        return self._limits.known.changed_since(0, now)
+
     def pushes_due(self, now: float) -> list[VmName]:
         """Return the entry VMs to push changes to, those that wait first."""
         due = [
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -97,6 +97,7 @@
             self._run_effects,
             self._log,
             metrics,
+            lambda: self._relay.limits(),
         )
         self._links = PeerLinks(cfg.vm, cfg.peer_port, self._log)
         self._sync = SyncHandler(self._on_ask, lambda _session: None, self._log)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_controlapi.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_controlapi.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 from collections.abc import Callable
-from typing import Final
+from typing import Any, Final
 
 from lovagemast_core import (
     Applied,
@@ -15,6 +15,7 @@
 )
 from lovagemast_core.control import ControlNode, RecordDeparture
 from lovagemast_core.quarantine import ClearParts
+from lovagemast_core.targets import LimitReport
 
 from .._clock import now_s
 from ..http import Headers, HttpRequest, Responder
@@ -29,6 +30,8 @@
     ZoneCall,
 )
 from ._jsonlog import JsonLog
+from ._limitsapi import PATH as LIMITS_PATH
+from ._limitsapi import describe_limits
 from ._metrics import ControlMetrics
 from ._quarantineapi import PATH as QUARANTINE_PATH
 from ._quarantineapi import QuarantineApi
@@ -61,8 +64,10 @@
         run_effects: Callable[[], None],
         log: JsonLog,
         metrics: ControlMetrics,
+        limits: Callable[[], tuple[LimitReport, ...]],
     ) -> None:
         self._metrics = metrics
+        self._limits = limits
         self._cfg = cfg
         self._codec = codec
         self._node = node
@@ -84,8 +89,11 @@
         """Serve one call; redirect it if only the leader can answer it."""
         if req.path == QUARANTINE_PATH:
             reply = await self._quarantine.serve(req)
-            body = json.dumps(reply.document).encode()
-            await responder.send(reply.status, JSON_HEADERS, body)
+            await self._send_json(reply.status, reply.document, responder)
+            return
+        if req.path == LIMITS_PATH:
+            document = describe_limits(self._limits())
+            await self._send_json(OK, document, responder)
             return
         call = self._codec.decode_call(req)
         if isinstance(call, InvalidCall):
@@ -106,6 +114,12 @@
         else:
             await self._redirect(req, responder)
 
+    async def _send_json(
+        self, status: int, document: dict[str, Any], responder: Responder
+    ) -> None:
+        body = json.dumps(document).encode()
+        await responder.send(status, JSON_HEADERS, body)
+
     async def _serve_leader_call(
         self, call: ControlCall, responder: Responder
     ) -> None:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_relayhost.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_relayhost.py
@@ -7,7 +7,12 @@
 
 from lovagemast_core.entry import LeaderSearch
 from lovagemast_core.syncrelay import RELAY_SYNC, SyncRelay
-from lovagemast_core.targets import SyncAsk, SyncReply, TargetRecord
+from lovagemast_core.targets import (
+    LimitReport,
+    SyncAsk,
+    SyncReply,
+    TargetRecord,
+)
 from lovagemast_wire import RelaysStub
 
 from .._clock import now_s
@@ -88,6 +93,10 @@
         """Sync with the leader and push its changes until cancelled."""
         await asyncio.gather(self._client.run(), self._push_changes())
 
+    def limits(self) -> tuple[LimitReport, ...]:
+        """Return what targets last said of their limits."""
+        return self._relay.limits(now_s())
+
     def on_leader_changed(self, leader: str, term: int) -> None:
         """Sync with a new leader that the replica on this VM has learned of."""
         if leader:
