Take a limited target's token at the choice, and return it if nothing is sent

The token is now taken when the attempt begins, with nothing in between, and returned if the request is not sent; an own share or a send without a limit returns nothing.

--- a/packages/lovagemast-core/src/lovagemast_core/entry/_sendlimiter.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_sendlimiter.py
@@ -11,7 +11,12 @@
 
 from .._types import TargetName
 from ..quota import LocalTokens
-from ..targetlimits import LimitExchange, SendBounds, account_of
+from ..targetlimits import (
+    MIN_LIMIT_PER_S,
+    LimitExchange,
+    SendBounds,
+    account_of,
+)
 from ..targets import TokenLot, TokenWish
 from ._limits import EntryShare
 from ._view import KnownTarget
@@ -24,6 +29,15 @@
     is_isolated: bool  # nothing was heard of the leader for some time
 
 
+class SendPermit(NamedTuple):
+    """Permission to send one request."""
+
+    target: TargetName
+    given_at: float  # s
+    is_limited: bool
+    has_token: bool  # else an own share, or no limit
+
+
 class SendLimiter:
     """Tokens and own shares for requests to limited targets."""
 
@@ -53,17 +67,24 @@
 
     def try_send(
         self, known: KnownTarget, terms: SendTerms, now: float
-    ) -> bool:
-        """Count a request that is sent now; return whether it may be."""
+    ) -> SendPermit | None:
+        """Count a request about to be sent; ``None`` if it may not be."""
         if not self.may_send(known, terms, now):
-            return False
+            return None
+        target = known.record.target
         limit = self.limit_of(known)
         if limit is None:
-            return True
-        target = known.record.target
-        if not self._tokens.spend(account_of(target, limit), 1.0, now):
+            return SendPermit(target, now, is_limited=False, has_token=False)
+        has_token = self._tokens.spend(account_of(target, limit), 1.0, now)
+        if not has_token:
             self._shares.record_request(target, limit, terms.share, now)
-        return True
+        return SendPermit(target, now, is_limited=True, has_token=has_token)
+
+    def cancel(self, permit: SendPermit, now: float) -> None:
+        """Return the token of a request that was not sent after all."""
+        if permit.has_token:
+            account = account_of(permit.target, MIN_LIMIT_PER_S)
+            self._tokens.refund(account, 1.0, permit.given_at, now)
 
     def add_waiting(self, target: TargetName, change: int, now: float) -> None:
         """Change the number of requests that wait for a target's tokens."""
--- a/packages/lovagemast-core/src/lovagemast_core/targetlimits/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targetlimits/__init__.py
@@ -3,6 +3,7 @@
 from ._bounds import SendBounds
 from ._exchange import LimitExchange
 from ._known import (
+    MIN_LIMIT_PER_S,
     TargetLimits,
     account_of,
     is_readable,
@@ -10,6 +11,7 @@
 )
 
 __all__ = [
+    'MIN_LIMIT_PER_S',
     'LimitExchange',
     'SendBounds',
     'TargetLimits',
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -84,20 +84,40 @@
         set; otherwise the attempt counts as failed.
         """
         state = self._state
+        now = now_s()
+        known = self._candidate.known
+        # Nothing else can take the token between the choice and this.
+        permit = state.sends.try_send(known, send_terms(state, now), now)
+        if permit is None:
+            return AttemptResult(
+                AttemptOutcome.NOT_SENT,
+                'the target takes no more within its limit',
+            )
         state.load.request_started(self._target, self._candidate.label)
         try:
-            conn = await state.pool.acquire(
-                self._candidate.known.record.address,
-                fresh=not self._admitted.route.idempotent,
-                timeout_s=TARGET_CONNECT_TIMEOUT_S,
-                now=now_s(),
+            result = await self._connect_and_run(
+                is_last_attempt=is_last_attempt
             )
-            if isinstance(conn, ConnectFailed):
-                state.health.record_unreachable(self._target, now_s())
-                return AttemptResult(AttemptOutcome.NOT_SENT, conn.detail)
-            return await self._run_over(conn, is_last_attempt=is_last_attempt)
         finally:
             state.load.request_ended(self._target, self._candidate.label)
+        if result.outcome is AttemptOutcome.NOT_SENT:
+            state.sends.cancel(permit, now_s())
+        elif permit.is_limited:
+            state.metrics.record_limited_send()
+        return result
+
+    async def _connect_and_run(self, *, is_last_attempt: bool) -> AttemptResult:
+        state = self._state
+        conn = await state.pool.acquire(
+            self._candidate.known.record.address,
+            fresh=not self._admitted.route.idempotent,
+            timeout_s=TARGET_CONNECT_TIMEOUT_S,
+            now=now_s(),
+        )
+        if isinstance(conn, ConnectFailed):
+            state.health.record_unreachable(self._target, now_s())
+            return AttemptResult(AttemptOutcome.NOT_SENT, conn.detail)
+        return await self._run_over(conn, is_last_attempt=is_last_attempt)
 
     async def _run_over(
         self, conn: TargetConnection, *, is_last_attempt: bool
@@ -183,22 +203,10 @@
             detail = 'the target has left meanwhile'
         elif self._prompt.verdict().status is not PartStatus.FREE:
             detail = 'a part of its prompt is suspected'
-        elif not self._try_limited_send(now):
-            detail = 'the target takes no more within its limit'
         if detail:
             return AttemptResult(AttemptOutcome.NOT_SENT, detail)
         return None
 
-    def _try_limited_send(self, now: float) -> bool:
-        """Count the request against its target's limit, if there is one."""
-        state = self._state
-        known = self._candidate.known
-        if not state.sends.try_send(known, send_terms(state, now), now):
-            return False
-        if state.sends.limit_of(known) is not None:
-            state.metrics.record_limited_send()
-        return True
-
     def _reserve_prefill(self) -> None:
         if self._admitted.pool.engine:
             self._prefill_tokens = self._admitted.metadata.prompt_tokens
--- a/tests/limitfleet.py
+++ b/tests/limitfleet.py
@@ -118,12 +118,12 @@
         is_isolated = entry.view.age(self.now) > ISOLATED_AGE_S
         terms = SendTerms(share, is_isolated)
         while arrivals:
-            may_send = known and entry.sends.try_send(known, terms, self.now)
-            if not may_send and self.now - arrivals[0] < MAX_WAIT_S:
+            permit = known and entry.sends.try_send(known, terms, self.now)
+            if not permit and self.now - arrivals[0] < MAX_WAIT_S:
                 return
             arrivals.pop(0)
             entry.sends.add_waiting(target, -1, self.now)
-            if known and may_send:
+            if known and permit:
                 self._send_to(vm, known, is_isolated=is_isolated)
             else:
                 self.given_up += 1
--- a/tests/test_targetlimits.py
+++ b/tests/test_targetlimits.py
@@ -5,6 +5,12 @@
 import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
+from lovagemast_core.entry import (
+    EntryShare,
+    KnownTarget,
+    SendLimiter,
+    SendTerms,
+)
 from lovagemast_core.targetlimits import (
     LimitExchange,
     TargetLimits,
@@ -12,7 +18,12 @@
     limit_from_number,
 )
 from lovagemast_core.targetlimits._known import MAX_TARGETS, MIN_LIMIT_PER_S
-from lovagemast_core.targets import LimitReport, SyncReply
+from lovagemast_core.targets import (
+    LimitReport,
+    SyncReply,
+    TargetRecord,
+    TokenLot,
+)
 
 from tests.limitfleet import LimitFleet, allowed
 
@@ -263,3 +274,34 @@
         press(fleet, 15.0, 1.5)
         most = fleet.most_sent(TARGET, counts_isolated=False)
         assert most <= allowed(limit)
+
+
+@pytest.mark.parametrize(
+    ('limit', 'tokens', 'is_isolated', 'left'),
+    [
+        (2.0, 1.0, False, 1),  # the token is returned
+        (2.0, 0.0, True, 0),  # an own share is not
+        (None, 0.0, False, 0),  # nothing was spent
+    ],
+)
+def test_request_that_is_not_sent_after_all(
+    limit: float | None, tokens: float, is_isolated: bool, left: int
+) -> None:
+    """Cancelling a send returns its token, and makes no new one."""
+    record = TargetRecord(TARGET, 'p', 'a:1', 'z', 1, 8, False, 0.0)
+    known = KnownTarget(record, {}, NOW)
+    sends = SendLimiter()
+    if limit is not None:
+        sends.exchange.known.record_answer(report(limit), NOW, NOW)
+    sends.add(TokenLot(TARGET, tokens), NOW)
+    terms = SendTerms(EntryShare(0, 1), is_isolated)
+    permit = sends.try_send(known, terms, NOW)
+    assert permit is not None
+    sends.exchange.known.record_answer(report(2.0), NOW, NOW + 0.1)
+    sends.cancel(permit, NOW + 0.1)
+    in_touch = terms._replace(is_isolated=False)
+    sent = [
+        sends.try_send(known, in_touch, NOW + 0.2 + number / 10)
+        for number in range(3)
+    ]
+    assert sum(one is not None for one in sent) == left
