Let the soak's worker name limits, and check what it gets

One worker of the soak names a limit of 0.4, 1 or 2.5 requests/s for 5 to 15 s, again and again, beside the other faults; the oracle counts what it runs from all entry VMs in any 4 s, from 3 s after it began. Spans are drawn by a generator of their own, so that the fault schedules of earlier seeds stay the same. A planted violation is found (test_soak.py).

--- a/soak/_oracle.py
+++ b/soak/_oracle.py
@@ -1,6 +1,7 @@
 """Checks guarantees against what callers, workers and operators observed."""
 
 from collections import defaultdict
+from collections.abc import Sequence
 from itertools import pairwise
 from typing import Final, NamedTuple
 
@@ -9,6 +10,10 @@
 KEY_WITHDRAWAL_LIMIT_S: Final = 5.0  # a withdrawn key may still be accepted
 CONFIG_APPLY_LIMIT_S: Final = 2.0  # until in force on every VM
 LEASE_S: Final = 3.0  # between orders of two holders to a worker
+LIMIT_WINDOW_S: Final = 4.0
+LIMIT_GRACE_S: Final = 3.0  # until a limit must be kept
+LIMIT_OVERAGE: Final = 1.5
+LIMIT_SLACK: Final = 5
 OK: Final = 200
 
 
@@ -59,6 +64,15 @@
     withdraws: str = ''  # key that the change withdraws
 
 
+class NamedLimit(NamedTuple):
+    """A limit that a worker named in its answers."""
+
+    worker: str
+    began_at: float  # s
+    ended_at: float
+    per_s: float
+
+
 class SoakHistory(NamedTuple):
     """Everything that was observed in a soak."""
 
@@ -67,6 +81,7 @@
     orders: list[ReceivedOrder]
     configs: list[ConfigObservation]
     disturbed: list[tuple[float, float]]  # spans in which responses may break
+    limits: Sequence[NamedLimit] = ()
 
 
 def find_violations(history: SoakHistory, events: int) -> list[str]:
@@ -82,6 +97,7 @@
         *_check_configurations(history),
         *_check_holders(history),
         *_check_truncation(history),
+        *_check_limits(history),
     ]
 
 
@@ -208,3 +224,25 @@
             for start, end in history.disturbed
         )
     ]
+
+
+def _check_limits(history: SoakHistory) -> list[str]:
+    violations = []
+    for limit in history.limits:
+        times = [
+            one.at
+            for one in history.executions
+            if one.worker == limit.worker
+            and limit.began_at + LIMIT_GRACE_S < one.at < limit.ended_at
+        ]
+        allowed = LIMIT_OVERAGE * LIMIT_WINDOW_S * limit.per_s + LIMIT_SLACK
+        most = max(
+            (
+                sum(at <= other < at + LIMIT_WINDOW_S for other in times)
+                for at in times
+            ),
+            default=0,
+        )
+        if most > allowed:
+            violations.append(f'{most} requests, beyond a limit: {limit}')
+    return violations
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -6,6 +6,8 @@
 
 SPACING_S: Final = (0.3, 2.5)  # between the starts of two faults
 DURATION_S: Final = (0.5, 4.0)
+LIMIT_DURATION_S: Final = (5.0, 15.0)
+LIMITS_PER_S: Final = (0.4, 1.0, 2.5)
 WIPE_RECOVERY_S: Final = 12.0  # a wiped replica is replaced within this time
 
 
@@ -69,6 +71,30 @@
     workers: tuple[str, ...]
 
 
+class LimitSpan(NamedTuple):
+    """A span, in s, in which a worker names a limit for its requests."""
+
+    at: float
+    duration_s: float
+    component: str
+    per_s: float
+
+
+def draw_limits(
+    seed: int, components: Components, seconds: float
+) -> list[LimitSpan]:
+    """Draw the limits that the first worker names, one after the other."""
+    rng = random.Random(f'limits {seed}')
+    spans = []
+    at = rng.uniform(*SPACING_S)
+    while at < seconds:
+        duration_s = rng.uniform(*LIMIT_DURATION_S)
+        per_s = rng.choice(LIMITS_PER_S)
+        spans.append(LimitSpan(at, duration_s, components.workers[0], per_s))
+        at += duration_s + rng.uniform(*SPACING_S)
+    return spans
+
+
 def draw_faults(
     seed: int, components: Components, seconds: float
 ) -> list[Fault]:
--- a/soak/_soak.py
+++ b/soak/_soak.py
@@ -16,11 +16,12 @@
 from ._oracle import (
     ConfigObservation,
     Execution,
+    NamedLimit,
     ReceivedOrder,
     SoakHistory,
     find_violations,
 )
-from ._plan import Fault, FaultKind, draw_faults
+from ._plan import Fault, FaultKind, LimitSpan, draw_faults, draw_limits
 from ._proxy import Mode
 
 START_TIMEOUT_S: Final = 20.0
@@ -74,6 +75,8 @@
             for _caller in range(callers)
         ]
         self._faults = draw_faults(seed, self._cluster.components, seconds)
+        self._limits = draw_limits(seed, self._cluster.components, seconds)
+        self._named: list[NamedLimit] = []
         self._configs: list[ConfigObservation] = []
         self._version = 0
         self._began_at = 0.0
@@ -98,7 +101,10 @@
         ]
         self._began_at = time.monotonic()
         try:
-            await asyncio.gather(*(self._inject(one) for one in self._faults))
+            await asyncio.gather(
+                *(self._inject(one) for one in self._faults),
+                *(self._name_limit(one) for one in self._limits),
+            )
             await asyncio.sleep(SETTLE_S)
         finally:
             self._ended_at = time.monotonic()
@@ -134,6 +140,20 @@
             case _:
                 await self._restart_process(fault)
 
+    async def _name_limit(self, span: LimitSpan) -> None:
+        """Let a worker name a limit; one that replaces it names none."""
+        await asyncio.sleep(span.at)
+        worker = self._cluster.workers[span.component]
+        began_at = time.monotonic()
+        worker.limit = span.per_s
+        try:
+            await asyncio.sleep(span.duration_s)
+        finally:
+            worker.limit = None
+            self._named.append(
+                NamedLimit(worker.name, began_at, time.monotonic(), span.per_s)
+            )
+
     async def _restart_process(self, fault: Fault) -> None:
         number = signal.SIGKILL
         if fault.kind is FaultKind.TERM:
@@ -206,6 +226,7 @@
             self._orders(),
             self._configs,
             self._disturbed(),
+            self._named,
         )
         violations = find_violations(history, EVENTS)
         ended = [one for one in calls if one.ended_at < self._ended_at]
--- a/tests/platformworker.py
+++ b/tests/platformworker.py
@@ -64,6 +64,8 @@
         self.orders: list[dict[str, Any]] = []
         # Number of events after which the next stream is aborted.
         self.break_after: int | None = None
+        # Requests/s that it says it takes from all VMs together.
+        self.limit: float | None = None
         self.born = int(time.time() * 1000)
 
     def app(self) -> web.Application:
@@ -150,6 +152,8 @@
         self.request_headers.append(run)
         self.request_log.append(LoggedRequest(time.monotonic(), http.path, run))
         response_headers['X-Server-Stamp'] = self.name
+        if self.limit is not None:
+            response_headers['Server-Limit'] = f'{self.limit}'
         if not adapter:
             return web.Response(
                 body=http.path.encode(), headers=response_headers
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,7 @@
     Call,
     ConfigObservation,
     Execution,
+    NamedLimit,
     ReceivedOrder,
     SoakHistory,
     find_violations,
@@ -83,6 +84,13 @@
                 'lower fencing',
             ),
             ({'calls': [TRUNCATED]}, 'truncated'),
+            (
+                {
+                    'limits': [NamedLimit('w1', 6.0, 12.0, 0.1)],
+                    'executions': [EXECUTION] * 6,
+                },
+                'beyond a limit',
+            ),
         ],
     )
     def test_planted_faults(
