--- a/tests/test_cuthead.py
+++ b/tests/test_cuthead.py
@@ -13,6 +13,7 @@
 )
 
 from tests.test_calls import ScriptedTarget, response_of
+from tests.test_resumedstream import CHUNK, resumed_body
 from tests.test_unframed import EVENT, HALF, UNFRAMED, raw
 
 FRAMINGS = [b'', b'Content-Length: 22\r\n', b'Transfer-Encoding: chunked\r\n']
@@ -73,16 +74,5 @@
 def test_resumed_stream_with_cut_head_is_cut() -> None:
     """A stream whose next target stops in its head is visibly cut."""
     cut = b'HTTP/1.1 200 OK\r\nX-Server-Stamp: s'
-    scripts = iter([raw(UNFRAMED + EVENT + HALF), raw(cut)])
-
-    async def play(
-        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        await next(scripts)(reader, writer)
-
-    targets = [ScriptedTarget(play), ScriptedTarget(play)]
-    response = asyncio.run(
-        response_of(CallKind.STREAM, targets, resumable=True)
-    )
-    _head, _, body = response.partition(b'\r\n\r\n')
-    assert body == b'%x\r\n%b\r\n' % (len(EVENT), EVENT)
+    first = raw(UNFRAMED + EVENT + HALF)
+    assert resumed_body(first, raw(cut)) == CHUNK
--- a/tests/test_resumedstream.py
+++ b/tests/test_resumedstream.py
@@ -13,7 +13,7 @@
     ServerLimits,
 )
 
-from tests.test_calls import HOST, ScriptedTarget, response_of
+from tests.test_calls import HOST, Script, ScriptedTarget, response_of
 from tests.test_unframed import EVENT, HALF, UNFRAMED, raw
 
 CHUNK = b'%x\r\n%b\r\n' % (len(EVENT), EVENT)
@@ -25,15 +25,9 @@
 ]
 
 
-@pytest.mark.parametrize('error', ERRORS, ids=['500', '404', '302'])
-@pytest.mark.parametrize(
-    'first', [UNFRAMED + EVENT + HALF, UNFRAMED + EVENT], ids=['ended', 'reset']
-)
-def test_error_of_next_target_is_not_in_the_stream(
-    first: bytes, error: bytes
-) -> None:
-    """The caller gets the first event only, and a stream visibly cut."""
-    scripts = iter([raw(first, resets=first.endswith(EVENT)), raw(error)])
+def resumed_body(first: Script, then: Script) -> bytes:
+    """Return what a caller gets after the head of a stream of two targets."""
+    scripts = iter([first, then])
 
     async def play(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -44,9 +38,20 @@
     response = asyncio.run(
         response_of(CallKind.STREAM, targets, resumable=True)
     )
-    _head, _, body = response.partition(b'\r\n\r\n')
-    assert body == CHUNK
     assert sum(target.requests for target in targets) == 2
+    return response.partition(b'\r\n\r\n')[2]
+
+
+@pytest.mark.parametrize('error', ERRORS, ids=['500', '404', '302'])
+@pytest.mark.parametrize(
+    'first', [UNFRAMED + EVENT + HALF, UNFRAMED + EVENT], ids=['ended', 'reset']
+)
+def test_error_of_next_target_is_not_in_the_stream(
+    first: bytes, error: bytes
+) -> None:
+    """The caller gets the first event only, and a stream visibly cut."""
+    script = raw(first, resets=first.endswith(EVENT))
+    assert resumed_body(script, raw(error)) == CHUNK
 
 
 def test_responder_writes_one_head_only() -> None:
