Let a stream that broke off wait for a token of a limited target

A resumed stream whose next target is limited was cut off at once: the wait for a token was bounded from the request's arrival, which is long past then. The bound now holds for first attempts; later ones wait as for any target. Found by reading; test_stream_that_broke_off_waits_for_a_token failed before. With it, a request that comes back to the queue after its time says "no target is free" again, not "too many requests wait: 0.0 s".

--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_targetwait.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_targetwait.py
@@ -75,7 +75,10 @@
                 if crowded:
                     return crowded
                 self._tokens.update(self._chooser.limited, now)
-                refusal = self._check(choice, give_up_at, now)
+                token_deadline = give_up_at
+                if not tried:
+                    token_deadline = min(give_up_at, self._token_deadline())
+                refusal = self._check(choice, give_up_at, token_deadline, now)
                 if refusal:
                     return refusal
                 if self._needs_load(choice, now):
@@ -96,7 +99,7 @@
         queue = self._state.queue
         priority = self._admitted.priority
         wait_s = queue.expected_wait_s(self._pool, priority, now)
-        if now + wait_s > give_up_at:
+        if wait_s and now + wait_s > give_up_at:
             reason = f'too many requests wait: {wait_s:.1f} s'
             return HttpRefusal(503, reason, wait_s)
         self._is_waiting = True
@@ -109,16 +112,20 @@
             self._state.queue.leave(self._pool, self._admitted.priority)
 
     def _check(
-        self, choice: NoReadyTarget, give_up_at: float, now: float
+        self,
+        choice: NoReadyTarget,
+        give_up_at: float,
+        token_deadline: float,
+        now: float,
     ) -> HttpRefusal | None:
         """Return why the request is not to wait any longer."""
         quarantined = self._prompt.quarantine_refusal()
         if quarantined:
             return quarantined
-        if self._is_only_limited(choice):
-            token_deadline = min(give_up_at, self._token_deadline())
-            if self._waits_in_vain(token_deadline, now):
-                return self._tokens.refusal(now)
+        if self._is_only_limited(choice) and self._waits_in_vain(
+            token_deadline, now
+        ):
+            return self._tokens.refusal(now)
         if now >= give_up_at:
             return HttpRefusal(503, 'no target is free', NOT_RUN_RETRY_AFTER_S)
         orders_at = self._state.view.orders_allowed_at
@@ -142,6 +149,10 @@
         return not may_be_loaded and self._tokens.exceeds(give_up_at, now)
 
     def _token_deadline(self) -> float:
+        """Return until when a first attempt waits for a token.
+
+        Later ones, and streams that have begun, wait as for any target.
+        """
         objective_s = self._admitted.route.objective_s
         return self._admitted.arrived_at + TOKEN_WAIT_OBJECTIVES * objective_s
 
