Keep limits through lost heartbeats, and the count of requests that wait

Found by reading, each with a test. A target whose heartbeats are lost for 4.5 s is removed and comes back: its limit was forgotten with it, so that each entry VM could send until the next answer. Limits of targets that are gone are kept for 60 s. A request that waited while its target was removed left a count of -1 behind, and the next one that waited there never asked for a token.

--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_round.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_round.py
@@ -45,7 +45,7 @@
     def engines_for(self, name: Name) -> list[EngineState]:
         """Return the engines that can take an adapter, the cheapest first.
 
-            They do not hold it yet, have a free slot or can free one, and are
+        They do not hold it yet, have a free slot or can free one, and are
         not sent all that their limits allow.
         """
         holders = {engine.target for engine in self._engines.holders(name)}
--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -137,8 +137,9 @@
     def on_departure(self, target: TargetName, now: float) -> int:
         """Remove a target that has deregistered and return its incarnation."""
         self.planner.remove_engine(target)
-        self.limits.remove(target)
-        return self.registry.remove(target, now)
+        incarnation = self.registry.remove(target, now)
+        self.limits.retain(self.registry.names(), now)
+        return incarnation
 
     def on_ask(
         self,
@@ -224,7 +225,8 @@
         expired = self.registry.expire(now)
         for target in expired:
             self.planner.remove_engine(target)
-            self.limits.remove(target)
+        if expired:
+            self.limits.retain(self.registry.names(), now)
         return expired
 
     def plan(self, quorum_age_s: float, now: float) -> list[Order]:
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_sendlimiter.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_sendlimiter.py
@@ -106,9 +106,9 @@
         """Add tokens that the leader has issued."""
         self._tokens.add(lot, now)
 
-    def retain(self, present: Collection[TargetName]) -> None:
+    def retain(self, present: Collection[TargetName], now: float) -> None:
         """Forget the targets that are not in ``present``."""
-        self.exchange.known.retain(present)
+        self.exchange.known.retain(present, now)
         self._tokens.retain(present)
         self._shares.retain(present)
 
--- a/packages/lovagemast-core/src/lovagemast_core/quota/_localtokens.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quota/_localtokens.py
@@ -188,9 +188,14 @@
         return (state.waiting + cost) / rate
 
     def retain(self, names: Collection[AccountName]) -> None:
-        """Forget the accounts that are not in ``names``."""
+        """Forget the accounts that are not in ``names``.
+
+        Those that requests still wait for are kept, so that the count of
+        these stays right.
+        """
         for name in set(self._accounts) - set(names):
-            self._accounts.pop(name)
+            if not self._accounts[name].waiting:
+                self._accounts.pop(name)
 
     def _account(self, name: AccountName, now: float) -> _AccountTokens:
         return self._accounts.setdefault(name, _AccountTokens(now))
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
@@ -88,7 +88,7 @@
         self._loads.update(reply.loads)
         if reply.removed or reply.is_complete:
             self._loads.remove(set(self.view.targets))
-            self._limits.known.retain(self.view.targets)
+            self._limits.known.retain(self.view.targets, now)
         if reply.lots or reply.send_lots:
             self._tokens.add(reply.lots, now)
             self._sends.add(reply.send_lots, now)
--- a/packages/lovagemast-core/src/lovagemast_core/targetlimits/_known.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targetlimits/_known.py
@@ -17,6 +17,7 @@
 MIN_LIMIT_PER_S: Final = 0.1  # so that a target can say that its need is over
 MAX_LIMIT_PER_S: Final = 10_000.0  # from which a limit binds nobody
 MAX_TARGETS: Final = 4_096
+RETENTION_S: Final = 60.0  # of the limit of a target that is gone
 
 
 def is_readable(number: float) -> bool:
@@ -117,14 +118,14 @@
             for target, per_s in self.current().items()
         }
 
-    def retain(self, present: Collection[TargetName]) -> None:
-        """Forget the targets that are not in ``present``."""
-        for target in set(self._known) - set(present):
-            self._known.pop(target)
+    def retain(self, present: Collection[TargetName], now: float) -> None:
+        """Forget the targets that have been gone for some time.
 
-    def remove(self, target: TargetName) -> None:
-        """Forget a target that is gone."""
-        self._known.pop(target, None)
+        One whose heartbeats were lost may come back with the same limit.
+        """
+        for target in set(self._known) - set(present):
+            if now - self._known[target].heard_at > RETENTION_S:
+                self._known.pop(target)
 
     def clear(self) -> None:
         """Forget all limits."""
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -183,7 +183,7 @@
             state.health.retain(present)
             state.batch.retain(present)
             state.prefill.retain(present)
-            state.sends.retain(present)
+            state.sends.retain(present, now)
         # A reply that only confirms the state wakes no waiting requests.
         has_news = newer or bool(reply.quarantine)
         has_news = has_news or bool(reply.limits or reply.send_lots)
--- a/tests/test_targetlimits.py
+++ b/tests/test_targetlimits.py
@@ -17,7 +17,11 @@
     is_readable,
     limit_from_number,
 )
-from lovagemast_core.targetlimits._known import MAX_TARGETS, MIN_LIMIT_PER_S
+from lovagemast_core.targetlimits._known import (
+    MAX_TARGETS,
+    MIN_LIMIT_PER_S,
+    RETENTION_S,
+)
 from lovagemast_core.targets import (
     LimitReport,
     SyncReply,
@@ -305,3 +309,24 @@
         for number in range(3)
     ]
     assert sum(one is not None for one in sent) == left
+
+
+def test_limit_survives_lost_heartbeats() -> None:
+    """A target that is removed and comes back at once has its limit still."""
+    limits = TargetLimits()
+    limits.record_answer(report(2.0), NOW, NOW)
+    limits.retain((), NOW + 10)
+    assert limits.limit_of(TARGET, 1) == 2.0
+    limits.retain((), NOW + RETENTION_S + 1)
+    assert limits.limit_of(TARGET, 1) is None
+
+
+def test_wait_outlives_a_removed_target() -> None:
+    """Requests that waited for a removed target leave no count behind."""
+    sends = SendLimiter()
+    sends.exchange.known.record_answer(report(2.0), NOW, NOW)
+    sends.add_waiting(TARGET, 1, NOW)
+    sends.retain((), NOW)
+    sends.add_waiting(TARGET, -1, NOW)
+    sends.add_waiting(TARGET, 1, NOW)
+    assert [wish.tokens for wish in sends.wishes(NOW)] == [1.0]
