Say in plain tables what newer answers of a target change

The table's assertion needed a second reading; it now names what holds for each incarnation. No case is dropped, one is added (an answer of the next incarnation without a limit).

--- a/tests/test_targetlimits.py
+++ b/tests/test_targetlimits.py
@@ -67,32 +67,29 @@
 
 class TestNewestAnswer:
     @pytest.mark.parametrize(
-        ('first', 'second', 'sent_ago_s', 'expected'),
+        ('second', 'sent_ago_s', 'by_incarnation'),
         [
-            (report(2.0), report(3.0), 0.0, 3.0),
-            (report(2.0), report(None), 0.0, None),
-            (report(2.0), report(None), 0.2, 2.0),  # sent before the limit
-            (report(2.0), report(5.0, born=2), 0.0, 2.0),
-            (report(2.0, born=2), report(5.0), 0.0, None),
+            (report(3.0), 0.0, {1: 3.0}),
+            (report(None), 0.0, {1: None}),
+            (report(None), 0.2, {1: 2.0}),  # sent before the limit was heard
+            (report(5.0, born=2), 0.0, {1: None, 2: 5.0}),
+            (report(None, born=2), 0.0, {1: 2.0, 2: None}),
+            (report(5.0, born=0), 0.0, {0: None, 1: 2.0}),
         ],
     )
     def test_own_answers(
         self,
-        first: LimitReport,
         second: LimitReport,
         sent_ago_s: float,
-        expected: float | None,
+        by_incarnation: dict[int, float | None],
     ) -> None:
         """An answer counts unless its request is older than the last change."""
         limits = TargetLimits()
-        limits.record_answer(first, NOW, NOW)
+        limits.record_answer(report(2.0), NOW, NOW)
         now = NOW + 0.1
         limits.record_answer(second, now - sent_ago_s, now)
-        born = max(first.incarnation, second.incarnation)
-        known = limits.limit_of(TARGET, first.incarnation)
-        assert known == (expected if born == first.incarnation else None) or (
-            first.incarnation > second.incarnation and known == first.per_s
-        )
+        for incarnation, limit in by_incarnation.items():
+            assert limits.limit_of(TARGET, incarnation) == limit
 
     def test_late_answer_does_not_bring_a_limit_back(self) -> None:
         """A limit that has ended stays so for answers to older requests."""
