Report stand-ins of the soak that end by themselves

A worker whose port is taken ends silently with that effect, as a trial shows; the soak now names such an end among the violations.

--- a/soak/_cluster.py
+++ b/soak/_cluster.py
@@ -43,6 +43,7 @@
         self.proxies: dict[str, Proxy] = {}
         self.workers: dict[str, Worker] = {}
         self.former_workers: list[Worker] = []  # ended incarnations
+        self.failures: list[str] = []  # of workers that ended by themselves
         self._worker_ports: dict[str, int] = {}
         self._worker_tasks: dict[str, asyncio.Task[None]] = {}
         self._first_start = True
@@ -129,7 +130,9 @@
             advertised_port=self.proxies[name].port,
         )
         self.workers[name] = worker
-        self._worker_tasks[name] = asyncio.create_task(worker.serve())
+        task = asyncio.create_task(worker.serve(), name=worker.name)
+        task.add_done_callback(self._on_worker_ended)
+        self._worker_tasks[name] = task
 
     def all_workers(self) -> list[Worker]:
         """Return all incarnations of all workers."""
@@ -143,6 +146,12 @@
         """Put a configuration; return the status, 0 without a response."""
         return put(f'{self.control_url(vm)}/config', _config(version, keys))
 
+    def _on_worker_ended(self, task: 'asyncio.Task[None]') -> None:
+        """Record a worker that could not listen, or failed."""
+        if not task.cancelled():
+            cause = f'{task.get_name()}: {task.exception()!r}'
+            self.failures.append(f'stand-in ended: {cause}')
+
     def _data_folder(self, vm: str) -> Path:
         return self.folder / f'data-{vm}'
 
--- a/soak/_soak.py
+++ b/soak/_soak.py
@@ -234,6 +234,7 @@
         served = sum(call.status == OK and call.whole for call in last)
         if served < MIN_SERVED_FRACTION * LAST_CALLS:
             violations.append(f'{served} of the last {LAST_CALLS} calls served')
+        violations.extend(self._cluster.failures)
         return Result(len(calls), len(self._faults), violations)
 
     def _executions(self) -> list[Execution]:
