--- a/tests/test_orderdelay.py
+++ b/tests/test_orderdelay.py
@@ -17,9 +17,7 @@
     ('led_s', 'is_soon'),
     [(0.0, True), (0.1, True), (RELAY_HELLO_TTL_S + 0.1, False)],
 )
-def test_holders_have_time_to_report(
-    led_s: float, *, is_soon: bool
-) -> None:
+def test_holders_have_time_to_report(led_s: float, *, is_soon: bool) -> None:
     """Requests are not told to return in seconds while holders connect."""
     leader = FleetController('leader', takeover_s=TAKEOVER_S, quota=QUOTA)
     leader.start_term(1, VMS, NOW)
