--- a/tests/relayfleet.py
+++ b/tests/relayfleet.py
@@ -182,6 +182,16 @@
             if name in {client, stream.server}:
                 self._streams.pop(client)
 
+    def streams(self) -> list[_Stream]:
+        """Return the open streams of all relays and entry VMs."""
+        return list(self._streams.values())
+
+    def close_streams(self, relay: str) -> None:
+        """Close the streams of all entry VMs to a relay, as when it ends."""
+        for client, stream in list(self._streams.items()):
+            if stream.server == relay and client in self.entries:
+                self._disconnect(client, failed=True)
+
     def elect(self) -> None:
         """Replace the leader by one that knows no targets yet."""
         self.term += 1
