Log when a relay's replies are ignored, and show the revision as a metric

What a VM holds and why it ignores its relay could not be told from its lines: a stale revision with a fresh age_s looked like a caller's error. Now lovagemast_revision can be compared over all VMs, and sync: relay is behind / relay caught up bound the time in which replies were ignored.

--- a/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
@@ -101,6 +101,11 @@
         """Set the index of the configuration in force."""
         self.index = index
 
+    @property
+    def is_relay_behind(self) -> bool:
+        """Return whether replies are ignored until the relay catches up."""
+        return self._behind_since is not None
+
     def has_all_targets(self) -> bool:
         """Return whether all targets of the current leader are known."""
         return self._has_all_targets
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -75,6 +75,7 @@
         self._codec = codec
         self._log = JsonLog(cfg.name)
         metrics = ControlMetrics()
+        self._metrics = metrics
         self._store = LogStore.open(Path(cfg.data_dir), cfg.vm)
         self._node = ControlNode(
             ControlConfig(
@@ -114,7 +115,6 @@
             self._on_handler_error,
         )
         self._engines = EngineClient(cfg.vm, codec, self._log)
-        self._metrics = metrics
         self._log_writer = LogWriter(
             self._store, self._on_log_synced, self._log
         )
@@ -180,6 +180,7 @@
         if isinstance(parsed, str):
             self._log.write('config', 'cannot be parsed', cause=parsed)
             return None
+        self._metrics.set_revision(parsed.revision)
         return DeploymentIndex(parsed)
 
     def _run_effects(self) -> None:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -168,7 +168,10 @@
     def _on_reply(self, reply: SyncReply, asked_at: float) -> None:
         state = self._state
         now = now_s()
+        was_behind = state.view.is_relay_behind
         newer = state.view.apply(reply, asked_at, now)
+        if state.view.is_relay_behind != was_behind:
+            self._log_behind()
         state.guard.reports.on_reply(reply.ask)
         if reply.quarantine:
             self._apply_quarantine(now)
@@ -190,6 +193,15 @@
         if has_news or reply.targets or reply.removed or reply.lots:
             state.notify_update()
 
+    def _log_behind(self) -> None:
+        view = self._state.view
+        self._log.write(
+            'sync',
+            'relay is behind' if view.is_relay_behind else 'relay caught up',
+            age_s=round(view.age(now_s()), 3),
+            revision=view.published.revision,
+        )
+
     def _apply_limits(self, reply: SyncReply, now: float) -> None:
         sends = self._state.sends
         changes = sends.exchange.on_reply(reply, now)
@@ -213,6 +225,7 @@
             return
         self._state.view.set_index(DeploymentIndex(parsed))
         self._front.limits = ServerLimits(*parsed.limits)
+        self._state.metrics.set_revision(published.revision)
         self._log.write(
             'config',
             'in force',
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
@@ -61,6 +61,11 @@
             'Requests that ran, without an answer, when their target crashed',
             registry=self.registry,
         )
+        self._revision = Gauge(
+            'lovagemast_revision',
+            'Revision of the configuration in force',
+            registry=self.registry,
+        )
         self._limited_targets = Gauge(
             'lovagemast_limited_targets',
             'Targets that name a limit for their requests',
@@ -106,6 +111,10 @@
         """Count a request refused for a quarantined prompt part."""
         self._quarantined.inc()
 
+    def set_revision(self, revision: int) -> None:
+        """Set the revision of the configuration that this VM holds."""
+        self._revision.set(revision)
+
     def set_limited_targets(self, count: int) -> None:
         """Set the number of targets that name a limit."""
         self._limited_targets.set(count)
@@ -145,6 +154,11 @@
             'Leaders that were noticed',
             registry=self.registry,
         )
+        self._revision = Gauge(
+            'lovagemast_revision',
+            'Revision of the configuration in force',
+            registry=self.registry,
+        )
         self._suspected_parts = Gauge(
             'lovagemast_suspected_parts',
             'Prompt parts that are suspected, but not quarantined',
@@ -164,6 +178,10 @@
         """Record the duration of an operator's change."""
         self._changes_s.observe(took_s)
 
+    def set_revision(self, revision: int) -> None:
+        """Set the revision of the configuration that this VM holds."""
+        self._revision.set(revision)
+
     def set_parts(self, suspected: int, quarantined: int) -> None:
         """Set the numbers of suspected and of quarantined prompt parts."""
         self._suspected_parts.set(suspected)
