Keep the link to a control VM through a message that cannot be encoded

Operators saw 503 for every change sent to one control VM, for good, after a configuration that its link to the leader could not encode; that VM answered no heartbeat of the group either, while it still served reads and relays.

Cause: the task of a link ended with any exception but those of a stream, and nothing started it again. Now such a message is logged (peer: message not sent) and dropped, any other failure ends the stream only, and an encoder's errors are one type, WireError. A stream that the other side has closed (ProtocolError) is a stream error too: in a push it ended the process.

--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
@@ -6,7 +6,11 @@
 
 from grpclib._typing import IServable
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.exceptions import (
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+)
 from grpclib.server import Server, Stream
 from h2.exceptions import H2Error
 from lovagemast_core import PeerMessage, PeerReceived
@@ -32,6 +36,7 @@
 STREAM_ERRORS: Final = (
     OSError,
     GRPCError,
+    ProtocolError,  # the other side has closed the stream
     StreamTerminatedError,
     H2Error,
     TimeoutError,
@@ -65,13 +70,10 @@
                 await self._send_all()
             except STREAM_ERRORS as exc:
                 if self._is_open:
-                    self._log.write(
-                        'peer',
-                        'link lost',
-                        peer=self._vm,
-                        cause=repr(exc),
-                    )
-                self._is_open = False
+                    self._log_problem('link lost', exc)
+            except Exception as exc:  # later messages need the link
+                self._log_problem('link failed', exc)
+            self._is_open = False
             await asyncio.sleep(PEER_RECONNECT_DELAY_S)
 
     async def _send_all(self) -> None:
@@ -86,10 +88,23 @@
             opened_at = now_s()
             while True:
                 message = await self._next_message(opened_at)
-                envelope = encode_envelope(self._own_vm, message)
+                envelope = self._encode(message)
+                if envelope is None:
+                    continue
                 async with asyncio.timeout(SEND_TIMEOUT_S):
                     await stream.send_message(envelope)
 
+    def _encode(self, message: PeerMessage) -> Envelope | None:
+        """Return a message's envelope, ``None`` if it cannot be sent."""
+        try:
+            return encode_envelope(self._own_vm, message)
+        except WireError as exc:
+            self._log_problem('message not sent', exc)
+            return None
+
+    def _log_problem(self, text: str, exc: Exception) -> None:
+        self._log.write('peer', text, peer=self._vm, cause=repr(exc))
+
     async def _next_message(self, opened_at: float) -> PeerMessage:
         """Return the next message; drop those queued before a reconnect."""
         while True:
--- a/packages/lovagemast-wire/src/lovagemast_wire/_codec.py
+++ b/packages/lovagemast-wire/src/lovagemast_wire/_codec.py
@@ -20,7 +20,7 @@
 
 
 class WireError(ValueError):
-    """A message cannot be decoded by this version."""
+    """A message cannot be encoded, or not be decoded by this version."""
 
 
 class _FieldCodec(NamedTuple):
@@ -32,10 +32,17 @@
 
 
 def to_wire(record: Any) -> Any:
-    """Return the generated message for a named tuple."""
-    message = _message_class(type(record).__name__)()
+    """Return the generated message for a named tuple.
+
+    Raises :exc:`WireError` for a value that its field cannot hold.
+    """
+    name = type(record).__name__
+    message = _message_class(name)()
     for codec in _field_codecs(record.__class__):
-        _encode_field(message, codec, getattr(record, codec.name))
+        try:
+            _encode_field(message, codec, getattr(record, codec.name))
+        except (TypeError, ValueError) as exc:
+            raise WireError(f'{name}.{codec.name}: {exc}') from exc
     return message
 
 
