Keep sync streams through records and replies that cannot be handled

Class of the lost link, looked for elsewhere: a relay's or entry VM's sync task ended with any exception that is no stream error. An entry VM then served on with what it knew and learned nothing more (the log showed nothing); at a control VM the process ended. Now such a failure is logged (sync: failed) and the stream opened anew, and a target's record that cannot be encoded is left out with a line, in place of ending the leader.

--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -42,7 +42,6 @@
 from ._logwriter import LogWriter
 from ._metrics import ControlMetrics, MetricsPage
 from ._peers import (
-    STREAM_ERRORS,
     PeerLinks,
     PeerService,
     serve_peers,
@@ -50,6 +49,7 @@
 from ._quarantinelog import log_part_changes, set_part_metrics
 from ._relayhost import RelayHost
 from ._settings import ControlSettings
+from ._sync import SYNC_ERRORS
 from ._syncservice import RelaySyncService, SyncHandler, SyncSession
 
 PUSH_SPACING_S: Final = 0.001  # between pushes to successive relays
@@ -293,7 +293,7 @@
         await asyncio.sleep(wait_s)  # lets other tasks run between pushes
         try:
             await session.send(lambda: self._build_push(session))
-        except STREAM_ERRORS as exc:
+        except SYNC_ERRORS as exc:
             self._log.write('sync', 'push to a relay failed', cause=repr(exc))
 
     def _build_push(self, session: SyncSession) -> SyncReply | None:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_relayhost.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_relayhost.py
@@ -17,9 +17,8 @@
 
 from .._clock import now_s
 from ._jsonlog import JsonLog
-from ._peers import STREAM_ERRORS
 from ._settings import ControlSettings
-from ._sync import SyncClient
+from ._sync import SYNC_ERRORS, SyncClient
 from ._syncservice import EntrySyncService, SyncHandler, SyncSession
 
 EPOCH_BITS: Final = 62
@@ -143,5 +142,5 @@
     async def _push(self, vm: str, session: SyncSession) -> None:
         try:
             await session.send(lambda: self._relay.make_push(vm, now_s()))
-        except STREAM_ERRORS as exc:
+        except SYNC_ERRORS as exc:
             self._log.write('sync', 'push failed', peer=vm, cause=repr(exc))
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_sync.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_sync.py
@@ -97,6 +97,10 @@
             except SYNC_ERRORS as exc:
                 self._search.record_failure(vm, now_s())
                 self._log_lost(vm, repr(exc))
+            except Exception as exc:  # without a stream, nothing is learned
+                self._search.record_failure(vm, now_s())
+                self._log.write('sync', 'failed', peer=vm, cause=repr(exc))
+                self._is_synced = False
             await asyncio.sleep(SYNC_RECONNECT_DELAY_S)
 
     def _log_lost(self, vm: str, cause: str) -> None:
@@ -142,10 +146,10 @@
             self._answered.clear()
             self._ask += 1
             self._sent[self._ask] = now_s()
-            message = to_wire(self._build_ask(self._ask))
             try:
+                message = to_wire(self._build_ask(self._ask))
                 await stream.send_message(message)
-            except STREAM_ERRORS as exc:
+            except SYNC_ERRORS as exc:
                 self._log.write(
                     'sync', 'sending a sync request failed', cause=repr(exc)
                 )
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_syncservice.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_syncservice.py
@@ -7,12 +7,12 @@
 from functools import partial
 from typing import Final
 
-from grpclib.exceptions import ProtocolError
 from grpclib.server import Stream
 from lovagemast_core.targets import SyncAsk, SyncReply, TargetRecord
 from lovagemast_wire import (
     EntriesBase,
     RelaysBase,
+    WireError,
     from_wire,
     lovagemast_pb2,
     to_wire,
@@ -20,6 +20,7 @@
 
 from ._jsonlog import JsonLog
 from ._peers import SEND_TIMEOUT_S, STREAM_ERRORS
+from ._sync import SYNC_ERRORS
 
 MAX_CACHED_RECORDS: Final = 512
 
@@ -32,31 +33,46 @@
 
     After a change of many targets their records go to tens of receivers.
     Encoding them for each would delay the heartbeats between control VMs
-    until the leader is replaced.
+    until the leader is replaced. A record that cannot be encoded is left out.
     """
 
-    def __init__(self) -> None:
-        self._encoded: dict[int, tuple[TargetRecord, WireRecord]] = {}
+    def __init__(self, log: JsonLog) -> None:
+        self._log = log
+        self._encoded: dict[int, tuple[TargetRecord, WireRecord | None]] = {}
 
     def encode(self, reply: SyncReply) -> lovagemast_pb2.SyncReply:
         """Return the Protocol Buffers message of a reply."""
         message: lovagemast_pb2.SyncReply = to_wire(
             reply._replace(targets=()),
         )
-        message.targets.extend(self._record(one) for one in reply.targets)
+        records = (self._record(one) for one in reply.targets)
+        message.targets.extend(one for one in records if one is not None)
         return message
 
-    def _record(self, record: TargetRecord) -> WireRecord:
+    def _record(self, record: TargetRecord) -> WireRecord | None:
         # The cache key is id(record); the reference to the record keeps the id
         # from being reused while the entry exists.
         cached = self._encoded.get(id(record))
         if cached is None:
             if len(self._encoded) >= MAX_CACHED_RECORDS:
                 self._encoded.clear()
-            cached = (record, to_wire(record))
+            cached = (record, self._try_encode(record))
             self._encoded[id(record)] = cached
         return cached[1]
 
+    def _try_encode(self, record: TargetRecord) -> WireRecord | None:
+        try:
+            encoded: WireRecord = to_wire(record)
+        except WireError as exc:
+            self._log.write(
+                'sync',
+                'record left out',
+                target=record.target,
+                cause=str(exc),
+            )
+            return None
+        return encoded
+
 
 class SyncSession:
     """One sync stream, with the newest request that came on it.
@@ -102,7 +118,7 @@
     async def _break(self) -> None:
         """End the stream: a later reply must not hide that one was lost."""
         self._is_broken = True
-        with contextlib.suppress(*STREAM_ERRORS, ProtocolError):
+        with contextlib.suppress(*STREAM_ERRORS):
             await self._stream.cancel()
 
     def _record_sent(self, reply: SyncReply) -> None:
@@ -137,7 +153,7 @@
     ) -> None:
         self.sessions: dict[int, SyncSession] = {}
         self._numbers = itertools.count(1)
-        self._encoder = SyncReplyEncoder()
+        self._encoder = SyncReplyEncoder(log)
         self._on_ask = on_ask
         self._on_close = on_close
         self._log = log
@@ -148,7 +164,7 @@
         self.sessions[session.number] = session
         try:
             await self._answer_all(session, stream)
-        except STREAM_ERRORS as exc:
+        except SYNC_ERRORS as exc:
             vm = session.ask.vm if session.ask else ''
             self._log.write('sync', 'stream lost', peer=vm, cause=repr(exc))
         finally:
--- a/tests/test_sync.py
+++ b/tests/test_sync.py
@@ -8,6 +8,7 @@
     TargetRecord,
 )
 from lovagemast_node.fleet import _syncservice
+from lovagemast_node.fleet._jsonlog import JsonLog
 from lovagemast_wire import from_wire
 
 from tests.controlcluster import Cluster, make_config
@@ -49,7 +50,7 @@
             return to_wire(message)
 
         monkeypatch.setattr(_syncservice, 'to_wire', count)
-        encoder = _syncservice.SyncReplyEncoder()
+        encoder = _syncservice.SyncReplyEncoder(JsonLog('c1'))
         records = tuple(make_record(index) for index in range(TARGETS))
         for ask in range(ENTRIES):
             reply = SyncReply(ask, True, 'c1', 1, 0.0, targets=records)
@@ -58,7 +59,7 @@
 
     def test_changed_record_is_encoded_anew(self) -> None:
         """A changed record of the same target is encoded again."""
-        encoder = _syncservice.SyncReplyEncoder()
+        encoder = _syncservice.SyncReplyEncoder(JsonLog('c1'))
         for leaving in (False, True, False):
             record = make_record(1)._replace(leaving=leaving)
             reply = SyncReply(1, True, 'c1', 1, 0.0, targets=(record,))
