--- a/packages/lovagemast-node/src/lovagemast_node/_storage.py
+++ b/packages/lovagemast-node/src/lovagemast_node/_storage.py
@@ -61,6 +61,7 @@
         self._state = _LogState(stored)
         self._file = self._path.open('ab', buffering=0)
         self._synced_bytes = self._path.stat().st_size
+        self._has_partial_frame = False
 
     @classmethod
     def open(cls, folder: Path, vm: str) -> 'LogStore':
@@ -102,13 +103,13 @@
         self._file.close()
 
     def _append(self, frame: bytes) -> None:
-        """Append a frame as a whole, or leave the file as it was."""
-        try:
-            _write_all(self._file, frame)
-            os.fdatasync(self._file.fileno())
-        except OSError:
+        """Append a frame after the last one that was synced."""
+        if self._has_partial_frame:
             self._file.truncate(self._synced_bytes)
-            raise
+        self._has_partial_frame = True
+        _write_all(self._file, frame)
+        os.fdatasync(self._file.fileno())
+        self._has_partial_frame = False
         self._synced_bytes += len(frame)
 
     def _rewrite_file(self) -> None:
@@ -116,6 +117,7 @@
         self._file.close()
         self._file = self._path.open('ab', buffering=0)
         self._synced_bytes = self._path.stat().st_size
+        self._has_partial_frame = False
 
 
 class _LogState:
