--- a/tests/controlcluster.py
+++ b/tests/controlcluster.py
@@ -49,6 +49,14 @@
     order: Order
 
 
+class _PendingSync(NamedTuple):
+    """A batch that a disk has not synced, and what the disk then holds."""
+
+    vm: str
+    batch: int
+    stored: StoredLog
+
+
 def parse_index(_document: str) -> DeploymentIndex:
     """Return a deployment with one pool of engines."""
     model = ModelSpec('m', 100.0, 2.0, 1.0)
@@ -99,9 +107,10 @@
         self._pending_outcomes: list[tuple[str, OrderOutcome]] = []
         self._applied_orders: Counter[str] = Counter()
         self._in_transit: list[tuple[str, str, object]] = []
-        self._pending_syncs: list[tuple[str, int]] = []
+        self._pending_syncs: list[_PendingSync] = []
+        self._synced: dict[str, StoredLog] = {}
         for vm in vms:
-            self.disks[vm] = _Disk(f'{vm}#first')
+            self.wipe_disk(vm, 'first')
             self.start(vm, bootstrap=True)
 
     def start(self, vm: str, *, bootstrap: bool = False) -> None:
@@ -126,12 +135,18 @@
             message for message in self._in_transit if vm not in message[:2]
         ]
         self._pending_syncs = [
-            sync for sync in self._pending_syncs if sync[0] != vm
+            sync for sync in self._pending_syncs if sync.vm != vm
         ]
 
+    def lose_power(self, vm: str) -> None:
+        """Kill a VM's process; what its disk has not synced is lost."""
+        self.stop(vm)
+        self.disks[vm].stored = self._synced[vm]
+
     def wipe_disk(self, vm: str, mark: str = 'new') -> None:
         """Replace a VM's disk by an empty one, which has another identity."""
         self.disks[vm] = _Disk(f'{vm}#{mark}')
+        self._synced[vm] = self.disks[vm].stored
 
     def run(self, seconds: float) -> None:
         """Run the cluster for some simulated time."""
@@ -139,11 +154,12 @@
             self.now += STEP_S
             delivered, self._in_transit = self._in_transit, []
             synced, self._pending_syncs = self._pending_syncs, []
-            for vm, batch in synced:
-                if vm in self.frozen | self.stalled:
-                    self._pending_syncs.append((vm, batch))
+            for sync in synced:
+                if sync.vm in self.frozen | self.stalled:
+                    self._pending_syncs.append(sync)
                 else:
-                    self.nodes[vm].on_log_synced(batch, self.now)
+                    self._synced[sync.vm] = sync.stored
+                    self.nodes[sync.vm].on_log_synced(sync.batch, self.now)
             for sender, vm, message in delivered:
                 self._deliver(sender, vm, message)
             self._deliver_outcomes()
@@ -213,7 +229,9 @@
             case PersistLog():
                 if vm not in self.stalled:
                     self.disks[vm].write(effect)
-                self._pending_syncs.append((vm, effect.batch))
+                stored = self.disks[vm].stored
+                sync = _PendingSync(vm, effect.batch, stored)
+                self._pending_syncs.append(sync)
             case CommandDone():
                 self.outcomes[effect.call] = effect.outcome
             case ReadDone():
