--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -17,7 +17,7 @@
 import pytest
 import urllib3
 
-from tests.platformworker import EVENTS, Worker, put
+from tests.platformworker import EVENTS, OK, Worker, put
 
 CONTROL = ('127.0.0.11', '127.0.0.12', '127.0.0.13')
 START_TIMEOUT_S = 20.0
@@ -63,7 +63,14 @@
         for worker in (self.engine, self.spare, self.plain):
             asyncio.run_coroutine_threadsafe(worker.serve(), self._loop)
         self.wait(lambda: self.put_config(1) == 200)
-        self.wait(lambda: self.post('/plain/x', {}).status == 200)
+        self.wait(lambda: self.is_served('/plain/x', {}))
+
+    def is_served(self, path: str, headers: dict[str, str]) -> bool:
+        """Return whether a request is answered; nothing may listen yet."""
+        try:
+            return self.post(path, headers).status == OK
+        except urllib3.exceptions.HTTPError:
+            return False
 
     def stop(self) -> None:
         """Stop the processes and workers."""
