--- a/tests/platformworker.py
+++ b/tests/platformworker.py
@@ -64,9 +64,13 @@
         self.orders: list[dict[str, Any]] = []
         # Number of events after which the next stream is aborted.
         self.break_after: int | None = None
+        # Whether it then rejects all requests, as a full worker does.
+        self.is_full_after_break = False
+        self.is_full = False
         # Requests/s that it says it takes from all VMs together.
         self.limit: float | None = None
         self.born = int(time.time() * 1000)
+        self.software = 'v1'  # version of the worker's program
 
     def app(self) -> web.Application:
         """Return the worker's HTTP application."""
@@ -94,7 +98,7 @@
             'service': self.service,
             'address': self.address,
             'zone': 'z1',
-            'version': 'v1',
+            'version': self.software,
             'slots': SLOTS,
             'state': self.state,
             'coldRemainingMs': 0,
@@ -144,6 +148,9 @@
         }
         if headers.get('X-Expect-Instance') != self.name:
             return web.Response(status=421, headers=response_headers)
+        if self.is_full:
+            response_headers['X-Not-Executed'] = '1'
+            return web.Response(status=503, headers=response_headers)
         _model, _, adapter = headers.get('X-Model', '').partition('/')
         if adapter and adapter not in self.adapters:
             return web.Response(status=421, headers=response_headers)
@@ -176,6 +183,7 @@
         for number in range(first, EVENTS + 1):
             if self.break_after is not None and number > self.break_after:
                 self.break_after = None
+                self.is_full = self.is_full_after_break
                 assert http.transport
                 http.transport.abort()
                 raise asyncio.CancelledError
