--- a/packages/lovagemast-core/src/lovagemast_core/_commands.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_commands.py
@@ -4,6 +4,7 @@
 
 from .agreement._roster import Roster
 from .quarantine._state import ClearParts, PartCrash, StartTrial
+from .streams._software import SetSoftware
 
 
 class ApplyConfig(NamedTuple):
@@ -126,6 +127,7 @@
     | PartCrash
     | ClearParts
     | StartTrial
+    | SetSoftware
     | SetVoters
     | NoOp
 )
--- a/packages/lovagemast-core/src/lovagemast_core/_messages.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_messages.py
@@ -18,6 +18,7 @@
 )
 from .adapters._orders import Order, OrderOutcome
 from .agreement._roster import RosterEntry
+from .streams._records import StreamAnswer, StreamCopies, StreamQuery
 
 
 class Entry(NamedTuple):
@@ -392,4 +393,7 @@
     | RelayHello
     | RelayOrder
     | RelayDone
+    | StreamCopies
+    | StreamQuery
+    | StreamAnswer
 )
--- a/packages/lovagemast-core/src/lovagemast_core/_state.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_state.py
@@ -37,6 +37,7 @@
     record_crash,
     start_trial,
 )
+from .streams._software import PoolSoftware, SetSoftware, set_software
 
 MAX_STORED_OPERATIONS: Final = 20_000
 CLAIM_RETENTION_S: Final = 86_400.0
@@ -101,6 +102,7 @@
     quarantined: tuple[str, ...] = ()  # fingerprints with two or more
     zones_out: tuple[str, ...] = ()
     adapter_versions: tuple[AdapterVersion, ...] = ()
+    software: tuple[PoolSoftware, ...] = ()
 
 
 class HolderSet(NamedTuple):
@@ -165,13 +167,14 @@
             PartCrash: self._record_part_crash,
             ClearParts: self._clear_parts,
             StartTrial: self._start_trial,
+            SetSoftware: self._set_software,
         }
 
     def apply(self, command: Command) -> Outcome:
         """Apply one committed command and return its outcome."""
         handler = self._handlers.get(type(command))
         if handler is None:
-            return Applied(self.published.revision)
+            return self._applied()
         return handler(command)
 
     def to_snapshot(self) -> StateSnapshot:
@@ -201,6 +204,9 @@
             for suspicion in snapshot.suspicions
         }
 
+    def _applied(self) -> Applied:
+        return Applied(self.published.revision)
+
     def _publish(self, **changes: object) -> None:
         changed = self.published._replace(**changes)  # type: ignore[arg-type]
         if changed != self.published:
@@ -228,14 +234,14 @@
         same = command.document == self.published.document
         if command.revision == current and not same:
             return Conflict(f'revision {current} has other content', current)
-        return Applied(self.published.revision)
+        return self._applied()
 
     def _set_zone_out(self, command: SetZoneOut) -> Outcome:
         zones = set(self.published.zones_out) - {command.zone}
         if command.out:
             zones.add(command.zone)
         self._publish(zones_out=tuple(sorted(zones)))
-        return Applied(self.published.revision)
+        return self._applied()
 
     def _name_version(self, command: NameVersion) -> Outcome:
         versions = {
@@ -247,7 +253,7 @@
         if known is None or registered.version > known.version:
             versions[registered.model, registered.adapter] = registered
         self._publish(adapter_versions=tuple(versions.values()))
-        return Applied(self.published.revision)
+        return self._applied()
 
     def _record_operation(
         self,
@@ -276,13 +282,13 @@
         if command.expected_version != self.published.version:
             return Conflict('roster has changed', self.published.revision)
         self._publish(roster=command.roster)
-        return Applied(self.published.revision)
+        return self._applied()
 
     def _remove_vm(self, command: RemoveVm) -> Outcome:
         if find_entry(self.published.roster, command.vm) is None:
             return Conflict('no such VM', self.published.revision)
         self._publish(roster=without_vm(self.published.roster, command.vm))
-        return Applied(self.published.revision)
+        return self._applied()
 
     def _set_holders(self, command: SetHolders) -> Outcome:
         current = self.holders
@@ -295,7 +301,7 @@
                 (*current.former, HolderSet(current.vms)) if current.vms else ()
             )
             self.holders = HolderState(current.epoch + 1, command.vms, former)
-        return Applied(self.published.revision)
+        return self._applied()
 
     def _record_departure(self, command: RecordDeparture) -> Outcome:
         incarnation = command.incarnation
@@ -307,19 +313,23 @@
                 others.append(known)
         newest = Departure(command.target, incarnation)
         self.departures = (*others, newest)[-MAX_DEPARTURES:]
-        return Applied(self.published.revision)
+        return self._applied()
 
     def _record_part_crash(self, command: PartCrash) -> Outcome:
         self.quarantine = record_crash(self.quarantine, command)
-        return Applied(self.published.revision)
+        return self._applied()
 
     def _clear_parts(self, command: ClearParts) -> Outcome:
         self.quarantine = clear_parts(self.quarantine, command)
-        return Applied(self.published.revision)
+        return self._applied()
 
     def _start_trial(self, command: StartTrial) -> Outcome:
         self.quarantine = start_trial(self.quarantine, command)
-        return Applied(self.published.revision)
+        return self._applied()
+
+    def _set_software(self, command: SetSoftware) -> Outcome:
+        self._publish(software=set_software(self.published.software, command))
+        return self._applied()
 
     def _claim(self, command: ClaimCall) -> Outcome:
         self._expire_claims(command.at)
@@ -355,7 +365,7 @@
                 )
             else:
                 self._claims.pop(command.claim)
-        return Applied(self.published.revision)
+        return self._applied()
 
     def _report_crash(self, command: ReportCrash) -> Outcome:
         incarnation = f'{command.target}#{command.incarnation}'
--- a/packages/lovagemast-core/src/lovagemast_core/_types.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_types.py
@@ -10,6 +10,7 @@
 RequestId = str
 AttemptId = str
 PromptPart = str  # the id of a part that prompts share
+SoftwareVersion = str  # of a target's program; versions have no order
 
 
 class Reason(StrEnum):
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
@@ -15,6 +15,7 @@
 from .._types import TargetName, VmName
 from ..deployment import PoolSpec
 from ..targets import AdapterUse, AdapterWish, TargetHeartbeat
+from ._copies import adapters_to_copy
 from ._demand import DemandMeter
 from ._enginestate import EngineState
 from ._enginetable import EngineTable, Name
@@ -22,6 +23,7 @@
 from ._modelloads import ModelLoadLimiter
 from ._orders import Order, OrderOutcome, TargetReport
 from ._round import PlanningRound
+from ._streamwishes import WISH_TTL_S, StreamWishes, plan_stream_load
 
 ADAPTER_LOAD_S: Final = 0.27
 HOST_CACHED_LOAD_S: Final = 0.03  # of an adapter in the host's memory
@@ -29,9 +31,6 @@
 # other down; a weight store that serves more engines has a higher bandwidth.
 MIN_LOADS_IN_FLIGHT: Final = 8
 LOADS_PER_ENGINE: Final = 1.34
-WISH_TTL_S: Final = 0.4  # relays repeat wishes that are still pending
-MAX_COPIED_ADAPTERS: Final = 24  # most requested, that may have copies
-MIN_COPY_RATE: Final = 0.5  # requests/s per holder, including the copy
 NO_TARGETS: Final[frozenset[TargetName]] = frozenset()
 USES_TTL_S: Final = 3.0
 UNREACHABLE_TTL_S: Final = 0.6  # entry VMs repeat it more often
@@ -45,6 +44,7 @@
         self.engines = EngineTable(self.demand)
         self._model_loads = ModelLoadLimiter()
         self._wishes: dict[Name, float] = {}  # s, of the last wish
+        self._stream_wishes = StreamWishes()
         self._uses: dict[VmName, tuple[float, tuple[AdapterUse, ...]]] = {}
         self._uses_changed = False
 
@@ -52,6 +52,7 @@
         """Clear the state of engines and entry VMs, at the start of a term."""
         self.engines.by_target.clear()
         self._wishes.clear()
+        self._stream_wishes.clear()
         self._uses.clear()
 
     def update_engine(
@@ -76,7 +77,11 @@
         for wish in wishes:
             name = (wish.model, wish.adapter)
             self.demand.record(name, wish.demand, now)
-            if wish.waiting:
+            if not wish.waiting:
+                continue
+            if wish.software:
+                self._stream_wishes.record(wish, now)
+            else:
                 self._wishes[name] = now
 
     def record_uses(
@@ -144,16 +149,10 @@
         self.engines.refresh(now)
         orders = self._plan_model_loads(fence, now)
         planning = PlanningRound(self.engines, now)
-        for name in self._adapters_to_load(now):
-            if planning.loads_in_flight >= self._max_loads_in_flight():
-                break
-            if not planning.has_engines():
-                break
-            order = self._plan_load(name, planning, fence, now)
-            if order:
-                self.engines.by_target[order.target].record_sent(order)
-                planning.record_order(order)
-                orders.append(order)
+        for order in self._plan_adapters(planning, fence, now):
+            self.engines.by_target[order.target].record_sent(order)
+            planning.record_order(order)
+            orders.append(order)
         return orders
 
     def record_outcome(self, outcome: OrderOutcome, now: float) -> bool:
@@ -192,10 +191,36 @@
             reports = (uses for _reported_at, uses in self._uses.values())
             self.engines.set_uses(itertools.chain.from_iterable(reports))
 
+    def _plan_adapters(
+        self, planning: PlanningRound, fence: int, now: float
+    ) -> Iterator[Order]:
+        """Yield orders, first those for streams that are to go on.
+
+        Each one is recorded before the next is planned.
+        """
+        for wish in self._stream_wishes.missing(self.engines, now):
+            if not self._can_load_more(planning):
+                return
+            label = self._newest_label(wish.name)
+            order = plan_stream_load(wish, label, planning, fence, now)
+            if order:
+                yield order
+        for name in self._adapters_to_load(now):
+            if not self._can_load_more(planning):
+                return
+            order = self._plan_load(name, planning, fence, now)
+            if order:
+                yield order
+
+    def _can_load_more(self, planning: PlanningRound) -> bool:
+        if planning.loads_in_flight >= self._max_loads_in_flight():
+            return False
+        return planning.has_engines()
+
     def _adapters_to_load(self, now: float) -> Iterator[Name]:
         """Yield the adapters to load, those that requests wait for first."""
         yield from self._missing_adapters(now)
-        yield from self._adapters_to_copy(now)
+        yield from adapters_to_copy(self.engines, self.demand, now)
 
     def _max_loads_in_flight(self) -> int:
         scaled = int(LOADS_PER_ENGINE * len(self.engines.by_target))
@@ -241,21 +266,6 @@
         missing.sort(key=lambda name: -self.demand.rate(name, now))
         return missing
 
-    def _adapters_to_copy(self, now: float) -> list[Name]:
-        """Return popular adapters that need a copy on a further engine."""
-        popular = self.demand.most_requested(MAX_COPIED_ADAPTERS, now)
-        return [
-            name
-            for name in popular
-            if self._warrants_copy(name, now)
-            and self.engines.copy_would_help(name)
-        ]
-
-    def _warrants_copy(self, name: Name, now: float) -> bool:
-        """Return whether the demand is high enough for one more copy."""
-        copies = len(self.engines.holders(name)) + 1
-        return self.demand.rate(name, now) >= MIN_COPY_RATE * copies
-
     def _plan_load(
         self,
         name: Name,
--- a/packages/lovagemast-core/src/lovagemast_core/control/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/__init__.py
@@ -14,6 +14,7 @@
     RelayFailed,
     RequestReport,
     SendOrder,
+    SoftwareChanged,
 )
 from ._fleet import LEADER_LEASE_S, FleetController
 from ._holders import HolderHealth, OrderHolders
@@ -38,4 +39,5 @@
     'RelayFailed',
     'RequestReport',
     'SendOrder',
+    'SoftwareChanged',
 ]
--- a/packages/lovagemast-core/src/lovagemast_core/control/_effects.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_effects.py
@@ -8,6 +8,7 @@
 from .._types import TargetName, VmName
 from ..adapters import Order, OrderOutcome
 from ..quarantine import QuarantineState
+from ..streams import PoolSoftware
 from ..targets import LimitReport
 
 
@@ -79,6 +80,12 @@
     outcome: OrderOutcome
 
 
+class SoftwareChanged(NamedTuple):
+    """The software versions of some pool have changed, as committed."""
+
+    software: tuple[PoolSoftware, ...]
+
+
 ControlEffect = (
     SendPeer
     | PersistLog
@@ -88,6 +95,7 @@
     | RequestReport
     | PushUpdates
     | LeaderChanged
+    | SoftwareChanged
     | HoldersNoticed
     | QuarantineChanged
     | LimitsChanged
--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -14,6 +14,7 @@
 from ..deployment import DeploymentIndex
 from ..quarantine import QuarantineController
 from ..quota import ISSUE_LEASE_S, QuotaBounds, TokenIssuer
+from ..streams import SetSoftware, SoftwareTracker, TargetSoftware, retention_s
 from ..targetlimits import SendBounds, TargetLimits
 from ..targets import (
     RegisteredTarget,
@@ -83,6 +84,7 @@
         self._index: DeploymentIndex | None = None
         self._published = PublishedState()
         self.quarantine = QuarantineController()
+        self._software = SoftwareTracker()
 
     @property
     def term(self) -> int:
@@ -109,6 +111,7 @@
         self.limits.clear()
         self._send_issuer.reset()
         self.quarantine.start_term(now)
+        self._software.start_term()
         self._relays.clear()
 
     def apply_published(
@@ -229,6 +232,20 @@
             self.limits.retain(self.registry.names(), now)
         return expired
 
+    def software_changes(self, now: float) -> list[SetSoftware]:
+        """Return the changes of pools' software versions to commit."""
+        stamp = self.registry.stamp
+        if not self._software.is_due(stamp, now):
+            return []
+        heartbeats = (one.heartbeat for one in self.registry.all_targets())
+        return self._software.propose(
+            self._published.software,
+            [TargetSoftware(one.pool, one.software) for one in heartbeats],
+            stamp=stamp,
+            retention_s=retention_s(self._index),
+            now=now,
+        )
+
     def plan(self, quorum_age_s: float, now: float) -> list[Order]:
         """Return the orders to send now; none without a valid lease."""
         if quorum_age_s > LEADER_LEASE_S:
@@ -323,4 +340,5 @@
             max(0.0, heartbeat.cold_s - (now - known.received_at)),
             tuple(engine.models) if engine else heartbeat.models,
             engine.resident_adapters(now) if engine else (),
+            heartbeat.software,
         )
--- a/packages/lovagemast-core/src/lovagemast_core/control/_node.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_node.py
@@ -36,6 +36,7 @@
     RelayFailed,
     RequestReport,
     SendOrder,
+    SoftwareChanged,
 )
 from ._fleet import LEADER_LEASE_S, FleetController
 from ._reads import LinearizableReads
@@ -266,6 +267,7 @@
         if self.is_ready_leader():
             self._maintain_holders(now)
             self._expire_quarantine(now)
+            self._store_software(now)
             if self.fleet.expire(now):
                 self._effects.append(PushUpdates())
             for engine in self.fleet.planner.reports_due(now):
@@ -293,6 +295,10 @@
         if command:
             self.replica.propose(command, now)
 
+    def _store_software(self, now: float) -> None:
+        for command in self.fleet.software_changes(now):
+            self.replica.propose(command, now)
+
     def _maintain_holders(self, now: float) -> None:
         """Propose changes of the holders and time out relayed orders."""
         self.fleet.health.record_contact(self.vm, now)
@@ -443,6 +449,8 @@
             return
         if published.revision != self._last_published.revision:
             self.index = self._parse_index(published.document)
+        if published.software != self._last_published.software:
+            self._effects.append(SoftwareChanged(published.software))
         self._last_published = published
         self.fleet.apply_published(published, self.index)
         if self.is_ready_leader():
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_selection.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_selection.py
@@ -5,7 +5,7 @@
 from functools import lru_cache
 from typing import Final, NamedTuple
 
-from .._types import TargetName, VmName, ZoneName
+from .._types import SoftwareVersion, TargetName, VmName, ZoneName
 from ..adapters import AdapterLabel
 from ._health import TargetHealth
 from ._view import FleetView, KnownTarget
@@ -17,11 +17,12 @@
 
 
 class TargetRequirements(NamedTuple):
-    """The pool, model and adapter that a request requires of a target."""
+    """What a request requires of a target."""
 
     pool: str
     model: str  # empty for a plain service
     adapter: str  # empty for the base model
+    software: SoftwareVersion | None = None  # that began its stream
 
 
 class Candidate(NamedTuple):
@@ -77,16 +78,13 @@
 ) -> Iterable[Candidate]:
     """Yield the targets of a pool that hold the required model or adapter.
 
-    Targets that are leaving or whose zone is out of service are skipped.
+    Targets that are leaving or whose zone is out of service are skipped, and
+    so are those of another software version than a stream needs.
     """
-    min_version = view.min_version(
-        requirements.model,
-        requirements.adapter,
-        now,
-    )
-    for known in view.find_targets(*requirements):
-        record = known.record
-        if record.leaving or view.zone_is_out(record.zone):
+    pool, model, adapter, software = requirements
+    min_version = view.min_version(model, adapter, now)
+    for known in view.find_targets(pool, model, adapter):
+        if not view.is_in_service(known, software):
             continue
         candidate = _to_candidate(known, requirements, min_version)
         if candidate:
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
@@ -4,7 +4,7 @@
 from typing import Final, NamedTuple
 
 from .._state import PublishedState
-from .._types import TargetName, ZoneName
+from .._types import SoftwareVersion, TargetName, ZoneName
 from ..adapters import AdapterLabel
 from ..deployment import DeploymentIndex
 from ..quarantine import QuarantineState
@@ -135,6 +135,39 @@
         newest, since = self._newest.get((model, adapter), (0, 0.0))
         return newest if now - since > VERSION_GRACE_S else max(0, newest - 1)
 
+    def software_of(self, pool: str) -> frozenset[SoftwareVersion]:
+        """Return the software versions that may have begun open streams.
+
+        It is empty while the leader has stored none for the pool.
+        """
+        stored = frozenset(
+            version
+            for one in self.published.software
+            if one.pool == pool
+            for version in one.versions
+        )
+        if not stored:
+            return stored
+        return stored | {
+            known.record.software for known in self.find_targets(pool, '', '')
+        }
+
+    def serves(self, pool: str, software: SoftwareVersion) -> bool:
+        """Return whether a target of a software version is in service."""
+        return any(
+            self.is_in_service(known, software)
+            for known in self.find_targets(pool, '', '')
+        )
+
+    def is_in_service(
+        self, known: KnownTarget, software: SoftwareVersion | None
+    ) -> bool:
+        """Return whether a target takes requests, of one version if given."""
+        record = known.record
+        if record.leaving or self.zone_is_out(record.zone):
+            return False
+        return software is None or record.software == software
+
     def may_use(self, chosen: KnownTarget) -> bool:
         """Return whether a target that was chosen before may still be used."""
         current = self.targets.get(chosen.record.target)
--- a/packages/lovagemast-core/src/lovagemast_core/quota/_localtokens.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quota/_localtokens.py
@@ -26,6 +26,7 @@
         self.demand = 0.0  # tokens/s
         self.demand_at = now
         self.waiting = 0.0  # tokens that queued requests need
+        self.urgent = 0.0  # the part of them for urgent requests
         self.short_at = float('-inf')  # s, of the last shortage
         self.short_wait_s = 0.0  # expected at the last shortage
         self.granted = 0.0  # tokens/s
@@ -70,13 +71,31 @@
         """Count a request's cost as demand, whether or not it is admitted."""
         self._account(account.name, now).record_demand(cost, now)
 
-    def can_spend(self, account: AccountSpec, cost: float, now: float) -> bool:
-        """Return whether enough tokens are held for a cost."""
+    def can_spend(
+        self,
+        account: AccountSpec,
+        cost: float,
+        now: float,
+        *,
+        is_urgent: bool = False,
+    ) -> bool:
+        """Return whether enough tokens are held for a cost.
+
+        Those that urgent requests wait for are left to them.
+        """
         state = self._account(account.name, now)
         state.expire(now)
-        return account.rate <= 0 or state.held() >= cost
+        reserved = 0.0 if is_urgent else state.urgent
+        return account.rate <= 0 or state.held() >= cost + reserved
 
-    def spend(self, account: AccountSpec, cost: float, now: float) -> bool:
+    def spend(
+        self,
+        account: AccountSpec,
+        cost: float,
+        now: float,
+        *,
+        is_urgent: bool = False,
+    ) -> bool:
         """Spend a request's cost; return whether enough tokens were held.
 
         The oldest lots are spent first. Accounts without a rate are not
@@ -84,7 +103,7 @@
         """
         if account.rate <= 0:
             return True
-        if not self.can_spend(account, cost, now):
+        if not self.can_spend(account, cost, now, is_urgent=is_urgent):
             return False
         state = self._account(account.name, now)
         remaining = cost
@@ -113,10 +132,18 @@
             state.lots.insert(0, (spent_at, cost))
 
     def add_waiting(
-        self, account: AccountSpec, cost: float, now: float
+        self,
+        account: AccountSpec,
+        cost: float,
+        now: float,
+        *,
+        is_urgent: bool = False,
     ) -> None:
         """Add a queued request's cost, or remove it by a negative cost."""
-        self._account(account.name, now).waiting += cost
+        state = self._account(account.name, now)
+        state.waiting += cost
+        if is_urgent:
+            state.urgent += cost
 
     def is_short(self, account: AccountSpec, now: float) -> bool:
         """Return whether the leader has just reported a shortage of tokens."""
@@ -180,12 +207,15 @@
         cost: float,
         entries: int,
         now: float,
+        *,
+        is_urgent: bool = False,
     ) -> float:
         """Return the expected wait of a request behind queued ones, in s."""
         state = self._account(account.name, now)
         even_share = account.rate / max(1, entries)
         rate = max(state.granted, even_share, MIN_RATE)
-        return (state.waiting + cost) / rate
+        queued = state.urgent if is_urgent else state.waiting
+        return (queued + cost) / rate
 
     def retain(self, names: Collection[AccountName]) -> None:
         """Forget the accounts that are not in ``names``.
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_entries.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_entries.py
@@ -5,11 +5,16 @@
 from typing import Final
 
 from .._types import TargetName, VmName
+from ..streams import FoundStream
 from ..targets import AdapterUse, AdapterWish, SyncAsk, TokenLot
 
 ENTRY_TIMEOUT_S: Final = 2.0  # without a request, until one is dropped
 
 
+# Pool, model, adapter and software version of a wish.
+_WishName = tuple[str, str, str, str]
+
+
 class SentVersion:
     """The version of some state that the other side of a stream holds.
 
@@ -51,6 +56,7 @@
         self.quarantine = SentVersion()
         self.limit_stamp = 0  # of the targets' limits that it was sent
         self.replies = 0
+        self.found: list[FoundStream] = []  # answers not sent yet
         self.lots: list[TokenLot] = []  # granted and not sent yet
         self.send_lots: list[TokenLot] = []  # the same, for limited targets
 
@@ -82,7 +88,7 @@
 
     def __init__(self) -> None:
         self.links: dict[VmName, EntryLink] = {}
-        self._demand: dict[tuple[str, str, str], float] = defaultdict(float)
+        self._demand: dict[_WishName, float] = defaultdict(float)
         self._missing: set[str] = set()
 
     def __iter__(self) -> Iterator[tuple[VmName, EntryLink]]:
@@ -106,7 +112,7 @@
             self.links[ask.vm] = link
         link.record_ask(ask, epoch, now)
         for wish in ask.wishes:
-            self._demand[wish.pool, wish.model, wish.adapter] += wish.demand
+            self._demand[_name_of(wish)] += wish.demand
         self._missing.update(ask.missing)
         return link
 
@@ -127,14 +133,13 @@
 
     def take_wishes(self) -> tuple[AdapterWish, ...]:
         """Return the demand since the last call and what is waited for."""
-        waiting: Counter[tuple[str, str, str]] = Counter()
+        waiting: Counter[_WishName] = Counter()
         for link in self.links.values():
             for wish in link.ask.wishes:
-                name = (wish.pool, wish.model, wish.adapter)
-                waiting[name] += wish.waiting
+                waiting[_name_of(wish)] += wish.waiting
         waiting = +waiting
         wishes = tuple(
-            AdapterWish(*name, waiting[name], self._demand[name])
+            AdapterWish(*name[:3], waiting[name], self._demand[name], name[3])
             for name in sorted({*waiting, *self._demand})
         )
         self._demand.clear()
@@ -173,3 +178,7 @@
     def _all_uses(self) -> Iterable[AdapterUse]:
         for link in self.links.values():
             yield from link.ask.uses
+
+
+def _name_of(wish: AdapterWish) -> _WishName:
+    return wish.pool, wish.model, wish.adapter, wish.software
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
@@ -13,6 +13,7 @@
 from ..adapters import AdapterLabel
 from ..entry import FleetView
 from ..quarantine import PartReports, TrialWish
+from ..streams import StreamDirectory
 from ..targetlimits import LimitExchange
 from ..targets import LimitReport, SyncAsk, SyncReply
 from ._entries import ConnectedEntries, EntryLink
@@ -37,6 +38,7 @@
 
     def __init__(self, vm: VmName, zone: ZoneName, epoch: int) -> None:
         self.view = FleetView()
+        self.streams = StreamDirectory(vm, zone)
         self._vm = vm
         self._zone = zone
         self._epoch = epoch
@@ -109,6 +111,8 @@
         self._trials.update(dict.fromkeys(ask.trials))
         self._limits.known.merge(ask.limits, now)
         link = self._entries.record_ask(session, ask, self._epoch, now)
+        self.streams.add(ask.streams, now)
+        link.found.extend(self.streams.look_up(ask.lookups, now))
         self._tokens.set_wishes(ask.vm, ask.tokens, ask.seen, now)
         self._sends.set_wishes(ask.vm, ask.sends, ask.seen, now)
         self._grant_tokens(now)
@@ -196,11 +200,13 @@
             limits=self._limits.known.changed_since(link.limit_stamp, now),
             limit_stamp=self._limits.known.stamp,
             send_lots=tuple(link.send_lots),
+            found=tuple(link.found),
         )
         self._tokens.record_grant(vm, link.lots, link.replies, now)
         self._sends.record_grant(vm, link.send_lots, link.replies, now)
         link.lots = []
         link.send_lots = []
+        link.found = []
         link.limit_stamp = reply.limit_stamp
         link.has_adapter = False
         link.replied_at = now
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_heartbeat.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_heartbeat.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from .._types import TargetName, ZoneName
+from .._types import SoftwareVersion, TargetName, ZoneName
 
 
 class TargetHeartbeat(NamedTuple):
@@ -22,6 +22,7 @@
     remaining_s: float | None = (
         None  # until a target with a termination notice stops
     )
+    software: SoftwareVersion = ''
 
 
 class TargetDeparture(NamedTuple):
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
@@ -8,8 +8,16 @@
 from typing import NamedTuple
 
 from .._state import PublishedState
-from .._types import AccountName, PromptPart, TargetName, VmName, ZoneName
+from .._types import (
+    AccountName,
+    PromptPart,
+    SoftwareVersion,
+    TargetName,
+    VmName,
+    ZoneName,
+)
 from ..quarantine._state import PartCrash, QuarantineState, TrialWish
+from ..streams._records import FoundStream, StreamKey, StreamStart
 
 
 class TokenWish(NamedTuple):
@@ -28,7 +36,8 @@
     """Demand for an adapter at an entry VM.
 
     ``waiting`` counts requests that are queued because no target holds the
-    adapter; ``demand`` counts all requests for it since the last sync.
+    adapter; ``demand`` counts all requests for it since the last sync. Only
+    targets of the version ``software`` will do, unless it is empty.
     """
 
     pool: str
@@ -36,6 +45,7 @@
     adapter: str
     waiting: int
     demand: float
+    software: SoftwareVersion = ''
 
 
 class AdapterUse(NamedTuple):
@@ -95,6 +105,8 @@
     limits: tuple[LimitReport, ...] = ()  # learned since the last reply
     limit_stamp: int = 0  # of the newest limits that it holds
     sends: tuple[TokenWish, ...] = ()
+    streams: tuple[StreamStart, ...] = ()  # begun, until a reply came
+    lookups: tuple[StreamKey, ...] = ()  # streams that clients take up
 
 
 class RelayInfo(NamedTuple):
@@ -124,6 +136,7 @@
     cold_s: float  # remaining time of the cold start
     models: tuple[str, ...] = ()
     adapters: tuple[ResidentAdapter, ...] = ()
+    software: SoftwareVersion = ''
 
 
 class TargetLoad(NamedTuple):
@@ -180,3 +193,4 @@
     limits: tuple[LimitReport, ...] = ()  # since the request's stamp
     limit_stamp: int = 0
     send_lots: tuple[TokenLot, ...] = ()
+    found: tuple[FoundStream, ...] = ()  # answers to lookups
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_admission.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_admission.py
@@ -5,63 +5,29 @@
 entry VM generates itself.
 """
 
-from typing import Final, NamedTuple
+from typing import Final
 
 from lovagemast_core.deployment import (
     AccountSpec,
     DeploymentIndex,
-    PoolSpec,
     RouteSpec,
 )
 
 from .._clock import now_s
 from ..http import HttpRequest, header_value
+from ._admitted import AdmittedRequest
 from ._codec import RequestMetadata
-from ._entrystate import EntryState
+from ._entrystate import POLL_INTERVAL_S, EntryState
 from ._promptcheck import PromptCheck
-from ._refusal import HttpRefusal
+from ._quotacharge import QuotaCharge
+from ._refusal import ELECTION_RETRY_AFTER_S, HttpRefusal
 
 # If the leader has not confirmed the configuration for this long, a newer one
 # may exist, so 401 and 404 are replaced by 503.
 DENIAL_MAX_VIEW_AGE_S: Final = 1.5
-# Without the leader for this long, an election is probably under way.
-ELECTION_LIKELY_AFTER_S: Final = 0.5
-LEADER_ROUND_TRIP_S: Final = 0.1  # a sync request, and the leader's push
-TOKEN_WAIT_FRACTION: Final = 0.5  # of the route's latency objective
-MAX_RETRY_AFTER_S: Final = 4.0
 CONFIG_WAIT_FRACTION: Final = 0.3  # of the caller's timeout
 DEFAULT_CALLER_TIMEOUT_S: Final = 1.0  # if the caller sends no deadline
-POLL_INTERVAL_S: Final = 0.05
 CONFIG_RETRY_AFTER_S: Final = 0.3
-ELECTION_RETRY_AFTER_S: Final = 1.0  # about the duration of an election
-
-
-class AdmittedRequest(NamedTuple):
-    """A request that passed all checks.
-
-    ``arrived_at`` and ``deadline`` are clock readings in seconds.
-    """
-
-    req: HttpRequest
-    metadata: RequestMetadata
-    route: RouteSpec
-    pool: PoolSpec
-    account: AccountSpec | None
-    arrived_at: float
-    deadline: float
-    cost: float = 0.0  # charged to the account, in its quota unit
-
-    @property
-    def account_name(self) -> str | None:
-        """Return the client account, ``None`` on public routes."""
-        return self.account.name if self.account else None
-
-    @property
-    def priority(self) -> int:
-        """Return the account's priority if it has one, else the route's."""
-        if self.account and self.account.priority is not None:
-            return self.account.priority
-        return self.route.priority
 
 
 class Admission:
@@ -96,25 +62,20 @@
             return HttpRefusal(
                 503, 'the route has no pool', CONFIG_RETRY_AFTER_S
             )
-        cost = _cost(account, metadata)
         refusal = PromptCheck(self._state, metadata).quarantine_refusal()
-        refusal = refusal or await self._charge_quota(account, route, cost)
         if refusal:
             return refusal
-        timeout_s = route.timeout_s
-        if metadata.deadline_s is not None:
-            timeout_s = min(timeout_s, metadata.deadline_s)
-        deadline = arrived_at + timeout_s
-        return AdmittedRequest(
+        admitted = AdmittedRequest(
             req,
             metadata,
             route,
             pool,
             account,
             arrived_at,
-            deadline,
-            cost,
+            arrived_at + _timeout_s(route, metadata),
+            _cost(account, metadata),
         )
+        return await QuotaCharge(self._state, admitted).charge() or admitted
 
     def _check_key(
         self,
@@ -141,58 +102,6 @@
             )
         return HttpRefusal(status, reason)
 
-    async def _charge_quota(
-        self,
-        account: AccountSpec | None,
-        route: RouteSpec,
-        cost: float,
-    ) -> HttpRefusal | None:
-        if account is None or account.rate <= 0:
-            return None
-        tokens = self._state.tokens
-        tokens.record_demand(account, cost, now_s())
-        if tokens.spend(account, cost, now_s()):
-            return None
-        entries = self._state.view.entries
-        wait_s = tokens.expected_wait_s(account, cost, entries, now_s())
-        max_wait_s = max(
-            LEADER_ROUND_TRIP_S, TOKEN_WAIT_FRACTION * route.objective_s
-        )
-        if self._state.view.age(now_s()) > ELECTION_LIKELY_AFTER_S:
-            max_wait_s = max(max_wait_s, route.objective_s)
-            wait_s = max(wait_s, ELECTION_RETRY_AFTER_S)
-        exceeds_max_wait = wait_s > max_wait_s and tokens.is_short(
-            account, now_s()
-        )
-        if not exceeds_max_wait and await self._wait_for_tokens(
-            account,
-            cost,
-            max_wait_s,
-        ):
-            return None
-        reason = f'{account.name} is over its {account.rate:.0f} by {cost:.0f}'
-        wait_s = min(MAX_RETRY_AFTER_S, max(LEADER_ROUND_TRIP_S, wait_s))
-        return HttpRefusal(429, reason, wait_s)
-
-    async def _wait_for_tokens(
-        self,
-        account: AccountSpec,
-        cost: float,
-        max_wait_s: float,
-    ) -> bool:
-        give_up_at = now_s() + max_wait_s
-        tokens = self._state.tokens
-        tokens.add_waiting(account, cost, now_s())
-        self._state.request_sync()
-        try:
-            while now_s() < give_up_at:
-                await self._state.wait_for_update(POLL_INTERVAL_S)
-                if tokens.spend(account, cost, now_s()):
-                    return True
-        finally:
-            tokens.add_waiting(account, -cost, now_s())
-        return False
-
     async def _wait_for_config(
         self,
         metadata: RequestMetadata,
@@ -209,6 +118,12 @@
         return state.view.index
 
 
+def _timeout_s(route: RouteSpec, metadata: RequestMetadata) -> float:
+    if metadata.deadline_s is None:
+        return route.timeout_s
+    return min(route.timeout_s, metadata.deadline_s)
+
+
 def _cost(account: AccountSpec | None, metadata: RequestMetadata) -> float:
     if account is None:
         return 0.0
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_codec.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_codec.py
@@ -26,6 +26,7 @@
     prompt_tokens: float
     last_event_id: str
     parts: tuple[str, ...] = ()  # of the prompt, but for its own last part
+    resumes: str = ''  # id of the request that brought the first event
 
 
 class TargetResponseMetadata(NamedTuple):
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -27,8 +27,10 @@
     RelayFailed,
     RequestReport,
     SendOrder,
+    SoftwareChanged,
 )
 from lovagemast_core.deployment import DeploymentIndex
+from lovagemast_core.streams import StreamMessage, retention_s
 from lovagemast_core.targets import SyncAsk, SyncReply
 
 from .._clock import now_s
@@ -106,6 +108,7 @@
             cfg,
             self._control_vms,
             self._node.on_records,
+            self._links.send,
             self._spawn,
             self._log,
         )
@@ -208,6 +211,9 @@
             ),
             PushUpdates: lambda _effect: self._push_requested.set(),
             LeaderChanged: self._log_leader,
+            SoftwareChanged: lambda effect: self._relay.on_software(
+                effect.software, retention_s(self._node.index)
+            ),
             HoldersNoticed: lambda effect: self._log.write(
                 'agree', 'holder set changed', **effect._asdict()
             ),
@@ -264,6 +270,9 @@
         self._run_effects()
 
     def _on_message(self, received: PeerReceived) -> None:
+        if isinstance(received.message, StreamMessage):
+            self._relay.on_stream_message(received.sender, received.message)
+            return
         self._node.receive(received.sender, received.message, now_s())
         self._run_effects()
 
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from lovagemast_core.deployment import CallerLimits, DeploymentIndex
+from lovagemast_core.streams import StreamStart, retention_s
 from lovagemast_core.syncrelay import ENTRY_SYNC, RelaySearch
 from lovagemast_core.targets import SyncAsk, SyncReply
 from lovagemast_wire import EntriesStub
@@ -163,8 +164,16 @@
             limits=state.sends.exchange.reports(ask, now_s()),
             limit_stamp=state.sends.exchange.server_stamp,
             sends=state.sends.wishes(now_s()),
+            streams=self._begun_streams(ask),
+            lookups=state.lookups.pending(),
         )
 
+    def _begun_streams(self, ask: int) -> tuple[StreamStart, ...]:
+        streams = self._state.streams
+        if not self._sync.seen:  # nothing came on this stream yet
+            streams.restart()
+        return streams.take(ask)
+
     def _on_reply(self, reply: SyncReply, asked_at: float) -> None:
         state = self._state
         now = now_s()
@@ -173,6 +182,8 @@
         if state.view.is_relay_behind != was_behind:
             self._log_behind()
         state.guard.reports.on_reply(reply.ask)
+        state.streams.on_reply(reply.ask)
+        state.lookups.add(reply.found)
         if reply.quarantine:
             self._apply_quarantine(now)
         if newer:
@@ -190,6 +201,7 @@
         # A reply that only confirms the state wakes no waiting requests.
         has_news = newer or bool(reply.quarantine)
         has_news = has_news or bool(reply.limits or reply.send_lots)
+        has_news = has_news or bool(reply.found)
         if has_news or reply.targets or reply.removed or reply.lots:
             state.notify_update()
 
@@ -224,6 +236,7 @@
             self._log.write('config', 'cannot be parsed', cause=parsed)
             return
         self._state.view.set_index(DeploymentIndex(parsed))
+        self._state.streams.retention_s = retention_s(self._state.view.index)
         self._front.limits = ServerLimits(*parsed.limits)
         self._state.metrics.set_revision(published.revision)
         self._log.write(
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
@@ -4,6 +4,7 @@
 import random
 import secrets
 from collections.abc import Callable
+from typing import Final
 
 from lovagemast_core.deployment import RouteSpec
 from lovagemast_core.entry import (
@@ -18,6 +19,7 @@
 )
 from lovagemast_core.quarantine import PartGuard
 from lovagemast_core.quota import LocalTokens
+from lovagemast_core.streams import StreamLookups, StreamReports
 
 from ..http import TargetPool
 from ._codec import EntryCodec
@@ -26,6 +28,9 @@
 from ._metrics import EntryMetrics
 from ._settings import EntrySettings
 
+# Between the checks of requests that wait, if nothing wakes them.
+POLL_INTERVAL_S: Final = 0.05
+
 
 class EntryState:
     """The fleet view, limits, metrics and target connections of an entry VM."""
@@ -52,6 +57,8 @@
         self.batch = BatchLimit()
         self.prefill = PrefillLimit()
         self.guard = PartGuard(cfg.vm)
+        self.streams = StreamReports()
+        self.lookups = StreamLookups()
         self.metrics = EntryMetrics()
         self.retries = RetryBudget(
             cfg.retry_ratio,
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
@@ -6,12 +6,13 @@
 from lovagemast_core.quarantine import PartStatus
 
 from .._clock import now_s
-from ._admission import POLL_INTERVAL_S, AdmittedRequest
+from ._admitted import AdmittedRequest
 from ._attempt import Attempt, AttemptOutcome, AttemptResult
-from ._entrystate import EntryState
+from ._entrystate import POLL_INTERVAL_S, EntryState
 from ._promptcheck import PromptCheck
 from ._refusal import HttpRefusal
 from ._relay import ResponseRelay
+from ._streamorigin import StreamOrigin
 from ._targetwait import NOT_RUN_RETRY_AFTER_S, TargetWait
 
 # Sends beyond the route's attempts, after targets proved not to have run it.
@@ -35,7 +36,8 @@
         self._admitted = admitted
         self._relay = relay
         self._prompt = PromptCheck(state, admitted.metadata)
-        self._wait = TargetWait(state, admitted, self._prompt)
+        self._origin = StreamOrigin(state, admitted)
+        self._wait = TargetWait(state, admitted, self._prompt, self._origin)
         self._tried: set[str] = set()
         self._possible_runs = 0
         self.sends = 0
@@ -50,6 +52,9 @@
         """Relay a response, or return why there is none."""
         self._state.retries.record_request(now_s())
         self._wait.record_request()
+        unknown = await self._origin.find()
+        if unknown:
+            return unknown
         while True:
             refusal = await self._wait_for_trial()
             if refusal:
@@ -68,7 +73,12 @@
 
     async def _attempt(self, candidate: Candidate) -> AttemptResult:
         attempt = Attempt(
-            self._state, self._admitted, candidate, self._relay, self._prompt
+            self._state,
+            self._admitted,
+            candidate,
+            self._relay,
+            self._prompt,
+            self._origin,
         )
         self.target = candidate.target
         self._possible_runs += 1
@@ -93,6 +103,8 @@
             account=self._admitted.account_name,
             tokens=self._admitted.metadata.tokens,
             label=str(candidate.label) if candidate.label else '',
+            software=candidate.known.record.software,
+            resumes=self._admitted.metadata.resumes,
             detail=result.detail,
             sends=self.sends,
             age_s=round(self._state.view.age(chosen_at), 3),
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_loadtracker.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_loadtracker.py
@@ -3,9 +3,15 @@
 from collections import Counter
 
 from lovagemast_core.adapters import AdapterLabel
-from lovagemast_core.entry import KnownTarget, LoadEstimate
+from lovagemast_core.entry import (
+    KnownTarget,
+    LoadEstimate,
+    TargetRequirements,
+)
 from lovagemast_core.targets import AdapterUse, AdapterWish, TargetLoad
 
+_AdapterName = tuple[str, str, str, str]
+
 
 class LoadTracker:
     """Counts this VM's requests by target and by adapter.
@@ -17,8 +23,9 @@
         self._loads: dict[str, LoadEstimate] = {}
         self._running: Counter[tuple[str, str]] = Counter()
         self._started: Counter[tuple[str, str]] = Counter()
-        self._demand: Counter[tuple[str, str, str]] = Counter()
-        self._waiting: Counter[tuple[str, str, str]] = Counter()
+        # Keyed by pool, model, adapter and the software version, if any.
+        self._demand: Counter[_AdapterName] = Counter()
+        self._waiting: Counter[_AdapterName] = Counter()
         self._missing: set[str] = set()
 
     def request_started(self, target: str, label: AdapterLabel | None) -> None:
@@ -57,15 +64,14 @@
         requests = load.requests(entries, sync_age_s, now)
         return requests / max(1, known.record.slots)
 
-    def adapter_requested(self, pool: str, model: str, adapter: str) -> None:
+    def adapter_requested(self, wanted: TargetRequirements) -> None:
         """Count a caller's request for an adapter."""
-        self._demand[pool, model, adapter] += 1
+        self._demand[wanted.pool, wanted.model, wanted.adapter, ''] += 1
 
-    def adapter_awaited(
-        self, pool: str, model: str, adapter: str, change: int
-    ) -> None:
+    def adapter_awaited(self, wanted: TargetRequirements, change: int) -> None:
         """Change the number of requests that wait for an adapter."""
-        self._waiting[pool, model, adapter] += change
+        pool, model, adapter, software = wanted
+        self._waiting[pool, model, adapter, software or ''] += change
 
     def adapter_missing(self, target: str, label: AdapterLabel) -> None:
         """Record that a target rejected a request for lack of an adapter."""
@@ -80,9 +86,10 @@
         names = set(self._demand) | set(self._waiting)
         wishes = tuple(
             AdapterWish(
-                *name,
+                *name[:3],
                 self._waiting[name],
                 float(self._demand[name]),
+                name[3],
             )
             for name in sorted(names)
         )
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
@@ -81,6 +81,13 @@
             'Requests refused for the limits of their targets',
             registry=self.registry,
         )
+        self._stream_lookups = Counter(
+            'lovagemast_stream_lookups',
+            'Streams taken up while several software versions may have begun'
+            ' them, by what is known',
+            ('result',),
+            registry=self.registry,
+        )
         self._placed_s = Histogram(
             'lovagemast_placed_seconds',
             'Time until a target was chosen',
@@ -127,6 +134,10 @@
         """Count a request refused for the limits of its targets."""
         self._limit_refusals.inc()
 
+    def record_stream_lookup(self, result: str) -> None:
+        """Count a taken-up stream: found, unknown, or its version gone."""
+        self._stream_lookups.labels(result).inc()
+
     def record_crash(self) -> None:
         """Count a request that ran, without an answer, at a crash."""
         self._crashes.inc()
@@ -159,6 +170,11 @@
             'Revision of the configuration in force',
             registry=self.registry,
         )
+        self._streams = Gauge(
+            'lovagemast_known_streams',
+            'Streams whose software version this VM remembers',
+            registry=self.registry,
+        )
         self._suspected_parts = Gauge(
             'lovagemast_suspected_parts',
             'Prompt parts that are suspected, but not quarantined',
@@ -182,6 +198,10 @@
         """Set the revision of the configuration that this VM holds."""
         self._revision.set(revision)
 
+    def set_streams(self, count: int) -> None:
+        """Set the number of streams that are remembered."""
+        self._streams.set(count)
+
     def set_parts(self, suspected: int, quarantined: int) -> None:
         """Set the numbers of suspected and of quarantined prompt parts."""
         self._suspected_parts.set(suspected)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_refusal.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_refusal.py
@@ -1,6 +1,8 @@
 """The error responses that an entry VM generates itself."""
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
+
+ELECTION_RETRY_AFTER_S: Final = 1.0  # about the duration of an election
 
 
 class HttpRefusal(NamedTuple):
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_relayhost.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_relayhost.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
+from lovagemast_core import PeerMessage
 from lovagemast_core.entry import LeaderSearch
+from lovagemast_core.streams import PoolSoftware, StreamMessage
 from lovagemast_core.syncrelay import RELAY_SYNC, SyncRelay
 from lovagemast_core.targets import (
     LimitReport,
@@ -24,6 +26,7 @@
 EPOCH_BITS: Final = 62
 MIN_PUSH_DELAY_S: Final = 0.004  # gathers changes that come together
 MAX_PUSH_DELAY_S: Final = 0.5
+STREAM_SHARE_DELAY_S: Final = 0.02  # gathers streams that begin together
 
 Spawn = Callable[[Coroutine[Any, Any, None]], None]
 
@@ -66,12 +69,15 @@
         cfg: ControlSettings,
         vms: Callable[[], tuple[str, ...]],
         on_records: Callable[[tuple[TargetRecord, ...]], None],
+        send_peer: Callable[[str, PeerMessage], None],
         spawn: Spawn,
         log: JsonLog,
     ) -> None:
         epoch = secrets.randbits(EPOCH_BITS) + 1
         self._relay = SyncRelay(cfg.vm, cfg.zone, epoch)
+        self._vms = vms
         self._on_records = on_records
+        self._send_peer = send_peer
         self._spawn = spawn
         self._log = log
         self._handler = SyncHandler(self._on_ask, self._on_close, log)
@@ -87,10 +93,37 @@
             log,
         )
         self._changed = asyncio.Event()
+        self._has_stream_messages = asyncio.Event()
 
     async def run(self) -> None:
         """Sync with the leader and push its changes until cancelled."""
-        await asyncio.gather(self._client.run(), self._push_changes())
+        await asyncio.gather(
+            self._client.run(),
+            self._push_changes(),
+            self._share_streams(),
+        )
+
+    def on_software(
+        self, software: tuple[PoolSoftware, ...], retention_s: float
+    ) -> None:
+        """Log pools' software versions; remember streams for some time."""
+        self._relay.streams.table.retention_s = retention_s
+        for pool, versions in software:
+            self._log.write(
+                'target', 'software versions', pool=pool, versions=versions
+            )
+
+    def on_stream_message(self, sender: str, message: StreamMessage) -> None:
+        """Handle a message about streams from another control VM."""
+        streams = self._relay.streams
+        answer = streams.receive(sender, message, now_s())
+        if answer:
+            self._send_peer(sender, answer)
+
+    @property
+    def known_streams(self) -> int:
+        """Return the number of streams that are remembered."""
+        return len(self._relay.streams.table)
 
     def limits(self) -> tuple[LimitReport, ...]:
         """Return what targets last said of their limits."""
@@ -106,6 +139,8 @@
         reply = self._relay.on_ask(session.number, ask, now_s())
         if self._relay.needs_leader(ask):
             self._client.wake()
+        if self._relay.streams.has_messages:
+            self._has_stream_messages.set()
         return reply
 
     def _on_close(self, session: SyncSession) -> None:
@@ -117,6 +152,18 @@
         self._on_records(reply.targets)
         self._changed.set()
 
+    async def _share_streams(self) -> None:
+        while True:
+            await self._has_stream_messages.wait()
+            self._has_stream_messages.clear()
+            zones = dict.fromkeys(self._vms(), '')
+            known = self._relay.view.relays
+            zones.update({relay.vm: relay.zone for relay in known})
+            streams = self._relay.streams
+            for vm, message in streams.take_messages(zones, now_s()):
+                self._send_peer(vm, message)
+            await asyncio.sleep(STREAM_SHARE_DELAY_S)
+
     async def _push_changes(self) -> None:
         while True:
             await self._wait_for_change()
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
@@ -4,7 +4,8 @@
 
 from .._clock import now_s
 from ..http import HttpRequest, Responder
-from ._admission import Admission, AdmittedRequest
+from ._admission import Admission
+from ._admitted import AdmittedRequest
 from ._codec import RequestMetadata
 from ._entrystate import EntryState
 from ._forwarder import RequestForwarder
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_targetchoice.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_targetchoice.py
@@ -13,8 +13,9 @@
     find_candidates,
 )
 
-from ._admission import AdmittedRequest
+from ._admitted import AdmittedRequest
 from ._entrystate import EntryState
+from ._streamorigin import StreamOrigin
 from ._targetlimits import send_terms
 
 # Load that a target's unprocessed prompts add when they reach the prefill
@@ -27,17 +28,25 @@
 class TargetChooser:
     """Applies the limits of an entry VM to the choice of a target."""
 
-    def __init__(self, state: EntryState, admitted: AdmittedRequest) -> None:
+    def __init__(
+        self, state: EntryState, admitted: AdmittedRequest, origin: StreamOrigin
+    ) -> None:
         self._state = state
         self._admitted = admitted
-        self.requirements = TargetRequirements(
-            admitted.pool.name,
-            admitted.metadata.model,
-            admitted.metadata.adapter,
-        )
+        self._origin = origin
         # Targets that only their limits held back, at the last choice.
         self.limited: list[KnownTarget] = []
 
+    @property
+    def requirements(self) -> TargetRequirements:
+        """Return what the request requires of a target now."""
+        return TargetRequirements(
+            self._admitted.pool.name,
+            self._admitted.metadata.model,
+            self._admitted.metadata.adapter,
+            self._origin.software,
+        )
+
     def choose(
         self, tried: frozenset[str], now: float
     ) -> Choice | NoReadyTarget:
@@ -103,4 +112,5 @@
         view = state.view
         load = state.load.load_of(known, view.entries, view.age(now), now)
         target = known.record.target
-        return load >= state.batch.limit(target, self._admitted.priority)
+        priority = max(0, self._admitted.queue_priority)
+        return load >= state.batch.limit(target, priority)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_targetwait.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_targetwait.py
@@ -2,13 +2,19 @@
 
 from typing import Final
 
-from lovagemast_core.entry import Candidate, Choice, NoReadyTarget
+from lovagemast_core.entry import (
+    Candidate,
+    Choice,
+    NoReadyTarget,
+    TargetRequirements,
+)
 
 from .._clock import now_s
-from ._admission import POLL_INTERVAL_S, AdmittedRequest
-from ._entrystate import EntryState
+from ._admitted import TAKE_UP_WAIT_FRACTION, AdmittedRequest
+from ._entrystate import POLL_INTERVAL_S, EntryState
 from ._promptcheck import PromptCheck
 from ._refusal import HttpRefusal
+from ._streamorigin import StreamOrigin
 from ._targetchoice import TargetChooser
 from ._targetlimits import TokenWait
 
@@ -30,16 +36,22 @@
     """
 
     def __init__(
-        self, state: EntryState, admitted: AdmittedRequest, prompt: PromptCheck
+        self,
+        state: EntryState,
+        admitted: AdmittedRequest,
+        prompt: PromptCheck,
+        origin: StreamOrigin,
     ) -> None:
         self._state = state
         self._admitted = admitted
         self._prompt = prompt
-        self._chooser = TargetChooser(state, admitted)
+        self._origin = origin
+        self._chooser = TargetChooser(state, admitted, origin)
         self._tokens = TokenWait(state)
         self._pool = admitted.pool.name
         self._is_waiting = False
-        self._is_reported = False  # as waiting for its adapter
+        # What was reported as waited for.
+        self._reported: TargetRequirements | None = None
 
     @property
     def limited_s(self) -> float:
@@ -49,14 +61,15 @@
     def record_request(self) -> None:
         """Count the demand for the request's adapter."""
         if self._admitted.metadata.adapter:
-            self._state.load.adapter_requested(*self._chooser.requirements)
+            self._state.load.adapter_requested(self._chooser.requirements)
 
     def deadline(self) -> float:
         """Return when the wait for a target is to end."""
         admitted = self._admitted
-        max_wait_s = TARGET_WAIT_FRACTION * (
-            admitted.deadline - admitted.arrived_at
-        )
+        timeout_s = admitted.deadline - admitted.arrived_at
+        if admitted.takes_up:
+            return admitted.arrived_at + TAKE_UP_WAIT_FRACTION * timeout_s
+        max_wait_s = TARGET_WAIT_FRACTION * timeout_s
         objectives_s = TARGET_WAIT_OBJECTIVES * admitted.route.objective_s
         return admitted.arrived_at + min(max_wait_s, objectives_s)
 
@@ -97,7 +110,7 @@
         if self._is_waiting:
             return None
         queue = self._state.queue
-        priority = self._admitted.priority
+        priority = self._admitted.queue_priority
         wait_s = queue.expected_wait_s(self._pool, priority, now)
         if wait_s and now + wait_s > give_up_at:
             reason = f'too many requests wait: {wait_s:.1f} s'
@@ -109,7 +122,7 @@
     def _leave(self) -> None:
         if self._is_waiting:
             self._is_waiting = False
-            self._state.queue.leave(self._pool, self._admitted.priority)
+            self._state.queue.leave(self._pool, self._admitted.queue_priority)
 
     def _check(
         self,
@@ -119,9 +132,10 @@
         now: float,
     ) -> HttpRefusal | None:
         """Return why the request is not to wait any longer."""
-        quarantined = self._prompt.quarantine_refusal()
-        if quarantined:
-            return quarantined
+        refusal = self._prompt.quarantine_refusal()
+        refusal = refusal or self._origin.refusal_if_gone()
+        if refusal:
+            return refusal
         if self._is_only_limited(choice) and self._waits_in_vain(
             token_deadline, now
         ):
@@ -178,17 +192,17 @@
 
     def _report_waiting(self) -> None:
         """Report that a request waits for the adapter, once."""
-        if not self._is_reported:
-            self._is_reported = True
-            self._change_waiting(1)
+        if self._reported is None:
+            self._reported = self._chooser.requirements
+            self._change_waiting(self._reported, 1)
 
     def _end_report(self) -> None:
-        if self._is_reported:
-            self._is_reported = False
-            self._change_waiting(-1)
+        if self._reported:
+            self._change_waiting(self._reported, -1)
+            self._reported = None
 
-    def _change_waiting(self, change: int) -> None:
-        self._state.load.adapter_awaited(*self._chooser.requirements, change)
+    def _change_waiting(self, wanted: TargetRequirements, change: int) -> None:
+        self._state.load.adapter_awaited(wanted, change)
         self._state.request_sync()
 
 
