Keep a stream that is taken up with the pool that began it

The pool is one too: on a route split over two pools, or moved to another one, a stream was taken up wherever the weights sent it. What began a stream is now its pool and its version; an unknown stream goes on freely only where one pool and one version can have begun it. All taken-up streams are looked up now, also with a single version in service.

--- a/packages/lovagemast-core/src/lovagemast_core/streams/_directory.py
+++ b/packages/lovagemast-core/src/lovagemast_core/streams/_directory.py
@@ -107,9 +107,9 @@
         return None
 
     def _look_up(self, key: StreamKey, now: float) -> FoundStream | None:
-        software = self.table.find(key, now)
-        if software is not None:
-            return FoundStream(key, software)
+        origin = self.table.find(key, now)
+        if origin is not None:
+            return FoundStream(key, origin)
         query = self._queries.setdefault(key, _Query(now))
         return FoundStream(key, None) if query.is_over(now) else None
 
@@ -117,11 +117,11 @@
         found = []
         unknown = []
         for key in query.keys:
-            software = self.table.find(key, now)
-            if software is None:
+            origin = self.table.find(key, now)
+            if origin is None:
                 unknown.append(key)
             else:
-                found.append(StreamStart(key, software))
+                found.append(StreamStart(key, origin))
         return StreamAnswer(tuple(found), tuple(unknown))
 
     def _on_answer(
--- a/packages/lovagemast-core/src/lovagemast_core/streams/_records.py
+++ b/packages/lovagemast-core/src/lovagemast_core/streams/_records.py
@@ -10,18 +10,25 @@
 StreamKey = int
 
 
+class StreamOrigin(NamedTuple):
+    """What began a stream, and has to go on with it."""
+
+    pool: str
+    software: SoftwareVersion
+
+
 class StreamStart(NamedTuple):
-    """A stream and the software version of the target that began it."""
+    """A stream and what began it."""
 
     key: StreamKey
-    software: SoftwareVersion
+    origin: StreamOrigin
 
 
 class FoundStream(NamedTuple):
-    """The answer to a lookup; ``software`` is ``None`` if nobody knows."""
+    """The answer to a lookup; ``origin`` is ``None`` if nobody knows."""
 
     key: StreamKey
-    software: SoftwareVersion | None
+    origin: StreamOrigin | None
 
 
 class StreamCopies(NamedTuple):
--- a/packages/lovagemast-core/src/lovagemast_core/streams/_reports.py
+++ b/packages/lovagemast-core/src/lovagemast_core/streams/_reports.py
@@ -2,15 +2,14 @@
 
 from typing import Final, NamedTuple
 
-from .._types import SoftwareVersion
-from ._records import StreamKey, StreamStart
+from ._records import StreamKey, StreamOrigin, StreamStart
 from ._table import DEFAULT_RETENTION_S
 
 MAX_REPORTED: Final = 256  # with one sync request
 
 
 class _Own(NamedTuple):
-    software: SoftwareVersion
+    origin: StreamOrigin
     at: float  # s
     number: int  # of the stream at this VM
 
@@ -33,13 +32,13 @@
         self._expire(now)
         if start.key not in self._own:
             self._last_number += 1
-            self._own[start.key] = _Own(start.software, now, self._last_number)
+            self._own[start.key] = _Own(start.origin, now, self._last_number)
 
-    def find(self, key: StreamKey, now: float) -> SoftwareVersion | None:
-        """Return the software version that began a stream, if known."""
+    def find(self, key: StreamKey, now: float) -> StreamOrigin | None:
+        """Return what began a stream, if known."""
         self._expire(now)
         own = self._own.get(key)
-        return own.software if own else None
+        return own.origin if own else None
 
     def restart(self) -> None:
         """Report everything again, to a relay that knows nothing."""
@@ -52,7 +51,7 @@
         last = self._received
         for key, own in self._own.items():
             if own.number > self._received and len(starts) < MAX_REPORTED:
-                starts.append(StreamStart(key, own.software))
+                starts.append(StreamStart(key, own.origin))
                 last = own.number
         self._sent[ask] = last
         return tuple(starts)
--- a/packages/lovagemast-core/src/lovagemast_core/streams/_table.py
+++ b/packages/lovagemast-core/src/lovagemast_core/streams/_table.py
@@ -3,9 +3,8 @@
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
-from .._types import SoftwareVersion
 from ..deployment import CallKind, DeploymentIndex
-from ._records import StreamKey, StreamStart
+from ._records import StreamKey, StreamOrigin, StreamStart
 
 MAX_STREAMS: Final = 200_000
 DEFAULT_RETENTION_S: Final = 60.0  # without a configuration
@@ -28,7 +27,7 @@
 
 
 class _Known(NamedTuple):
-    software: SoftwareVersion
+    origin: StreamOrigin
     at: float  # s
 
 
@@ -46,15 +45,15 @@
     def record(self, starts: Iterable[StreamStart], now: float) -> None:
         """Add streams; those known already stay as they are."""
         for start in starts:
-            self._known.setdefault(start.key, _Known(start.software, now))
+            self._known.setdefault(start.key, _Known(start.origin, now))
         self._expire(now)
 
-    def find(self, key: StreamKey, now: float) -> SoftwareVersion | None:
-        """Return the software version that began a stream, if known."""
+    def find(self, key: StreamKey, now: float) -> StreamOrigin | None:
+        """Return what began a stream, if known."""
         known = self._known.get(key)
         if known is None or now - known.at > self.retention_s:
             return None
-        return known.software
+        return known.origin
 
     def _expire(self, now: float) -> None:
         while self._known:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -24,7 +24,7 @@
 from ._entrystate import EntryState
 from ._promptcheck import PromptCheck
 from ._relay import ResponseRelay
-from ._streamorigin import StreamOrigin
+from ._streamcontinuity import StreamContinuity
 from ._targetlimits import record_limit, send_terms
 
 TARGET_CONNECT_TIMEOUT_S: Final = 0.2
@@ -67,14 +67,14 @@
         candidate: Candidate,
         relay: ResponseRelay,
         prompt: PromptCheck,
-        origin: StreamOrigin,
+        continuity: StreamContinuity,
     ) -> None:
         self._state = state
         self._admitted = admitted
         self._candidate = candidate
         self._relay = relay
         self._prompt = prompt
-        self._origin = origin
+        self._continuity = continuity
         self._target = candidate.known.record.target
         self._prefill_tokens = 0.0  # counted against the target's limit
         self.may_have_run = False
@@ -365,7 +365,7 @@
     async def _relay_chunk(self, head: ResponseHead, chunk: bytes) -> None:
         self._release_prefill()
         if await self._relay.relay_events(head, chunk):
-            self._origin.record_event(self._candidate.known.record.software)
+            self._continuity.record_event(self._candidate.known.record.software)
             self._record_answer()
 
 
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
@@ -12,7 +12,7 @@
 from ._promptcheck import PromptCheck
 from ._refusal import HttpRefusal
 from ._relay import ResponseRelay
-from ._streamorigin import StreamOrigin
+from ._streamcontinuity import StreamContinuity
 from ._targetwait import NOT_RUN_RETRY_AFTER_S, TargetWait
 
 # Sends beyond the route's attempts, after targets proved not to have run it.
@@ -31,13 +31,14 @@
         state: EntryState,
         admitted: AdmittedRequest,
         relay: ResponseRelay,
+        continuity: StreamContinuity,
     ) -> None:
         self._state = state
         self._admitted = admitted
         self._relay = relay
         self._prompt = PromptCheck(state, admitted.metadata)
-        self._origin = StreamOrigin(state, admitted)
-        self._wait = TargetWait(state, admitted, self._prompt, self._origin)
+        self._continuity = continuity
+        self._wait = TargetWait(state, admitted, self._prompt, continuity)
         self._tried: set[str] = set()
         self._possible_runs = 0
         self.sends = 0
@@ -52,9 +53,6 @@
         """Relay a response, or return why there is none."""
         self._state.retries.record_request(now_s())
         self._wait.record_request()
-        unknown = await self._origin.find()
-        if unknown:
-            return unknown
         while True:
             refusal = await self._wait_for_trial()
             if refusal:
@@ -78,7 +76,7 @@
             candidate,
             self._relay,
             self._prompt,
-            self._origin,
+            self._continuity,
         )
         self.target = candidate.target
         self._possible_runs += 1
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
@@ -11,6 +11,7 @@
 from ._forwarder import RequestForwarder
 from ._refusal import HttpRefusal
 from ._relay import ResponseRelay
+from ._streamcontinuity import StreamContinuity
 from ._targetwait import NOT_RUN_RETRY_AFTER_S
 
 
@@ -41,20 +42,29 @@
         if isinstance(admitted, HttpRefusal):
             await self._refuse(admitted)
             return
-        relay = ResponseRelay(self._responder, self._state.codec)
-        self._forwarder = RequestForwarder(self._state, admitted, relay)
         try:
-            refusal = await self._deliver(self._forwarder, admitted)
+            refusal = await self._forward(admitted)
         finally:
-            self._refund(self._forwarder, admitted)
+            self._refund(admitted)
         if refusal:
             await self._refuse(refusal)
 
-    def _refund(
-        self, forwarder: RequestForwarder, admitted: AdmittedRequest
-    ) -> None:
+    async def _forward(self, admitted: AdmittedRequest) -> HttpRefusal | None:
+        continuity = StreamContinuity(self._state, admitted)
+        pool = await continuity.find_pool()
+        if isinstance(pool, HttpRefusal):
+            return pool
+        admitted = admitted._replace(pool=pool)
+        relay = ResponseRelay(self._responder, self._state.codec)
+        self._forwarder = RequestForwarder(
+            self._state, admitted, relay, continuity
+        )
+        return await self._deliver(self._forwarder, admitted)
+
+    def _refund(self, admitted: AdmittedRequest) -> None:
         """Refund the cost of a request that no target has run."""
-        if admitted.account and not forwarder.may_have_run:
+        may_have_run = self._forwarder and self._forwarder.may_have_run
+        if admitted.account and not may_have_run:
             tokens = self._state.tokens
             tokens.refund(
                 admitted.account, admitted.cost, admitted.arrived_at, now_s()
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_streamorigin.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_streamcontinuity.py
@@ -1,8 +1,13 @@
-"""The software version at which a request's stream may go on."""
+"""What began a request's stream, and so has to go on with it."""
 
 from typing import Final
 
-from lovagemast_core.streams import StreamStart, stream_key
+from lovagemast_core.deployment import PoolSpec
+from lovagemast_core.streams import (
+    StreamOrigin,
+    StreamStart,
+    stream_key,
+)
 
 from .._clock import now_s
 from ._admitted import AdmittedRequest
@@ -17,8 +22,8 @@
 GONE_CODE: Final = 'stream-version-gone'
 
 
-class StreamOrigin:
-    """Finds and remembers which software version began a stream.
+class StreamContinuity:
+    """Keeps a stream with the pool and software version that began it.
 
     ``software`` is ``None`` as long as any version will do: before the first
     event of a new stream, and if only one version can have begun it.
@@ -34,30 +39,30 @@
             began_as = metadata.resumes
         self._key = stream_key(admitted.account_name, began_as)
 
-    async def find(self) -> HttpRefusal | None:
-        """Find the version of a stream that its client takes up.
+    async def find_pool(self) -> PoolSpec | HttpRefusal:
+        """Find what began a stream that its client takes up.
 
-        Return a refusal if there are several versions and nobody knows.
+        Return the pool to use, or a refusal if the stream cannot go on, or if
+        nobody knows its origin and it may be one of several.
         """
-        versions = self._state.view.software_of(self._admitted.pool.name)
-        if not self._admitted.takes_up or len(versions) == 1:
-            return None
-        self.software = await self._look_up()
-        result = 'unknown' if self.software is None else 'found'
-        self._state.metrics.record_stream_lookup(result)
-        if self.software is not None:
-            return None
-        resumed = self._admitted.metadata.resumes or 'no request named'
-        return HttpRefusal(UNAVAILABLE, f'{UNKNOWN_CODE}: {resumed}')
+        if not self._admitted.takes_up:
+            return self._admitted.pool
+        origin = await self._look_up()
+        if origin is None:
+            return self._pool_of_unknown()
+        self._state.metrics.record_stream_lookup('found')
+        self.software = origin.software
+        return self._pool_of(origin)
 
     def record_event(self, software: str) -> None:
         """Record the version of a target whose event is sent on."""
         if not self._admitted.route.resumable or self.software is not None:
             return
         self.software = software
-        start = StreamStart(self._key, software)
+        pool = self._admitted.pool.name
+        start = StreamStart(self._key, StreamOrigin(pool, software))
         self._state.streams.record(start, now_s())
-        if len(self._state.view.software_of(self._admitted.pool.name)) > 1:
+        if len(self._state.view.software_of(pool)) > 1:
             self._state.request_sync()
 
     def refusal_if_gone(self) -> HttpRefusal | None:
@@ -67,10 +72,38 @@
             pool, self.software
         ):
             return None
+        return self._refuse_gone(pool)
+
+    def _pool_of(self, origin: StreamOrigin) -> PoolSpec | HttpRefusal:
+        """Return the pool of an origin, if the route still allows it."""
+        if origin.pool == self._admitted.pool.name:
+            return self._admitted.pool
+        allowed = {split.pool for split in self._admitted.route.splits}
+        index = self._state.view.index
+        pool = index.pools.get(origin.pool) if index else None
+        if pool is None or origin.pool not in allowed:
+            return self._refuse_gone(origin.pool)
+        self._admitted = self._admitted._replace(pool=pool)
+        return pool
+
+    def _pool_of_unknown(self) -> PoolSpec | HttpRefusal:
+        """Return the pool if nothing else can have begun the stream."""
+        pool = self._admitted.pool
+        versions = self._state.view.software_of(pool.name)
+        is_only_pool = len(self._admitted.route.splits) == 1
+        if is_only_pool and len(versions) == 1:
+            return pool
+        self._state.metrics.record_stream_lookup('unknown')
+        resumed = self._admitted.metadata.resumes or 'no request named'
+        return HttpRefusal(UNAVAILABLE, f'{UNKNOWN_CODE}: {resumed}')
+
+    def _refuse_gone(self, pool: str) -> HttpRefusal:
         self._state.metrics.record_stream_lookup('gone')
-        return HttpRefusal(UNAVAILABLE, f'{GONE_CODE}: {self.software}')
+        return HttpRefusal(
+            UNAVAILABLE, f'{GONE_CODE}: {self.software} of {pool}'
+        )
 
-    async def _look_up(self) -> str | None:
+    async def _look_up(self) -> StreamOrigin | None:
         if not self._admitted.metadata.resumes:
             return None
         own = self._state.streams.find(self._key, now_s())
@@ -85,7 +118,7 @@
                 await self._state.wait_for_update(LOOKUP_POLL_S)
                 answer = lookups.answer(self._key)
                 if answer:
-                    return answer.software
+                    return answer.origin
         finally:
             lookups.end(self._key)
         return None
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_targetchoice.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_targetchoice.py
@@ -15,7 +15,7 @@
 
 from ._admitted import AdmittedRequest
 from ._entrystate import EntryState
-from ._streamorigin import StreamOrigin
+from ._streamcontinuity import StreamContinuity
 from ._targetlimits import send_terms
 
 # Load that a target's unprocessed prompts add when they reach the prefill
@@ -29,11 +29,14 @@
     """Applies the limits of an entry VM to the choice of a target."""
 
     def __init__(
-        self, state: EntryState, admitted: AdmittedRequest, origin: StreamOrigin
+        self,
+        state: EntryState,
+        admitted: AdmittedRequest,
+        continuity: StreamContinuity,
     ) -> None:
         self._state = state
         self._admitted = admitted
-        self._origin = origin
+        self._continuity = continuity
         # Targets that only their limits held back, at the last choice.
         self.limited: list[KnownTarget] = []
 
@@ -44,7 +47,7 @@
             self._admitted.pool.name,
             self._admitted.metadata.model,
             self._admitted.metadata.adapter,
-            self._origin.software,
+            self._continuity.software,
         )
 
     def choose(
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_targetwait.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_targetwait.py
@@ -14,7 +14,7 @@
 from ._entrystate import POLL_INTERVAL_S, EntryState
 from ._promptcheck import PromptCheck
 from ._refusal import HttpRefusal
-from ._streamorigin import StreamOrigin
+from ._streamcontinuity import StreamContinuity
 from ._targetchoice import TargetChooser
 from ._targetlimits import TokenWait
 
@@ -40,13 +40,13 @@
         state: EntryState,
         admitted: AdmittedRequest,
         prompt: PromptCheck,
-        origin: StreamOrigin,
+        continuity: StreamContinuity,
     ) -> None:
         self._state = state
         self._admitted = admitted
         self._prompt = prompt
-        self._origin = origin
-        self._chooser = TargetChooser(state, admitted, origin)
+        self._continuity = continuity
+        self._chooser = TargetChooser(state, admitted, continuity)
         self._tokens = TokenWait(state)
         self._pool = admitted.pool.name
         self._is_waiting = False
@@ -133,7 +133,7 @@
     ) -> HttpRefusal | None:
         """Return why the request is not to wait any longer."""
         refusal = self._prompt.quarantine_refusal()
-        refusal = refusal or self._origin.refusal_if_gone()
+        refusal = refusal or self._continuity.refusal_if_gone()
         if refusal:
             return refusal
         if self._is_only_limited(choice) and self._waits_in_vain(
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -12,6 +12,7 @@
     SoftwareTracker,
     StreamDirectory,
     StreamLookups,
+    StreamOrigin,
     StreamReports,
     StreamStart,
     StreamTable,
@@ -23,7 +24,9 @@
 
 NOW: Final = 100.0
 RETENTION_S: Final = 10.0
-START: Final = StreamStart(7, 'v1')
+ORIGIN: Final = StreamOrigin('p', 'v1')
+OTHER: Final = StreamOrigin('p', 'v2')
+START: Final = StreamStart(7, ORIGIN)
 ZONES: Final = {'c1': 'a', 'c2': 'a', 'c3': 'b', 'c4': 'c'}
 
 
@@ -100,8 +103,8 @@
         """A stream has the version that began it, whoever goes on."""
         table = StreamTable()
         table.record((START,), NOW)
-        table.record((START._replace(software='v2'),), NOW)
-        assert table.find(START.key, NOW) == 'v1'
+        table.record((START._replace(origin=OTHER),), NOW)
+        assert table.find(START.key, NOW) == ORIGIN
 
     def test_old_streams_are_forgotten(self) -> None:
         """The table is bounded by the longest time that a stream lasts."""
@@ -110,7 +113,7 @@
         table.record((START,), NOW)
         later = NOW + RETENTION_S + 1
         assert table.find(START.key, later) is None
-        table.record((StreamStart(8, 'v1'),), later)
+        table.record((StreamStart(8, ORIGIN),), later)
         assert len(table) == 1
 
 
@@ -135,7 +138,7 @@
     def test_many_are_told_in_turn(self) -> None:
         """One request is bounded, and the next one goes on."""
         reports = StreamReports()
-        starts = [StreamStart(key, 'v1') for key in range(MAX_REPORTED + 5)]
+        starts = [StreamStart(key, ORIGIN) for key in range(MAX_REPORTED + 5)]
         for start in starts:
             reports.record(start, NOW)
         told = list(reports.take(1))
@@ -150,10 +153,10 @@
         lookups.begin(7)
         lookups.begin(7)
         assert lookups.pending() == (7,)
-        lookups.add((FoundStream(7, 'v1'), FoundStream(8, 'v1')))
+        lookups.add((FoundStream(7, ORIGIN), FoundStream(8, ORIGIN)))
         assert lookups.pending() == ()
         lookups.end(7)
-        assert lookups.answer(7) == FoundStream(7, 'v1')
+        assert lookups.answer(7) == FoundStream(7, ORIGIN)
         lookups.end(7)
         assert lookups.answer(7) is None
 
