Check entries of targets for their range, and contain what still fails

Ports out of range, and hosts that are none, were offered to callers, and connecting raised what nobody caught.

Cause and class: as for odd configurations, fields were checked for type, not for range. Containment: an address that can't be connected to is a failed connection, a label's odd version counts as unknown, and a control VM ends only if a task that it cannot do without fails. Beside it: an entry that names a pool outside of the configuration displaced a target at its address.

--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_label.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_label.py
@@ -4,6 +4,7 @@
 from typing import Final, NamedTuple
 
 MAX_PARSED: Final = 8_192  # size of the cache of parsed labels
+MAX_VERSION_DIGITS: Final = 18  # fits into 64 bits
 
 
 class AdapterLabel(NamedTuple):
@@ -19,7 +20,7 @@
         """Parse ``model/adapter@version``."""
         model, _, rest = text.partition('/')
         adapter, _, version = rest.partition('@')
-        return cls(model, adapter, int(version) if version.isdigit() else 0)
+        return cls(model, adapter, _parse_version(version))
 
     def __str__(self) -> str:
         """Return ``model/adapter@version``."""
@@ -29,3 +30,8 @@
     def name(self) -> tuple[str, str]:
         """Return the model and the adapter, without the version."""
         return self.model, self.adapter
+
+
+def _parse_version(text: str) -> int:
+    is_number = text.isascii() and text.isdigit()
+    return int(text) if is_number and len(text) <= MAX_VERSION_DIGITS else 0
--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -131,7 +131,12 @@
             self._update_engine(registered.heartbeat, registered.received_at)
 
     def on_heartbeat(self, heartbeat: TargetHeartbeat, now: float) -> bool:
-        """Handle a target's heartbeat; return whether it was the newest."""
+        """Handle a target's heartbeat; return whether it is recorded.
+
+        One that names no pool of the configuration names no target.
+        """
+        if self._index and heartbeat.pool not in self._index.pools:
+            return False
         if not self.registry.record_heartbeat(heartbeat, now):
             return False
         self._update_engine(heartbeat, now)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -5,6 +5,7 @@
 import secrets
 import signal
 from collections.abc import Callable, Coroutine
+from functools import partial
 from pathlib import Path
 from typing import Any, Final
 
@@ -158,7 +159,7 @@
             self._push_updates,
             self._relay.run,
         ):
-            self._spawn(task())
+            self._spawn(task(), is_essential=True)
         self._tick()
         await self._stopped.wait()
         server.close()
@@ -327,16 +328,27 @@
             self._node.on_report(report, now_s())
             self._run_effects()
 
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+    def _spawn(
+        self,
+        coroutine: Coroutine[Any, Any, None],
+        *,
+        is_essential: bool = False,
+    ) -> None:
+        """Run a task; the process ends if an essential one fails."""
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
+        task.add_done_callback(
+            partial(self._on_task_done, is_essential=is_essential)
+        )
 
-    def _on_task_done(self, task: 'asyncio.Task[None]') -> None:
+    def _on_task_done(
+        self, task: 'asyncio.Task[None]', *, is_essential: bool
+    ) -> None:
         self._tasks.discard(task)
         if task.cancelled() or task.exception() is None:
             return
         self._log.write(
             'control', 'background task failed', cause=repr(task.exception())
         )
-        self._stopped.set()
+        if is_essential:
+            self._stopped.set()
--- a/packages/lovagemast-node/src/lovagemast_node/http/_client.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_client.py
@@ -19,6 +19,8 @@
 )
 DEFAULT_IDLE_TIMEOUT_S: Final = 4.0
 MAX_BUFFERED_EVENTS: Final = 64
+# The last two are for an address that no connection can be opened to.
+CONNECT_ERRORS: Final = (OSError, TimeoutError, ValueError, OverflowError)
 MIN_FINAL_STATUS: Final = 200  # lower ones are interim responses
 
 
@@ -257,16 +259,16 @@
             if not conn.is_closed and now - conn.idle_since < spare_s:
                 return conn
             conn.close()
-        host, port = split_address(address)
         loop = asyncio.get_running_loop()
         try:
+            host, port = split_address(address)
             async with asyncio.timeout(timeout_s):
                 _transport, conn = await loop.create_connection(
                     lambda: TargetConnection(address),
                     host,
                     port,
                 )
-        except (OSError, TimeoutError) as exc:
+        except CONNECT_ERRORS as exc:
             return ConnectFailed(repr(exc))
         return conn
 
