Answer all requests before an entry VM ends its grace

Cause: only listening stopped; what an open connection still sent was taken until the end, and the process then ended without a word. Now a request that comes later than 2.5 s after the signal is passed on only if its deadline lies within the grace, else refused at once (503, not run). What still runs 0.3 s before the end is answered 504, or 503 if it was not sent; a stream that has begun is cut visibly. Beside it: a connection accepted while draining was closed at the next poll, before its first bytes were read; it now has a second to send its request.

--- a/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
@@ -1,6 +1,7 @@
 """Decisions of an entry VM: target selection, retries and load limits."""
 
 from ._batch import BatchLimit
+from ._drain import DrainWindow
 from ._eventstream import EventStreamBuffer
 from ._health import TargetHealth
 from ._leadersearch import LeaderSearch
@@ -25,6 +26,7 @@
     'Candidate',
     'Choice',
     'ColdStartLimiter',
+    'DrainWindow',
     'EntryShare',
     'EventStreamBuffer',
     'FleetView',
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from lovagemast_core.deployment import CallerLimits, DeploymentIndex
+from lovagemast_core.entry import DrainWindow
 from lovagemast_core.streams import StreamStart, retention_s
 from lovagemast_core.syncrelay import ENTRY_SYNC, RelaySearch
 from lovagemast_core.targets import SyncAsk, SyncReply
@@ -35,6 +36,7 @@
 # the process is killed; callers that are refused now try another VM.
 STOP_LISTENING_AFTER_S: Final = 2.5
 EXIT_MARGIN_S: Final = 0.5  # before the platform sends SIGKILL
+ANSWER_MARGIN_S: Final = 0.3  # to answer what is still in progress then
 DRAIN_POLL_INTERVAL_S: Final = 0.05
 OK: Final = 200
 UNAVAILABLE: Final = 503
@@ -103,6 +105,9 @@
 
     def _on_term(self) -> None:
         self._log.write('entry', 'drain', running=self._running)
+        started_at = now_s()
+        drain_s = self._cfg.drain_grace_s - EXIT_MARGIN_S - ANSWER_MARGIN_S
+        self._state.start_drain(DrainWindow(started_at, started_at + drain_s))
         self._front.drain()
         self._draining.set()
 
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
@@ -10,6 +10,7 @@
 from lovagemast_core.entry import (
     BatchLimit,
     ColdStartLimiter,
+    DrainWindow,
     FleetView,
     PrefillLimit,
     RetryBudget,
@@ -21,6 +22,7 @@
 from lovagemast_core.quota import LocalTokens
 from lovagemast_core.streams import StreamLookups, StreamReports
 
+from .._clock import now_s
 from ..http import TargetPool
 from ._codec import EntryCodec
 from ._jsonlog import JsonLog
@@ -65,6 +67,8 @@
             cfg.retry_slack,
             cfg.retry_window_s,
         )
+        self.drain: DrainWindow | None = None  # once told to stop
+        self.time_limits: set[asyncio.Timeout] = set()  # of requests
         self._rng = random.Random(secrets.randbits(64))
         self._update: asyncio.Future[None] | None = None
 
@@ -81,6 +85,17 @@
         limit_s = self.cfg.key_age_s
         return limit_s is None or self.view.age(now) < limit_s
 
+    def start_drain(self, window: DrainWindow) -> None:
+        """Let the requests in progress end with the window at the latest."""
+        self.drain = window
+        # Time limits are readings of the event loop's clock.
+        loop_now = asyncio.get_running_loop().time()
+        ends_at = loop_now + window.ends_at - now_s()
+        for limit in self.time_limits:
+            when = limit.when()
+            if when is not None and when > ends_at:
+                limit.reschedule(ends_at)
+
     async def wait_for_update(self, timeout_s: float) -> None:
         """Wait for an update from the leader, ``timeout_s`` at most.
 
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
@@ -1,6 +1,7 @@
 """Handles a caller's request from its arrival to the end of the response."""
 
 import asyncio
+from typing import Final
 
 from .._clock import now_s
 from ..http import HttpRequest, Responder
@@ -14,6 +15,8 @@
 from ._streamcontinuity import StreamContinuity
 from ._targetwait import NOT_RUN_RETRY_AFTER_S
 
+SHUTDOWN_REASON: Final = 'the entry VM shuts down'
+
 
 class RequestHandler:
     """Handles one request from its arrival to the end of the response."""
@@ -50,6 +53,9 @@
             await self._refuse(refusal)
 
     async def _forward(self, admitted: AdmittedRequest) -> HttpRefusal | None:
+        drain = self._state.drain
+        if drain and not drain.accepts(admitted.deadline, now_s()):
+            return HttpRefusal(503, SHUTDOWN_REASON, NOT_RUN_RETRY_AFTER_S)
         continuity = StreamContinuity(self._state, admitted)
         pool = await continuity.find_pool()
         if isinstance(pool, HttpRefusal):
@@ -75,17 +81,30 @@
         forwarder: RequestForwarder,
         admitted: AdmittedRequest,
     ) -> HttpRefusal | None:
+        drain = self._state.drain
+        deadline = admitted.deadline
+        if drain:
+            deadline = min(deadline, drain.ends_at)
+        limits = self._state.time_limits
+        limit = asyncio.timeout(deadline - now_s())
+        limits.add(limit)
         try:
-            async with asyncio.timeout(admitted.deadline - now_s()):
+            async with limit:
                 return await forwarder.run()
         except TimeoutError:
-            if forwarder.may_have_run:
-                return HttpRefusal(504, 'deadline passed')
-            return HttpRefusal(
-                503,
-                'no target in time',
-                NOT_RUN_RETRY_AFTER_S,
-            )
+            return self._refuse_late(forwarder, admitted)
+        finally:
+            limits.discard(limit)
+
+    def _refuse_late(
+        self, forwarder: RequestForwarder, admitted: AdmittedRequest
+    ) -> HttpRefusal:
+        is_late = now_s() >= admitted.deadline
+        if forwarder.may_have_run:
+            reason = 'deadline passed' if is_late else SHUTDOWN_REASON
+            return HttpRefusal(504, reason)
+        reason = 'no target in time' if is_late else SHUTDOWN_REASON
+        return HttpRefusal(503, reason, NOT_RUN_RETRY_AFTER_S)
 
     async def _refuse(self, refusal: HttpRefusal) -> None:
         state = self._state
--- a/packages/lovagemast-node/src/lovagemast_node/http/_server.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_server.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Final, NamedTuple
 
+from .._clock import now_s
 from ._message import Headers, HttpRequest, encode_head, status_line
 from ._reader import (
     CompletedRequest,
@@ -16,6 +17,8 @@
 
 MAX_PIPELINED_REQUESTS: Final = 16
 WRITE_BUFFER_LIMIT_BYTES: Final = 65_536
+# For a connection that was accepted just before or during a drain.
+FIRST_REQUEST_WAIT_S: Final = 1.0
 
 
 class ServerLimits(NamedTuple):
@@ -112,12 +115,14 @@
         self._server = server
         self._reader = RequestReader(ReaderLimits(*server.limits[:2]))
         self._transport: asyncio.Transport | None = None
+        self._opened_at = 0.0  # s
         self._queue: deque[CompletedRequest] = deque()
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._is_writable = asyncio.Event()
         self._is_writable.set()
         self._keep_alive = True
+        self._has_served = False
         self._is_closing = False
         self._is_closed = False
 
@@ -125,6 +130,7 @@
         """Set socket options and start the idle timer."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._opened_at = now_s()
         enable_keepalive(transport)
         transport.set_write_buffer_limits(high=WRITE_BUFFER_LIMIT_BYTES)
         self._server.connections.add(self)
@@ -181,8 +187,10 @@
             self._transport.abort()
 
     def close_if_idle(self) -> None:
-        """Close unless a request is in progress or partly received."""
-        if self._is_idle():
+        """Close unless a request is in progress, or about to be received."""
+        age_s = now_s() - self._opened_at
+        is_awaited = not self._has_served and age_s < FIRST_REQUEST_WAIT_S
+        if self._is_idle() and not is_awaited:
             self._close()
 
     def closes_after_response(self) -> bool:
@@ -199,6 +207,7 @@
         if self._task is None and self._queue and not self._is_closing:
             completed = self._queue.popleft()
             self._keep_alive = completed.keep_alive
+            self._has_served = True
             self._stop_timer()
             loop = asyncio.get_running_loop()
             self._task = loop.create_task(self._handle(completed.req))
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -353,6 +353,21 @@
         assert b'Connection: close' in response
         assert response.endswith(b'/a')
 
+    def test_new_connection_is_read_while_draining(self) -> None:
+        """A caller that was let in has time to send its request."""
+
+        async def use(server: HttpServer, port: int) -> bytes:
+            reader, writer = await asyncio.open_connection(HOST, port)
+            await asyncio.sleep(0.03)
+            server.drain()
+            await asyncio.sleep(0.03)
+            writer.write(GET)
+            return await reader.read()
+
+        response = asyncio.run(with_server(echo, use))
+        assert response.startswith(b'HTTP/1.1 200')
+        assert b'Connection: close' in response
+
     def test_caller_disconnect_cancels_handler(self) -> None:
         """The handler is cancelled when its caller disconnects."""
         ended = []
