Send nothing more to a target that says in an answer that it leaves

No code read it; a target that leaves while it is cut off from the control VMs went on getting requests. Class of the target limits: a target's own word, known to nobody.

The word counts for its incarnation, from answers and refusals that echo the request's id, but not from a 421, which may be another target's; neither a newer record of the leader nor a record lost for a while undoes it.

--- a/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
@@ -22,6 +22,8 @@
 # For this long a relay that knows less than the view is asked for all records
 # with each request. Without a leader, none catches up.
 MAX_CATCH_UP_S: Final = 1.0
+# Targets that said that they leave; kept when a record is lost for a while.
+MAX_LEAVING: Final = 1_024
 
 
 class KnownTarget(NamedTuple):
@@ -58,6 +60,8 @@
         self._index = TargetIndex()
         self._newest: dict[tuple[str, str], tuple[int, float]] = {}
         self._zones_out: frozenset[ZoneName] = frozenset()
+        # Incarnations of targets that said in an answer that they leave.
+        self._leaving: dict[TargetName, int] = {}
 
     def apply(
         self,
@@ -164,19 +168,32 @@
     ) -> bool:
         """Return whether a target takes requests, of one version if given."""
         record = known.record
-        if record.leaving or self.zone_is_out(record.zone):
+        if self._is_leaving(record) or self.zone_is_out(record.zone):
             return False
         return software is None or record.software == software
 
     def may_use(self, chosen: KnownTarget) -> bool:
         """Return whether a target that was chosen before may still be used."""
         current = self.targets.get(chosen.record.target)
-        if current is None or current.record.leaving:
+        if current is None or self._is_leaving(current.record):
             return False
         if current.record.incarnation != chosen.record.incarnation:
             return False
         return not self.zone_is_out(current.record.zone)
 
+    def record_leaving(self, known: KnownTarget) -> bool:
+        """Record that a target says itself that it leaves.
+
+        Return whether that is news.
+        """
+        record = known.record
+        if self._is_leaving(record):
+            return False
+        self._leaving[record.target] = record.incarnation
+        if len(self._leaving) > MAX_LEAVING:
+            self._leaving.pop(next(iter(self._leaving)))
+        return True
+
     def drop(self, target: TargetName) -> None:
         """Remove a target that is gone or turned out to be another one."""
         self.targets.pop(target, None)
@@ -206,6 +223,10 @@
         confirmed = asked_at - max(0.0, reply.quorum_age_s)
         return reply.epoch != self.epoch and self._is_behind(confirmed, now)
 
+    def _is_leaving(self, record: TargetRecord) -> bool:
+        said_by = self._leaving.get(record.target)
+        return record.leaving or said_by == record.incarnation
+
     def _is_behind(self, confirmed: float, now: float) -> bool:
         """Return whether to wait for another relay to catch up."""
         if confirmed >= self.confirmed_at:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -26,6 +26,7 @@
 from ._relay import ResponseRelay
 from ._streamcontinuity import StreamContinuity
 from ._targetlimits import record_limit, send_terms
+from ._targetstate import record_state
 
 TARGET_CONNECT_TIMEOUT_S: Final = 0.2
 FULL_BACKOFF_S: Final = 0.03  # before a full target is tried again
@@ -162,6 +163,8 @@
             return await self._on_incomplete(event)
         response = state.codec.decode_response_head(event)
         record_limit(state, self._candidate.known, response, now)
+        if event.echoes_id and not response.other_target:
+            record_state(state, self._candidate.known, response)
         if response.running is not None:
             requests = response.running + (response.waiting or 0)
             state.load.target_reported(self._target, requests, now_s())
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_codec.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_codec.py
@@ -40,6 +40,7 @@
     waiting: int | None
     encoded: bool  # has a content encoding, which targets do not apply
     limit: float | None = None  # requests/s that it takes; NaN if unreadable
+    leaving: bool = False  # the target shuts down
 
 
 class TargetRequestMetadata(NamedTuple):
