Keep requests away from a target for as long as its 503 asks

No code read it; a full target was asked again after 0.03 s.

The pause is this VM's and that target's; a shorter one that comes later does not end it, and what waited between choice and send is checked again. If all targets that could serve a request want a pause beyond what it may wait, it is refused at once with the time that is left. Only a 503 that echoes the request's id counts; dates, negative and endless numbers are no pause, and none is over 60 s.

tests/test_targetstate.py, 12 cases; the header was not decoded before.

--- a/packages/lovagemast-core/src/lovagemast_core/entry/_health.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_health.py
@@ -22,6 +22,7 @@
         self.backoff_step = 0  # exponent of the next back-off
         self.unreachable_until = 0.0
         self.rejecting_until = 0.0
+        self.paused_until = 0.0  # by the target's own wish
 
     def decay(self, now: float) -> None:
         factor = math.exp(-(now - self.decayed_at) / DECAY_TIME_S)
@@ -72,12 +73,30 @@
         """
         self._decayed_stats(target, now).rejecting_until = now + pause_s
 
+    def record_pause(
+        self, target: TargetName, pause_s: float, now: float
+    ) -> None:
+        """Record that a target wants no requests from this VM for a time."""
+        stats = self._decayed_stats(target, now)
+        stats.paused_until = max(stats.paused_until, now + pause_s)
+
+    def paused_until(self, target: TargetName, now: float) -> float | None:
+        """Return when a target's pause ends, ``None`` if it wants none."""
+        stats = self._stats.get(target)
+        if stats is None or stats.paused_until <= now:
+            return None
+        return stats.paused_until
+
     def is_available(self, target: TargetName, now: float) -> bool:
-        """Return whether a target is neither unreachable nor rejecting."""
+        """Return whether a target is not unreachable, rejecting or paused."""
         stats = self._stats.get(target)
         if stats is None:
             return True
-        return now >= max(stats.unreachable_until, stats.rejecting_until)
+        return now >= max(
+            stats.unreachable_until,
+            stats.rejecting_until,
+            stats.paused_until,
+        )
 
     def is_unreachable(self, target: TargetName, now: float) -> bool:
         """Return whether a target is in back-off after a lost connection."""
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_selection.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_selection.py
@@ -49,11 +49,13 @@
 
     ``holder_count`` is the number of reachable targets that hold the required
     adapter or are loading it. ``ready_at`` is the earliest time, in s, at
-    which such a load completes; ``None`` if none is under way.
+    which such a load completes; ``None`` if none is under way. If all of them
+    want a pause, ``paused_until`` is the time, in s, at which the first ends.
     """
 
     holder_count: int
     ready_at: float | None
+    paused_until: float | None = None
 
 
 class SelectionCriteria(NamedTuple):
@@ -116,7 +118,20 @@
     if ready:
         return Choice(min(ready, key=lambda one: _rank(one, criteria, now)))
     pending = [one.ready_at for one in reachable if one.ready_at > now]
-    return NoReadyTarget(len(reachable), min(pending, default=None))
+    return NoReadyTarget(
+        len(reachable),
+        min(pending, default=None),
+        _common_pause(reachable, criteria.health, now),
+    )
+
+
+def _common_pause(
+    reachable: list[Candidate], health: TargetHealth, now: float
+) -> float | None:
+    """Return when the first pause ends, ``None`` unless all want one."""
+    ends = [health.paused_until(one.target, now) for one in reachable]
+    known = [end for end in ends if end is not None]
+    return min(known, default=None) if len(known) == len(ends) else None
 
 
 def _rank(
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -207,6 +207,8 @@
         detail = ''
         if not self._state.view.may_use(self._candidate.known):
             detail = 'the target has left meanwhile'
+        elif self._state.health.paused_until(self._target, now) is not None:
+            detail = 'the target wants a pause'
         elif self._prompt.verdict().status is not PartStatus.FREE:
             detail = 'a part of its prompt is suspected'
         if detail:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_codec.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_codec.py
@@ -41,6 +41,7 @@
     encoded: bool  # has a content encoding, which targets do not apply
     limit: float | None = None  # requests/s that it takes; NaN if unreadable
     leaving: bool = False  # the target shuts down
+    pause_s: float | None = None  # in which it wants no requests of this VM
 
 
 class TargetRequestMetadata(NamedTuple):
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_targetstate.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_targetstate.py
@@ -2,6 +2,7 @@
 
 from lovagemast_core.entry import KnownTarget
 
+from .._clock import now_s
 from ._codec import TargetResponseMetadata
 from ._entrystate import EntryState
 
@@ -11,10 +12,20 @@
     known: KnownTarget,
     response: TargetResponseMetadata,
 ) -> None:
-    """Record that a target leaves; it then gets no further requests.
+    """Record that a target leaves, or wants no requests for a time.
 
-    It may not have reached a control VM to say so.
+    One that leaves may not have reached a control VM to say so.
     """
+    if response.pause_s:
+        state.health.record_pause(
+            known.record.target, response.pause_s, now_s()
+        )
+        state.log.write(
+            'target',
+            'wants a pause',
+            target=known.record.target,
+            pause_s=response.pause_s,
+        )
     if response.leaving and state.view.record_leaving(known):
         state.log.write(
             'target',
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_targetwait.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_targetwait.py
@@ -25,6 +25,9 @@
 # The wait for a token of a limited target, as a multiple of the objective.
 TOKEN_WAIT_OBJECTIVES: Final = 0.75
 NOT_RUN_RETRY_AFTER_S: Final = 0.2
+MAX_RETRY_AFTER_S: Final = 4.0
+# First words of the refusal's reason, which callers may rely on.
+PAUSED_CODE: Final = 'targets-paused'
 EXPECTED_ADAPTER_WAIT_S: Final = 0.4  # a load and the leader's round trip
 
 
@@ -142,6 +145,9 @@
             return self._tokens.refusal(now)
         if now >= give_up_at:
             return HttpRefusal(503, 'no target is free', NOT_RUN_RETRY_AFTER_S)
+        if choice.paused_until is not None and choice.paused_until > give_up_at:
+            wait_s = min(MAX_RETRY_AFTER_S, choice.paused_until - now)
+            return HttpRefusal(503, f'{PAUSED_CODE}: all want one', wait_s)
         orders_at = self._state.view.orders_allowed_at
         if self._lacks_adapter(choice) and orders_at > give_up_at:
             wait_s = orders_at - now + EXPECTED_ADAPTER_WAIT_S
--- a/tests/test_targetstate.py
+++ b/tests/test_targetstate.py
@@ -5,11 +5,12 @@
 
 import pytest
 from lovagemast_core.deployment import CallKind
-from lovagemast_core.entry import FleetView
+from lovagemast_core.entry import FleetView, TargetHealth
 from lovagemast_core.targets import SyncReply, TargetRecord
+from lovagemast_node._clock import now_s
 from lovagemast_node.fleet._entrystate import EntryState
 
-from tests.test_calls import Script, ScriptedTarget, answer, response_of
+from tests.test_calls import GOOD, Script, ScriptedTarget, answer, response_of
 
 RECORD = TargetRecord('t1', 'p', 'h:1', 'z', 5, 8, False, 0.0)
 NOW = 100.0
@@ -86,3 +87,61 @@
         reply = SyncReply(2, True, 'c', 1, 0.0, targets=(newer,), stamp=2)
         view.apply(reply, NOW + 1, NOW + 1)
         assert view.is_in_service(view.targets['t1'], None)
+
+
+PAUSE = b'503 Full\r\nX-Not-Executed: 1\r\nX-Request-Id: r\r\nRetry-After: '
+
+
+class TestPause:
+    @pytest.mark.parametrize(
+        ('head', 'pause_s'),
+        [
+            (PAUSE + b'3', 3.0),
+            (PAUSE + b'2.5', 2.5),
+            (PAUSE + b'9' * 400, None),
+            (PAUSE + b'90000', 60.0),
+            (PAUSE + b'0', None),
+            (PAUSE + b'-1', None),
+            (PAUSE + b'nan', None),
+            (PAUSE + b'Sun, 06 Nov 1994 08:49:37 GMT', None),
+            (b'500 Failed\r\nX-Request-Id: r\r\nRetry-After: 3', None),
+            (b'503 Full\r\nX-Not-Executed: 1\r\nRetry-After: 3', None),
+        ],
+    )
+    def test_pause_that_a_target_wants(
+        self, head: bytes, pause_s: float | None
+    ) -> None:
+        """Only a 503 that names the request is its word."""
+        state = sent_after(answer(head))
+        now = now_s()
+        paused_until = state.health.paused_until('t0', now)
+        if pause_s is None:
+            assert paused_until is None
+        else:
+            assert paused_until == pytest.approx(now + pause_s, abs=1.0)
+            assert not state.health.is_available('t0', now + pause_s - 1.0)
+
+    def test_shorter_pause_does_not_end_a_longer_one(self) -> None:
+        """A refusal on another connection may be older."""
+        health = TargetHealth()
+        health.record_pause('t', 5.0, NOW)
+        health.record_pause('t', 1.0, NOW)
+        health.record_rejection('t', 0.03, NOW)
+        assert not health.is_available('t', NOW + 4.9)
+        assert health.is_available('t', NOW + 5.0)
+
+    def test_request_is_not_held_behind_a_pause(self) -> None:
+        """With all targets paused for longer, it is refused at once."""
+        target = ScriptedTarget(GOOD)
+
+        def prepare(state: EntryState) -> None:
+            state.health.record_pause('t0', 30.0, now_s())
+
+        began_at = now_s()
+        response = asyncio.run(
+            response_of(CallKind.SAFE, [target], prepare=prepare)
+        )
+        assert response.startswith(b'HTTP/1.1 503')
+        assert b'Retry-After: 4.0' in response
+        assert target.requests == 0
+        assert now_s() - began_at < 0.2
