List software versions with lovagectl, and bound the work for them

lovagectl software asks any control VM: pool, version, targets, since when; a version without targets has left, but may have begun open streams. The number of remembered streams is a metric of control VMs (it was declared and never set).

--- a/packages/lovagemast-cli/src/lovagemast_cli/_actions.py
+++ b/packages/lovagemast-cli/src/lovagemast_cli/_actions.py
@@ -22,6 +22,7 @@
     format_event,
     format_limits,
     format_parts,
+    format_software,
     format_status,
 )
 from ._outcome import CommandResult, ExitStatus
@@ -36,6 +37,7 @@
 KEY_BYTES: Final = 32
 QUARANTINE_PATH: Final = '/admin/quarantine'
 LIMITS_PATH: Final = '/admin/limits'
+SOFTWARE_PATH: Final = '/admin/software'
 
 
 class Actions:
@@ -154,6 +156,13 @@
             ExitStatus.DONE, format_limits(document['limits']), document
         )
 
+    def software(self) -> CommandResult:
+        """List the software versions of each pool's targets."""
+        document = self._client.get(SOFTWARE_PATH).document
+        return CommandResult(
+            ExitStatus.DONE, format_software(document['software']), document
+        )
+
     def key(self) -> CommandResult:
         """Grant or withdraw a key."""
         if self._options.state == 'grant':
--- a/packages/lovagemast-cli/src/lovagemast_cli/_format.py
+++ b/packages/lovagemast-cli/src/lovagemast_cli/_format.py
@@ -91,6 +91,24 @@
     )
 
 
+def format_software(versions: list[dict[str, Any]]) -> str:
+    """Return the software versions of each pool's targets as a table."""
+    if not versions:
+        return 'no target has registered'
+    return table(
+        ['POOL', 'VERSION', 'TARGETS', 'KNOWN FOR'],
+        [
+            [
+                one['pool'],
+                one['version'],
+                one['targets'] or 'left',
+                f'{one["known_s"]:.0f} s',
+            ]
+            for one in versions
+        ],
+    )
+
+
 def format_event(event: dict[str, Any]) -> str:
     """Return a timeline event as one line."""
     at = datetime.datetime.fromtimestamp(event['at'], datetime.UTC)
--- a/packages/lovagemast-cli/src/lovagemast_cli/_main.py
+++ b/packages/lovagemast-cli/src/lovagemast_cli/_main.py
@@ -130,6 +130,11 @@
         help='list the targets that name a limit for their requests (asks '
         'control VMs on the platform)',
     )
+    commands.add_parser(
+        'software',
+        help='list the software versions of targets (asks control VMs on the '
+        'platform)',
+    )
     key = commands.add_parser('key', help='grant or withdraw a key')
     key.add_argument('state', choices=('grant', 'withdraw'))
     key.add_argument(
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
@@ -60,6 +60,7 @@
         self._index = TargetIndex()
         self._newest: dict[tuple[str, str], tuple[int, float]] = {}
         self._zones_out: frozenset[ZoneName] = frozenset()
+        self._software: dict[str, frozenset[SoftwareVersion]] = {}
         # Incarnations of targets that said in an answer that they leave.
         self._leaving: dict[TargetName, int] = {}
 
@@ -144,18 +145,17 @@
 
         It is empty while the leader has stored none for the pool.
         """
-        stored = frozenset(
-            version
-            for one in self.published.software
-            if one.pool == pool
-            for version in one.versions
-        )
+        stored = self._software.get(pool, frozenset())
         if not stored:
             return stored
         return stored | {
             known.record.software for known in self.find_targets(pool, '', '')
         }
 
+    def has_several_versions(self, pool: str) -> bool:
+        """Return whether several software versions of a pool are stored."""
+        return len(self._software.get(pool, ())) > 1
+
     def serves(self, pool: str, software: SoftwareVersion) -> bool:
         """Return whether a target of a software version is in service."""
         return any(
@@ -252,6 +252,9 @@
             if named.version > self._newest.get(name, (0, 0.0))[0]:
                 self._newest[name] = (named.version, now)
         self._zones_out = frozenset(published.zones_out)
+        self._software = {
+            one.pool: frozenset(one.versions) for one in published.software
+        }
         self.published = published
         return is_newer
 
--- a/packages/lovagemast-core/src/lovagemast_core/streams/_software.py
+++ b/packages/lovagemast-core/src/lovagemast_core/streams/_software.py
@@ -8,6 +8,7 @@
 
 MAX_VERSIONS: Final = 16  # of a pool; targets of others still serve
 CHECK_INTERVAL_S: Final = 1.0  # while no target has changed
+MIN_CHECK_INTERVAL_S: Final = 0.2  # a check visits all targets
 
 
 class PoolSoftware(NamedTuple):
@@ -51,9 +52,9 @@
 
     def is_due(self, stamp: int, now: float) -> bool:
         """Return whether to compare anew; ``stamp`` is that of targets."""
-        return stamp != self._stamp or now - self._checked_at >= (
-            CHECK_INTERVAL_S
-        )
+        has_changed = stamp != self._stamp
+        interval_s = MIN_CHECK_INTERVAL_S if has_changed else CHECK_INTERVAL_S
+        return now - self._checked_at >= interval_s
 
     def propose(
         self,
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -102,6 +102,7 @@
             self._log,
             metrics,
             lambda: self._relay.limits(),
+            lambda: self._relay.describe_software(),
         )
         self._links = PeerLinks(cfg.vm, cfg.peer_port, self._log)
         self._sync = SyncHandler(self._on_ask, lambda _session: None, self._log)
@@ -113,6 +114,7 @@
             self._spawn,
             self._log,
         )
+        metrics.observe_streams(lambda: self._relay.known_streams)
         self._http = HttpServer(
             self._api.serve,
             CONTROL_LIMITS,
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_controlapi.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_controlapi.py
@@ -36,6 +36,7 @@
 from ._quarantineapi import PATH as QUARANTINE_PATH
 from ._quarantineapi import QuarantineApi
 from ._settings import ControlSettings
+from ._softwareapi import PATH as SOFTWARE_PATH
 
 OK: Final = 200
 REDIRECT: Final = 307
@@ -65,9 +66,11 @@
         log: JsonLog,
         metrics: ControlMetrics,
         limits: Callable[[], tuple[LimitReport, ...]],
+        software: Callable[[], dict[str, Any]],
     ) -> None:
         self._metrics = metrics
         self._limits = limits
+        self._software = software
         self._cfg = cfg
         self._codec = codec
         self._node = node
@@ -95,6 +98,9 @@
             document = describe_limits(self._limits())
             await self._send_json(OK, document, responder)
             return
+        if req.path == SOFTWARE_PATH:
+            await self._send_json(OK, self._software(), responder)
+            return
         call = self._codec.decode_call(req)
         if isinstance(call, InvalidCall):
             self._log.write(
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
@@ -1,5 +1,6 @@
 """Prometheus metrics of entry and control VMs, and their endpoint."""
 
+from collections.abc import Callable
 from typing import Final
 
 from prometheus_client import (
@@ -198,9 +199,9 @@
         """Set the revision of the configuration that this VM holds."""
         self._revision.set(revision)
 
-    def set_streams(self, count: int) -> None:
-        """Set the number of streams that are remembered."""
-        self._streams.set(count)
+    def observe_streams(self, count: Callable[[], int]) -> None:
+        """Show the number of streams that are remembered when asked."""
+        self._streams.set_function(count)
 
     def set_parts(self, suspected: int, quarantined: int) -> None:
         """Set the numbers of suspected and of quarantined prompt parts."""
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_relayhost.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_relayhost.py
@@ -20,6 +20,7 @@
 from .._clock import now_s
 from ._jsonlog import JsonLog
 from ._settings import ControlSettings
+from ._softwareapi import SoftwareHistory
 from ._sync import SYNC_ERRORS, SyncClient
 from ._syncservice import EntrySyncService, SyncHandler, SyncSession
 
@@ -76,6 +77,7 @@
         epoch = secrets.randbits(EPOCH_BITS) + 1
         self._relay = SyncRelay(cfg.vm, cfg.zone, epoch)
         self._vms = vms
+        self._software = SoftwareHistory()
         self._on_records = on_records
         self._send_peer = send_peer
         self._spawn = spawn
@@ -108,6 +110,7 @@
     ) -> None:
         """Log pools' software versions; remember streams for some time."""
         self._relay.streams.table.retention_s = retention_s
+        self._software.update(software, now_s())
         for pool, versions in software:
             self._log.write(
                 'target', 'software versions', pool=pool, versions=versions
@@ -120,6 +123,11 @@
         if answer:
             self._send_peer(sender, answer)
 
+    def describe_software(self) -> dict[str, Any]:
+        """Return the document that lists targets' software versions."""
+        known = self._relay.view.targets.values()
+        return self._software.describe((one.record for one in known), now_s())
+
     @property
     def known_streams(self) -> int:
         """Return the number of streams that are remembered."""
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_streamcontinuity.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_streamcontinuity.py
@@ -62,7 +62,7 @@
         pool = self._admitted.pool.name
         start = StreamStart(self._key, StreamOrigin(pool, software))
         self._state.streams.record(start, now_s())
-        if len(self._state.view.software_of(pool)) > 1:
+        if self._state.view.has_several_versions(pool):
             self._state.request_sync()
 
     def refusal_if_gone(self) -> HttpRefusal | None:
