Let the soak's callers take up streams, and check that no text is joined

Workers have two software versions, and another one with each new incarnation; a caller whose resumable stream broke off takes it up, at any entry VM, twice at most. The text of all its tries must be whole and of one version.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -9,7 +9,7 @@
 import aiohttp
 
 from ._cluster import ENTRIES, HOST, MODEL, SoakCluster
-from ._oracle import Call
+from ._oracle import Call, complete_events, event_ids
 
 PAUSE_S: Final = (0.01, 0.12)  # between two requests of a caller
 TIMEOUT_S: Final = 6.0
@@ -84,7 +84,10 @@
             while True:
                 if not self._reuses_connection:
                     self._entry = self._balancer.pick(self._rng)
-                await self.call(session, self._rng.choice(ROUTES))
+                call = await self.call(session, self._rng.choice(ROUTES))
+                while call.can_be_taken_up:
+                    self._entry = self._balancer.pick(self._rng)
+                    call = await self._take_up(session, call)
                 await asyncio.sleep(self._rng.uniform(*PAUSE_S))
 
     async def call(self, session: aiohttp.ClientSession, route: str) -> Call:
@@ -107,6 +110,25 @@
             whole=False,
             entry=self._entry,
         )
+        return await self._record(session, call)
+
+    async def _take_up(
+        self, session: aiohttp.ClientSession, broken: Call
+    ) -> Call:
+        """Go on with a stream that broke off, maybe at another entry VM."""
+        call = broken._replace(
+            request_id=secrets.token_hex(8),
+            sent_at=time.monotonic(),
+            status=0,
+            body=b'',
+            entry=self._entry,
+            resumes=broken.resumes or broken.request_id,
+            received=broken.received + broken.body,
+            take_ups=broken.take_ups + 1,
+        )
+        return await self._record(session, call)
+
+    async def _record(self, session: aiohttp.ClientSession, call: Call) -> Call:
         try:
             call = await self._send(session, call)
         finally:  # also records a call that the end of the soak cancels
@@ -124,14 +146,19 @@
         if call.model:
             headers['X-Model'] = call.model
             headers['X-Token-Count'] = '10,10'
+        if call.resumes:
+            headers['Resumes'] = call.resumes
+            headers['Last-Event-Id'] = str(event_ids(call.received)[-1])
         url = f'http://{call.entry}:{self._cluster.ports.front}{call.path}'
         self._reuses_connection = False
+        body = b''
         try:
             async with session.post(url, headers=headers, data=b'{}') as answer:
                 call = call._replace(status=answer.status)
-                body = await answer.read()
+                async for chunk in answer.content.iter_any():
+                    body += chunk
                 closes = answer.headers.get('Connection', '').lower()
                 self._reuses_connection = closes != 'close'
         except (aiohttp.ClientError, OSError, TimeoutError):
-            return call
+            return call._replace(body=complete_events(body))
         return call._replace(body=body, whole=True)
--- a/soak/_cluster.py
+++ b/soak/_cluster.py
@@ -22,6 +22,7 @@
 ACCOUNT: Final = 't1'
 HOST: Final = 'soak.example'
 GRACE_S: Final = 8  # for a graceful shutdown
+SOFTWARE: Final = ('v1', 'v2')
 
 
 class Ports(NamedTuple):
@@ -129,6 +130,9 @@
             fallback_controls=controls[1:],
             advertised_port=self.proxies[name].port,
         )
+        # Versions differ between workers and between their incarnations.
+        number = self._names.index(name) if name in self._names else 0
+        worker.software = SOFTWARE[(number + incarnation) % len(SOFTWARE)]
         self.workers[name] = worker
         task = asyncio.create_task(worker.serve(), name=worker.name)
         task.add_done_callback(self._on_worker_ended)
--- a/soak/_oracle.py
+++ b/soak/_oracle.py
@@ -14,6 +14,7 @@
 LIMIT_GRACE_S: Final = 3.0  # until a limit must be kept
 LIMIT_OVERAGE: Final = 1.5
 LIMIT_SLACK: Final = 5
+MAX_TAKE_UPS: Final = 2
 OK: Final = 200
 
 
@@ -31,6 +32,15 @@
     body: bytes
     whole: bool  # the response was received completely
     entry: str
+    resumes: str = ''  # id of the request that brought the first event
+    received: bytes = b''  # events of earlier requests for the stream
+    take_ups: int = 0
+
+    @property
+    def can_be_taken_up(self) -> bool:
+        """Return whether the caller goes on with a stream that broke off."""
+        is_broken = bool(self.repeatable and not self.whole and self.body)
+        return is_broken and self.take_ups < MAX_TAKE_UPS
 
 
 class Execution(NamedTuple):
@@ -91,6 +101,7 @@
     """
     return [
         *_check_responses(history, events),
+        *_check_versions(history),
         *_check_executions(history),
         *_check_callers(history),
         *_check_withdrawn_keys(history),
@@ -108,7 +119,7 @@
         if call.status != OK or not call.whole:
             continue
         if call.model:
-            good = event_ids(call.body) == ids
+            good = event_ids(call.received + call.body) == ids
         else:
             good = call.body == call.path.encode()
         if not good:
@@ -116,6 +127,28 @@
     return violations
 
 
+def complete_events(body: bytes) -> bytes:
+    """Return a stream without the event that it broke off in."""
+    return body[: body.rfind(b'\n\n') + 2] if b'\n\n' in body else b''
+
+
+def _check_versions(history: SoakHistory) -> list[str]:
+    """Check that no text is joined from two software versions."""
+    return [
+        f'joined from {sorted(versions)}: {call}'
+        for call in history.calls
+        if call.model
+        and len(versions := _versions_of(call.received + call.body)) > 1
+    ]
+
+
+def _versions_of(body: bytes) -> set[str]:
+    lines = body.decode('latin-1').splitlines()
+    return {
+        line.rpartition(' ')[2] for line in lines if line.startswith('data:')
+    }
+
+
 def event_ids(body: bytes) -> list[int]:
     """Return the ids of a stream's events."""
     lines = body.decode('latin-1').splitlines()
--- a/tests/platformworker.py
+++ b/tests/platformworker.py
@@ -188,7 +188,8 @@
                 http.transport.abort()
                 raise asyncio.CancelledError
             await asyncio.sleep(EVENT_S)
-            await response.write(b'id: %d\ndata: e%d\n\n' % (number, number))
+            event = f'id: {number}\ndata: e{number} {self.software}\n\n'
+            await response.write(event.encode())
         await response.write_eof()
         return response
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -38,6 +38,9 @@
 ORDER = ReceivedOrder(10.0, 'w1', 'c1', 7)
 CHANGE = ConfigObservation(1.0, 2.0, 5, is_read=False)
 READ = ConfigObservation(10.0, 10.1, 5, is_read=True)
+OF_V1 = b'id: 1\ndata: e v1\n\n'
+OF_V2 = b'id: 2\ndata: e v2\n\nid: 3\ndata: e v2\n\n'
+JOINED = OF_V1 + OF_V2
 TRUNCATED = CALL._replace(whole=False, body=b'')
 
 
@@ -84,6 +87,11 @@
                 'lower fencing',
             ),
             ({'calls': [TRUNCATED]}, 'truncated'),
+            ({'calls': [CALL._replace(body=JOINED)]}, 'joined from'),
+            (
+                {'calls': [CALL._replace(received=OF_V1, body=OF_V2)]},
+                'joined from',
+            ),
             (
                 {
                     'limits': [NamedLimit('w1', 6.0, 12.0, 0.1)],
