Split claims and order dispatching off, and keep effects apart

Beside it, of the class of the lost link: an effect of a control VM that fails kept back all later ones of the same step, the log writes among them. Seen while the list of software versions was written, when its handler raised at each change and the serving tests still passed. It is logged (control: effect failed) and the others run.

--- a/packages/lovagemast-core/src/lovagemast_core/_state.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_state.py
@@ -7,12 +7,11 @@
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple
 
+from ._claimtable import Claim, ClaimTable
 from ._commands import (
-    AlreadyClaimed,
     Applied,
     ApplyConfig,
     ClaimCall,
-    Claimed,
     Command,
     Conflict,
     CrashNoted,
@@ -40,7 +39,6 @@
 from .streams._software import PoolSoftware, SetSoftware, set_software
 
 MAX_STORED_OPERATIONS: Final = 20_000
-CLAIM_RETENTION_S: Final = 86_400.0
 QUARANTINE_CRASH_COUNT: Final = 2  # crashes of distinct incarnations
 SUSPICION_RETENTION_S: Final = 3_600.0
 MAX_DEPARTURES: Final = 1_024
@@ -60,21 +58,6 @@
     reason: str = ''
 
 
-class Claim(NamedTuple):
-    """The claim of a non-idempotent call, and how the call ended.
-
-    ``status`` is 0 while the outcome is not known.
-    """
-
-    claim: str
-    fingerprint: str
-    holder: str
-    at: float  # s
-    status: int = 0
-    media_type: str = ''
-    body: bytes = b''
-
-
 class Suspicion(NamedTuple):
     """The target incarnations that crashed while running a request."""
 
@@ -150,7 +133,7 @@
         self.departures: tuple[Departure, ...] = ()  # oldest first
         self.quarantine = QuarantineState()
         self._operations: dict[str, Operation] = {}
-        self._claims: dict[str, Claim] = {}
+        self._claims = ClaimTable()
         self._suspicions: dict[str, Suspicion] = {}
         self._handlers: dict[type, Callable[[Any], Outcome]] = {
             ApplyConfig: self._apply_config,
@@ -159,7 +142,7 @@
             NameVersion: self._name_version,
             SetRoster: self._set_roster,
             RemoveVm: self._remove_vm,
-            ClaimCall: self._claim,
+            ClaimCall: self._claims.claim,
             FinishCall: self._finish,
             ReportCrash: self._report_crash,
             SetHolders: self._set_holders,
@@ -182,7 +165,7 @@
         return StateSnapshot(
             self.published,
             tuple(self._operations.values()),
-            tuple(self._claims.values()),
+            self._claims.to_snapshot(),
             tuple(self._suspicions.values()),
             self.holders,
             self.departures,
@@ -198,7 +181,7 @@
         self._operations = {
             operation.op_id: operation for operation in snapshot.operations
         }
-        self._claims = {claim.claim: claim for claim in snapshot.claims}
+        self._claims.restore(snapshot.claims)
         self._suspicions = {
             suspicion.fingerprint: suspicion
             for suspicion in snapshot.suspicions
@@ -331,40 +314,8 @@
         self._publish(software=set_software(self.published.software, command))
         return self._applied()
 
-    def _claim(self, command: ClaimCall) -> Outcome:
-        self._expire_claims(command.at)
-        known = self._claims.get(command.claim)
-        if known is None:
-            self._claims[command.claim] = Claim(*command)
-            return Claimed(command.claim)
-        if known.holder == command.holder:
-            return Claimed(command.claim)
-        return AlreadyClaimed(
-            known.claim,
-            known.fingerprint == command.fingerprint,
-            known.status,
-            known.media_type,
-            known.body,
-        )
-
-    def _expire_claims(self, now: float) -> None:
-        while self._claims:
-            oldest = next(iter(self._claims.values()))
-            if now - oldest.at <= CLAIM_RETENTION_S:
-                return
-            self._claims.pop(oldest.claim)
-
     def _finish(self, command: FinishCall) -> Outcome:
-        known = self._claims.get(command.claim)
-        if known is not None and known.holder == command.holder:
-            if command.status:
-                self._claims[command.claim] = known._replace(
-                    status=command.status,
-                    media_type=command.media_type,
-                    body=command.body,
-                )
-            else:
-                self._claims.pop(command.claim)
+        self._claims.finish(command)
         return self._applied()
 
     def _report_crash(self, command: ReportCrash) -> Outcome:
--- a/packages/lovagemast-core/src/lovagemast_core/control/_node.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_node.py
@@ -18,7 +18,7 @@
 from .._outbox import Outbox
 from .._state import Departure, PublishedState
 from .._types import TargetName, VmName
-from ..adapters import Order, OrderOutcome, TargetReport
+from ..adapters import OrderOutcome, TargetReport
 from ..agreement._election import Timing
 from ..agreement._proposals import ProposalController
 from ..agreement._replica import Replica
@@ -35,12 +35,12 @@
     QuarantineChanged,
     RelayFailed,
     RequestReport,
-    SendOrder,
     SoftwareChanged,
 )
 from ._fleet import LEADER_LEASE_S, FleetController
+from ._orders import OrderDispatcher
 from ._reads import LinearizableReads
-from ._relays import RELAY_HELLO_INTERVAL_S, RelayReceiver
+from ._relays import RELAY_HELLO_INTERVAL_S
 
 STEP_INTERVAL_S: Final = 0.05  # between runs of the periodic tasks
 # Planning visits all engines, and each sync request may trigger it, so its rate
@@ -79,7 +79,6 @@
         self._outbox = Outbox(cfg.vm, rng)
         self._effects: list[ControlEffect] = []
         self._reads = LinearizableReads()
-        self._relay_receiver = RelayReceiver()
         self._hello_at = now
         self._planned_at = now
         self._plan_is_due = False
@@ -102,6 +101,9 @@
             lambda: self.leader,
             boot=f'{rng.getrandbits(BOOT_BITS):x}',
         )
+        self._orders = OrderDispatcher(
+            cfg.vm, self.fleet, self._outbox, self._effects.append
+        )
         self._outbox.call_at(now, self._step)
         self._check_published(now)
 
@@ -240,9 +242,7 @@
 
         The outcome of a relayed order goes to the VM that requested it.
         """
-        requester = self._relay_receiver.pop_requester(outcome.order)
-        if requester:
-            self._outbox.send(requester, RelayDone(outcome))
+        if self._orders.return_outcome(outcome):
             self._finish_step(now)
             return
         self._handle_outcome(outcome, now)
@@ -254,8 +254,8 @@
 
     def take_effects(self) -> list[ControlEffect]:
         """Return and clear the pending effects, in order."""
-        effects = self._effects
-        self._effects = []
+        effects = self._effects.copy()
+        self._effects.clear()
         return effects
 
     def _handle_outcome(self, outcome: OrderOutcome, now: float) -> None:
@@ -328,42 +328,7 @@
         if not self.is_ready_leader():
             return
         for order in self.fleet.plan(self.quorum_age(now), now):
-            self._send_order(order, now)
-
-    def _send_order(self, order: Order, now: float) -> None:
-        holder = self.fleet.holders.holder_of(order.target)
-        if holder == self.vm:
-            self._effects.append(SendOrder(order))
-            return
-        term = self.replica.term
-        message = self.fleet.relays.make_relay_order(holder, order, term, now)
-        self._outbox.send(holder, message)
-
-    def _on_hello(self, sender: VmName, hello: RelayHello, now: float) -> None:
-        if self.is_ready_leader():
-            self.fleet.relays.on_hello(sender, hello, now)
-            self.fleet.health.record_contact(sender, now)
-
-    def _on_relay_order(
-        self,
-        sender: VmName,
-        message: RelayOrder,
-        now: float,
-    ) -> None:
-        term = self.replica.term
-        refused = self._relay_receiver.accept(sender, message, term, now)
-        if refused:
-            self._outbox.send(sender, RelayDone(refused))
-        else:
-            self._effects.append(SendOrder(message.order))
-
-    def _on_relay_done(self, done: RelayDone, now: float) -> None:
-        outcome = self.fleet.relays.on_done(done)
-        if outcome is None:
-            return
-        if not outcome.was_sent:
-            self._effects.append(RelayFailed(outcome))
-        self._handle_outcome(outcome, now)
+            self._orders.send(order, self.replica.term, now)
 
     def _receive(
         self,
@@ -377,11 +342,15 @@
             case ProposalDone():
                 self._proposals.on_done(message, now)
             case RelayHello():
-                self._on_hello(sender, message, now)
+                if self.is_ready_leader():
+                    self._orders.on_hello(sender, message, now)
             case RelayOrder():
-                self._on_relay_order(sender, message, now)
+                term = self.replica.term
+                self._orders.on_order(sender, message, term, now)
             case RelayDone():
-                self._on_relay_done(message, now)
+                outcome = self._orders.on_done(message)
+                if outcome:
+                    self._handle_outcome(outcome, now)
             case _:
                 self.replica.receive(sender, message, now)
 
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -18,6 +18,7 @@
 from lovagemast_core.control import (
     CommandDone,
     ControlConfig,
+    ControlEffect,
     ControlNode,
     HoldersNoticed,
     LeaderChanged,
@@ -118,7 +119,9 @@
         self._http = HttpServer(
             self._api.serve,
             CONTROL_LIMITS,
-            self._on_handler_error,
+            lambda: self._log.write(
+                'control', 'unhandled error in an HTTP handler'
+            ),
         )
         self._engines = EngineClient(cfg.vm, codec, self._log)
         self._log_writer = LogWriter(
@@ -178,9 +181,6 @@
             'control', 'SIGHUP ignored: settings are read only at start'
         )
 
-    def _on_handler_error(self) -> None:
-        self._log.write('control', 'unhandled error in an HTTP handler')
-
     def _read_index(self, document: str) -> DeploymentIndex | None:
         parsed = self._codec.parse_deployment(document)
         if isinstance(parsed, str):
@@ -191,9 +191,21 @@
 
     def _run_effects(self) -> None:
         for effect in self._node.take_effects():
-            self._effect_handlers[type(effect)](effect)
+            self._perform(effect)
         self._schedule_tick()
 
+    def _perform(self, effect: ControlEffect) -> None:
+        """Perform an effect; one that fails keeps back no other."""
+        try:
+            self._effect_handlers[type(effect)](effect)
+        except Exception as exc:
+            self._log.write(
+                'control',
+                'effect failed',
+                effect=type(effect).__name__,
+                cause=repr(exc),
+            )
+
     def _make_effect_handlers(self) -> dict[type, Callable[[Any], None]]:
         return {
             SendPeer: lambda effect: self._links.send(
