--- a/packages/lovagemast-core/src/lovagemast_core/streams/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/streams/__init__.py
@@ -1,7 +1,7 @@
 """Which software version began a stream, and who remembers it.
 
 A stream may go on only at a target of the software version that began it.
-Its client may take it up at any entry VM, also after the one that served it
+Its client may resume it at any entry VM, also after the one that served it
 was lost, so entry VMs report the streams that begin to their relays, and each
 control VM copies what its relay learns to others.
 """
--- a/packages/lovagemast-core/src/lovagemast_core/streams/_software.py
+++ b/packages/lovagemast-core/src/lovagemast_core/streams/_software.py
@@ -36,7 +36,7 @@
     """Proposes the versions of pools while this control VM leads.
 
     A version is stored from its first target on, and until no stream that it
-    began can still be taken up. It is replicated, so that it survives a loss
+    began can still be resumed. It is replicated, so that it survives a loss
     of all memory.
     """
 
--- a/packages/lovagemast-core/src/lovagemast_core/streams/_table.py
+++ b/packages/lovagemast-core/src/lovagemast_core/streams/_table.py
@@ -12,9 +12,9 @@
 
 
 def retention_s(index: DeploymentIndex | None) -> float:
-    """Return for how long a stream may be taken up after it has begun, in s.
+    """Return for how long a stream may be resumed after it has begun, in s.
 
-    A client that takes up a stream stays within its first timeout.
+    A client that resumes a stream stays within its first timeout.
     """
     if index is None:
         return DEFAULT_RETENTION_S
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
@@ -106,7 +106,7 @@
     limit_stamp: int = 0  # of the newest limits that it holds
     sends: tuple[TokenWish, ...] = ()
     streams: tuple[StreamStart, ...] = ()  # begun, until a reply came
-    lookups: tuple[StreamKey, ...] = ()  # streams that clients take up
+    lookups: tuple[StreamKey, ...] = ()  # streams that clients resume
 
 
 class RelayInfo(NamedTuple):
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_admitted.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_admitted.py
@@ -8,9 +8,9 @@
 from ._codec import RequestMetadata
 
 # Ahead of all other requests: the caller holds a part of the answer.
-TAKE_UP_PRIORITY: Final = -1
-# The wait of a taken-up stream for tokens or a target, of its timeout.
-TAKE_UP_WAIT_FRACTION: Final = 0.25
+RESUMPTION_PRIORITY: Final = -1
+# The wait of a resumed stream for tokens or a target, of its timeout.
+RESUMPTION_WAIT_FRACTION: Final = 0.25
 
 
 class AdmittedRequest(NamedTuple):
@@ -34,14 +34,14 @@
         return self.account.name if self.account else None
 
     @property
-    def takes_up(self) -> bool:
+    def is_resumption(self) -> bool:
         """Return whether the caller goes on with a stream that broke off."""
         return self.route.resumable and bool(self.metadata.last_event_id)
 
     @property
     def queue_priority(self) -> int:
-        """Return the rank among waiting requests; taken-up streams lead."""
-        return TAKE_UP_PRIORITY if self.takes_up else self.priority
+        """Return the rank among waiting requests; resumed streams lead."""
+        return RESUMPTION_PRIORITY if self.is_resumption else self.priority
 
     @property
     def priority(self) -> int:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
@@ -84,8 +84,7 @@
         )
         self._stream_lookups = Counter(
             'lovagemast_stream_lookups',
-            'Streams taken up while several software versions may have begun'
-            ' them, by what is known',
+            'Streams that clients resume, by what is known of their origin',
             ('result',),
             registry=self.registry,
         )
@@ -136,7 +135,7 @@
         self._limit_refusals.inc()
 
     def record_stream_lookup(self, result: str) -> None:
-        """Count a taken-up stream: found, unknown, or its version gone."""
+        """Count a resumed stream: found, unknown, or its version gone."""
         self._stream_lookups.labels(result).inc()
 
     def record_crash(self) -> None:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_quotacharge.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_quotacharge.py
@@ -5,7 +5,7 @@
 from lovagemast_core.deployment import AccountSpec
 
 from .._clock import now_s
-from ._admitted import TAKE_UP_WAIT_FRACTION, AdmittedRequest
+from ._admitted import RESUMPTION_WAIT_FRACTION, AdmittedRequest
 from ._entrystate import POLL_INTERVAL_S, EntryState
 from ._refusal import ELECTION_RETRY_AFTER_S, HttpRefusal
 
@@ -19,14 +19,14 @@
 class QuotaCharge:
     """The charge of one request, which may wait for tokens.
 
-    A stream that is taken up goes before other requests of its account, and
+    A stream that is resumed goes before other requests of its account, and
     may wait longer: its caller holds a part of the answer.
     """
 
     def __init__(self, state: EntryState, admitted: AdmittedRequest) -> None:
         self._state = state
         self._admitted = admitted
-        self._is_urgent = admitted.takes_up
+        self._is_urgent = admitted.is_resumption
 
     async def charge(self) -> HttpRefusal | None:
         """Spend the request's tokens, or return why there are none."""
@@ -70,7 +70,7 @@
         max_wait_s = max(LEADER_ROUND_TRIP_S, TOKEN_WAIT_FRACTION * objective_s)
         if self._is_urgent:
             timeout_s = admitted.deadline - admitted.arrived_at
-            max_wait_s = max(max_wait_s, TAKE_UP_WAIT_FRACTION * timeout_s)
+            max_wait_s = max(max_wait_s, RESUMPTION_WAIT_FRACTION * timeout_s)
         if self._is_election_likely():
             max_wait_s = max(max_wait_s, objective_s)
         return max_wait_s
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_streamcontinuity.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_streamcontinuity.py
@@ -35,17 +35,17 @@
         self._admitted = admitted
         metadata = admitted.metadata
         began_as = metadata.request_id
-        if admitted.takes_up and metadata.resumes:
+        if admitted.is_resumption and metadata.resumes:
             began_as = metadata.resumes
         self._key = stream_key(admitted.account_name, began_as)
 
     async def find_pool(self) -> PoolSpec | HttpRefusal:
-        """Find what began a stream that its client takes up.
+        """Find what began a stream that its client resumes.
 
         Return the pool to use, or a refusal if the stream cannot go on, or if
         nobody knows its origin and it may be one of several.
         """
-        if not self._admitted.takes_up:
+        if not self._admitted.is_resumption:
             return self._admitted.pool
         origin = await self._look_up()
         if origin is None:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_targetwait.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_targetwait.py
@@ -10,7 +10,7 @@
 )
 
 from .._clock import now_s
-from ._admitted import TAKE_UP_WAIT_FRACTION, AdmittedRequest
+from ._admitted import RESUMPTION_WAIT_FRACTION, AdmittedRequest
 from ._entrystate import POLL_INTERVAL_S, EntryState
 from ._promptcheck import PromptCheck
 from ._refusal import HttpRefusal
@@ -70,8 +70,8 @@
         """Return when the wait for a target is to end."""
         admitted = self._admitted
         timeout_s = admitted.deadline - admitted.arrived_at
-        if admitted.takes_up:
-            return admitted.arrived_at + TAKE_UP_WAIT_FRACTION * timeout_s
+        if admitted.is_resumption:
+            return admitted.arrived_at + RESUMPTION_WAIT_FRACTION * timeout_s
         max_wait_s = TARGET_WAIT_FRACTION * timeout_s
         objectives_s = TARGET_WAIT_OBJECTIVES * admitted.route.objective_s
         return admitted.arrived_at + min(max_wait_s, objectives_s)
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -85,9 +85,9 @@
                 if not self._reuses_connection:
                     self._entry = self._balancer.pick(self._rng)
                 call = await self.call(session, self._rng.choice(ROUTES))
-                while call.can_be_taken_up:
+                while call.can_be_resumed:
                     self._entry = self._balancer.pick(self._rng)
-                    call = await self._take_up(session, call)
+                    call = await self._resume(session, call)
                 await asyncio.sleep(self._rng.uniform(*PAUSE_S))
 
     async def call(self, session: aiohttp.ClientSession, route: str) -> Call:
@@ -112,7 +112,7 @@
         )
         return await self._record(session, call)
 
-    async def _take_up(
+    async def _resume(
         self, session: aiohttp.ClientSession, broken: Call
     ) -> Call:
         """Go on with a stream that broke off, maybe at another entry VM."""
@@ -124,7 +124,7 @@
             entry=self._entry,
             resumes=broken.resumes or broken.request_id,
             received=broken.received + broken.body,
-            take_ups=broken.take_ups + 1,
+            resumptions=broken.resumptions + 1,
         )
         return await self._record(session, call)
 
--- a/soak/_oracle.py
+++ b/soak/_oracle.py
@@ -14,7 +14,7 @@
 LIMIT_GRACE_S: Final = 3.0  # until a limit must be kept
 LIMIT_OVERAGE: Final = 1.5
 LIMIT_SLACK: Final = 5
-MAX_TAKE_UPS: Final = 2
+MAX_RESUMPTIONS: Final = 2
 OK: Final = 200
 
 
@@ -34,13 +34,13 @@
     entry: str
     resumes: str = ''  # id of the request that brought the first event
     received: bytes = b''  # events of earlier requests for the stream
-    take_ups: int = 0
+    resumptions: int = 0
 
     @property
-    def can_be_taken_up(self) -> bool:
+    def can_be_resumed(self) -> bool:
         """Return whether the caller goes on with a stream that broke off."""
         is_broken = bool(self.repeatable and not self.whole and self.body)
-        return is_broken and self.take_ups < MAX_TAKE_UPS
+        return is_broken and self.resumptions < MAX_RESUMPTIONS
 
 
 class Execution(NamedTuple):
--- a/tests/test_joinedversions.py
+++ b/tests/test_joinedversions.py
@@ -55,10 +55,10 @@
     return request_id, workers_of(deployment, request_id)[0]
 
 
-def take_up(
+def resume(
     deployment: Deployment, resumed_id: str, request_id: str
 ) -> urllib3.BaseHTTPResponse:
-    """Take up a stream as a client does that has read some events."""
+    """Resume a stream as a client does that has read some events."""
     return deployment.post(
         '/lm/x',
         {
@@ -89,10 +89,10 @@
     assert len(workers_of(deployment, request_id)) == 1
 
 
-def test_unknown_stream_is_not_taken_up(deployment: Deployment) -> None:
+def test_unknown_stream_is_not_resumed(deployment: Deployment) -> None:
     """With two versions in service, nothing tells which one began it."""
     request_id = os.urandom(8).hex()
-    response = take_up(deployment, 'never-sent', request_id)
+    response = resume(deployment, 'never-sent', request_id)
     assert response.status == 503
     assert not workers_of(deployment, request_id)
 
@@ -109,7 +109,7 @@
     deployment.start_process('entry', ENTRY)
     deployment.wait(lambda: deployment.is_served('/plain/x', {}))
     request_id = os.urandom(8).hex()
-    response = take_up(deployment, resumed_id, request_id)
+    response = resume(deployment, resumed_id, request_id)
     assert numbers_of(response) == list(range(READ_EVENTS + 1, EVENTS + 1))
     assert workers_of(deployment, request_id) == [worker]
 
@@ -124,7 +124,7 @@
     deployment.wait(
         lambda: worker not in workers_of(deployment, served(deployment))
     )
-    response = take_up(deployment, resumed_id, leaving_id)
+    response = resume(deployment, resumed_id, leaving_id)
     assert response.status == 503
     assert not workers_of(deployment, leaving_id)
 
--- a/tests/test_streamcontinuity.py
+++ b/tests/test_streamcontinuity.py
@@ -65,7 +65,7 @@
 
 
 def make_request(pools: tuple[str, ...]) -> AdmittedRequest:
-    """Return a request that takes up a stream on a route to some pools."""
+    """Return a request that resumes a stream on a route to some pools."""
     route = RouteSpec(
         'r1',
         'h',
