--- a/tests/test_promptcheck.py
+++ b/tests/test_promptcheck.py
@@ -113,18 +113,19 @@
     async def request(self, prefix: str) -> Answer:
         """Send a request with a prompt's parts."""
         started_at = time.monotonic()
-        reader, writer = await asyncio.open_connection(HOST, self._port)
-        writer.write(
+        head = await self._head_of_answer(
             b'GET /x/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\n'
             b'X-Deadline-Ms: 2000\r\nAuthorization: Bearer k1\r\n'
             b'X-Prompt-Prefix: %b\r\n\r\n' % prefix.encode()
         )
-        head = (await reader.readuntil(b'\r\n\r\n')).decode()
-        writer.close()
         reason = head.partition('X-Refusal-Reason: ')[2].partition('\r\n')[0]
         took_s = time.monotonic() - started_at
         return Answer(int(head.split()[1]), reason, took_s)
 
+    async def send(self, data: bytes) -> int:
+        """Send a request as bytes and return the status of its answer."""
+        return int((await self._head_of_answer(data)).split()[1])
+
     def quarantine(self, state: QuarantineState) -> None:
         """Apply a state as if the leader had sent it."""
         self.state.view.quarantine = state
@@ -135,6 +136,13 @@
         """Return the crashes that are to be reported."""
         return self.state.guard.reports.crashes(1)
 
+    async def _head_of_answer(self, data: bytes) -> str:
+        reader, writer = await asyncio.open_connection(HOST, self._port)
+        writer.write(data)
+        head = await reader.readuntil(b'\r\n\r\n')
+        writer.close()
+        return head.decode()
+
     async def _handle(self, req: HttpRequest, responder: Responder) -> None:
         await RequestHandler(self.state, req, responder).run()
 
