--- a/packages/lovagemast-core/src/lovagemast_core/_commands.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_commands.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from .agreement._roster import Roster
-from .quarantine._state import ClearParts, PartCrash, StartTrial
+from .quarantine._state import ClearSubjects, StartTrial, TargetCrash
 from .streams._software import SetSoftware
 
 
@@ -124,8 +124,8 @@
     | ReportCrash
     | SetHolders
     | RecordDeparture
-    | PartCrash
-    | ClearParts
+    | TargetCrash
+    | ClearSubjects
     | StartTrial
     | SetSoftware
     | SetVoters
--- a/packages/lovagemast-core/src/lovagemast_core/_state.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_state.py
@@ -28,11 +28,11 @@
 )
 from .agreement._roster import Roster, find_entry, without_vm
 from .quarantine._state import (
-    ClearParts,
-    PartCrash,
+    ClearSubjects,
     QuarantineState,
     StartTrial,
-    clear_parts,
+    TargetCrash,
+    clear_subjects,
     record_crash,
     start_trial,
 )
@@ -147,8 +147,8 @@
             ReportCrash: self._report_crash,
             SetHolders: self._set_holders,
             RecordDeparture: self._record_departure,
-            PartCrash: self._record_part_crash,
-            ClearParts: self._clear_parts,
+            TargetCrash: self._record_target_crash,
+            ClearSubjects: self._clear_subjects,
             StartTrial: self._start_trial,
             SetSoftware: self._set_software,
         }
@@ -298,12 +298,12 @@
         self.departures = (*others, newest)[-MAX_DEPARTURES:]
         return self._applied()
 
-    def _record_part_crash(self, command: PartCrash) -> Outcome:
+    def _record_target_crash(self, command: TargetCrash) -> Outcome:
         self.quarantine = record_crash(self.quarantine, command)
         return self._applied()
 
-    def _clear_parts(self, command: ClearParts) -> Outcome:
-        self.quarantine = clear_parts(self.quarantine, command)
+    def _clear_subjects(self, command: ClearSubjects) -> Outcome:
+        self.quarantine = clear_subjects(self.quarantine, command)
         return self._applied()
 
     def _start_trial(self, command: StartTrial) -> Outcome:
--- a/packages/lovagemast-core/src/lovagemast_core/control/_node.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_node.py
@@ -222,7 +222,7 @@
                 term=self.replica.term,
                 quorum_age_s=UNCONFIRMED_AGE_S,
             )
-        self._handle_part_reports(ask, now)
+        self._handle_crash_reports(ask, now)
         limits = self.fleet.limits
         stamp = limits.stamp
         reply = self.fleet.on_ask(ask, self.quorum_age(now), now)
@@ -281,7 +281,7 @@
             self._outbox.send(self.leader, RelayHello(now))
         self._outbox.call_at(now + STEP_INTERVAL_S, self._step)
 
-    def _handle_part_reports(self, ask: SyncAsk, now: float) -> None:
+    def _handle_crash_reports(self, ask: SyncAsk, now: float) -> None:
         commands = self.fleet.quarantine.on_reports(
             ask.crashes, ask.answered, ask.trials, now
         )
--- a/packages/lovagemast-core/src/lovagemast_core/quarantine/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quarantine/__init__.py
@@ -2,41 +2,41 @@
 
 A prompt consists of parts that requests share. A part may crash each target
 that begins to answer a request holding it, so requests with that part are
-kept from targets, whoever sends them.
+kept from targets, whoever sends them. The part is the subject of a quarantine.
 
-A crash implicates the parts of all requests that ran at the target and had
-no answer yet; an answer clears the parts of its request. Implicated parts
+A crash implicates the subjects of all requests that ran at the target and had
+no answer yet; an answer clears the subjects of its request. Implicated subjects
 are suspects: until one of them is answered, its requests are sent one at a
-time in the whole fleet, as trials. A part that goes on crashing targets is
+time in the whole fleet, as trials. A subject that goes on crashing targets is
 quarantined, and its requests are refused but for a few later trials.
 """
 
-from ._answered import AnsweredParts
+from ._answered import AnsweredSubjects
 from ._controller import QuarantineController
-from ._guard import PartGuard, PartStatus, PartVerdict
-from ._reports import PartReports
+from ._guard import QuarantineGuard, QuarantineVerdict, SendStatus
+from ._reports import QuarantineReports
 from ._state import (
     MAX_QUARANTINE_TRIALS,
-    ClearParts,
-    PartCrash,
-    PartRecord,
+    ClearSubjects,
     QuarantineState,
     StartTrial,
+    SubjectRecord,
+    TargetCrash,
     TrialWish,
 )
 
 __all__ = [
     'MAX_QUARANTINE_TRIALS',
-    'AnsweredParts',
-    'ClearParts',
-    'PartCrash',
-    'PartGuard',
-    'PartRecord',
-    'PartReports',
-    'PartStatus',
-    'PartVerdict',
+    'AnsweredSubjects',
+    'ClearSubjects',
     'QuarantineController',
+    'QuarantineGuard',
+    'QuarantineReports',
     'QuarantineState',
+    'QuarantineVerdict',
+    'SendStatus',
     'StartTrial',
+    'SubjectRecord',
+    'TargetCrash',
     'TrialWish',
 ]
--- a/packages/lovagemast-core/src/lovagemast_core/quarantine/_answered.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quarantine/_answered.py
@@ -4,14 +4,14 @@
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
-from .._types import PromptPart
+from .._types import Subject
 
-# Older answers don't prove that a part is harmless: the adapter, or the
+# Older answers don't prove that a subject is harmless: the adapter, or the
 # program of the targets, may have changed since. Nor do answers that were
 # followed by several crashes.
 RETENTION_S: Final = 60.0
 MAX_CRASHES: Final = 2
-MAX_PARTS: Final = 4_096
+MAX_SUBJECTS: Final = 4_096
 
 
 class _Answer(NamedTuple):
@@ -19,31 +19,31 @@
     crashes: frozenset[str] = frozenset()  # since then
 
 
-class AnsweredParts:
-    """The parts of requests that targets have begun to answer."""
+class AnsweredSubjects:
+    """The subjects of requests that targets have begun to answer."""
 
     def __init__(self) -> None:
-        self._answers: OrderedDict[PromptPart, _Answer] = OrderedDict()
-
-    def record(self, parts: Iterable[PromptPart], now: float) -> None:
-        """Record that a request with these parts was answered."""
-        for part in parts:
-            self._answers[part] = _Answer(now)
-            self._answers.move_to_end(part)
-        while len(self._answers) > MAX_PARTS:
+        self._answers: OrderedDict[Subject, _Answer] = OrderedDict()
+
+    def record(self, subjects: Iterable[Subject], now: float) -> None:
+        """Record that a request with these subjects was answered."""
+        for subject in subjects:
+            self._answers[subject] = _Answer(now)
+            self._answers.move_to_end(subject)
+        while len(self._answers) > MAX_SUBJECTS:
             self._answers.popitem(last=False)
 
-    def record_crash(self, parts: Iterable[PromptPart], crash: str) -> None:
-        """Record that requests with these parts ran at a crash."""
-        for part in parts:
-            answer = self._answers.get(part)
+    def record_crash(self, subjects: Iterable[Subject], crash: str) -> None:
+        """Record that requests with these subjects ran at a crash."""
+        for subject in subjects:
+            answer = self._answers.get(subject)
             if answer:
                 crashes = answer.crashes | {crash}
-                self._answers[part] = answer._replace(crashes=crashes)
+                self._answers[subject] = answer._replace(crashes=crashes)
 
-    def contains(self, part: PromptPart, now: float) -> bool:
-        """Return whether an answer shows that a part is harmless."""
-        answer = self._answers.get(part)
+    def contains(self, subject: Subject, now: float) -> bool:
+        """Return whether an answer shows that a subject is harmless."""
+        answer = self._answers.get(subject)
         if answer is None or len(answer.crashes) > MAX_CRASHES:
             return False
         return now - answer.at <= RETENTION_S
--- a/packages/lovagemast-core/src/lovagemast_core/quarantine/_controller.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quarantine/_controller.py
@@ -1,16 +1,16 @@
-"""The leader's part: turns reports into commands, and grants trials."""
+"""The leader's subject: turns reports into commands, and grants trials."""
 
 from collections.abc import Iterable
 from typing import Final
 
-from .._types import PromptPart
+from .._types import Subject
 from ._records import KnownRecords
 from ._state import (
-    ClearParts,
-    PartCrash,
-    PartRecord,
+    ClearSubjects,
     QuarantineState,
     StartTrial,
+    SubjectRecord,
+    TargetCrash,
     TrialWish,
     record_crash,
 )
@@ -18,7 +18,7 @@
 
 PROPOSAL_TIMEOUT_S: Final = 0.5  # after which a trial is proposed again
 
-QuarantineCommand = PartCrash | ClearParts | StartTrial
+QuarantineCommand = TargetCrash | ClearSubjects | StartTrial
 
 
 class QuarantineController:
@@ -26,8 +26,8 @@
 
     def __init__(self) -> None:
         self._known = KnownRecords()
-        self._wished_at: dict[PromptPart, float] = {}
-        self._proposed: dict[PromptPart, tuple[int, float]] = {}
+        self._wished_at: dict[Subject, float] = {}
+        self._proposed: dict[Subject, tuple[int, float]] = {}
 
     @property
     def state(self) -> QuarantineState:
@@ -37,11 +37,11 @@
     def update(self, state: QuarantineState, now: float) -> None:
         """Apply a newer committed state."""
         self._known.update(state, now)
-        present = {record.part for record in state.parts}
-        for part in set(self._wished_at) - present:
-            self._wished_at.pop(part)
-        for part in set(self._proposed) - present:
-            self._proposed.pop(part)
+        present = {record.subject for record in state.records}
+        for subject in set(self._wished_at) - present:
+            self._wished_at.pop(subject)
+        for subject in set(self._proposed) - present:
+            self._proposed.pop(subject)
 
     def newer_than(self, version: int) -> QuarantineState | None:
         """Return the state, ``None`` if a receiver has this version."""
@@ -52,13 +52,13 @@
         self._known.restart_times(now)
         self._proposed.clear()
         self._wished_at = dict.fromkeys(
-            (record.part for record in self.state.parts), now
+            (record.subject for record in self.state.records), now
         )
 
     def on_reports(
         self,
-        crashes: Iterable[PartCrash],
-        answered: Iterable[PromptPart],
+        crashes: Iterable[TargetCrash],
+        answered: Iterable[Subject],
         wishes: Iterable[TrialWish],
         now: float,
     ) -> list[QuarantineCommand]:
@@ -68,44 +68,46 @@
             for crash in crashes
             if record_crash(self.state, crash) != self.state
         ]
-        cleared = tuple(part for part in answered if self._known.get(part))
+        cleared = tuple(
+            subject for subject in answered if self._known.get(subject)
+        )
         if cleared:
-            commands.append(ClearParts(cleared))
+            commands.append(ClearSubjects(cleared))
         for wish in wishes:
             trial = self._grant_trial(wish, now)
             if trial:
                 commands.append(trial)
         return commands
 
-    def expire(self, now: float) -> ClearParts | None:
-        """Return the command that drops parts without recent requests."""
+    def expire(self, now: float) -> ClearSubjects | None:
+        """Return the command that drops subjects without recent requests."""
         expired = tuple(
-            record.part
-            for record in self.state.parts
-            if self._idle_s(record.part, now) > retention_s(record)
+            record.subject
+            for record in self.state.records
+            if self._idle_s(record.subject, now) > retention_s(record)
         )
-        return ClearParts(expired) if expired else None
+        return ClearSubjects(expired) if expired else None
 
     def _grant_trial(self, wish: TrialWish, now: float) -> StartTrial | None:
-        record = self._known.get(wish.part)
+        record = self._known.get(wish.subject)
         if record is None:
             return None
-        self._wished_at[wish.part] = now
+        self._wished_at[wish.subject] = now
         if not wish.waits or not self._is_due(record, now):
             return None
         trial = record.trials + 1
-        proposed, proposed_at = self._proposed.get(wish.part, (0, 0.0))
+        proposed, proposed_at = self._proposed.get(wish.subject, (0, 0.0))
         if proposed == trial and now - proposed_at < PROPOSAL_TIMEOUT_S:
             return None
-        self._proposed[wish.part] = (trial, now)
-        return StartTrial(wish.part, wish.vm, trial)
+        self._proposed[wish.subject] = (trial, now)
+        return StartTrial(wish.subject, wish.vm, trial)
 
-    def _is_due(self, record: PartRecord, now: float) -> bool:
+    def _is_due(self, record: SubjectRecord, now: float) -> bool:
         delay_s = trial_delay_s(record)
         if delay_s is None:
             return False
-        return self._known.age_s(record.part, now) >= delay_s
+        return self._known.age_s(record.subject, now) >= delay_s
 
-    def _idle_s(self, part: PromptPart, now: float) -> float:
-        wished_at = self._wished_at.get(part, float('-inf'))
-        return min(now - wished_at, self._known.age_s(part, now))
+    def _idle_s(self, subject: Subject, now: float) -> float:
+        wished_at = self._wished_at.get(subject, float('-inf'))
+        return min(now - wished_at, self._known.age_s(subject, now))
--- a/packages/lovagemast-core/src/lovagemast_core/quarantine/_guard.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quarantine/_guard.py
@@ -5,51 +5,51 @@
 from enum import Enum
 from typing import NamedTuple
 
-from .._types import PromptPart, VmName
-from ._answered import AnsweredParts
+from .._types import Subject, VmName
+from ._answered import AnsweredSubjects
 from ._local import MANY_CRASHES, MAX_CONTACT_AGE_S, LocalSuspicions
 from ._records import KnownRecords
-from ._reports import PartReports
-from ._state import PartCrash, PartRecord, QuarantineState, TrialWish
+from ._reports import QuarantineReports
+from ._state import QuarantineState, SubjectRecord, TargetCrash, TrialWish
 from ._timing import trial_delay_s
 
 
-class PartStatus(Enum):
-    """Whether requests with a part may be sent."""
+class SendStatus(Enum):
+    """Whether requests with a subject may be sent."""
 
     FREE = 'free'
-    HELD = 'held'  # until a trial of the part has ended, or is granted
+    HELD = 'held'  # until a trial of the subject has ended, or is granted
     QUARANTINED = 'quarantined'
 
 
-class PartVerdict(NamedTuple):
-    """The status of a request, with the part that it follows from."""
+class QuarantineVerdict(NamedTuple):
+    """The status of a request, with the subject that it follows from."""
 
-    status: PartStatus
-    part: PromptPart = ''
+    status: SendStatus
+    subject: Subject = ''
     crashes: int = 0
-    age_s: float = 0.0  # since the last news of the part
+    age_s: float = 0.0  # since the last news of the subject
 
 
-FREE = PartVerdict(PartStatus.FREE)
+FREE = QuarantineVerdict(SendStatus.FREE)
 
 
-class PartGuard:
-    """Holds back requests with suspected parts, and refuses quarantined ones.
+class QuarantineGuard:
+    """Holds back requests with suspected subjects; refuses quarantined ones.
 
     It must be asked again whenever a request is sent: when it has waited, and
     when it is repeated.
     """
 
     def __init__(self, vm: VmName) -> None:
-        self.reports = PartReports()
+        self.reports = QuarantineReports()
         self._vm = vm
         self._known = KnownRecords()
-        self._answered = AnsweredParts()
+        self._answered = AnsweredSubjects()
         self._local = LocalSuspicions()
-        self._used: dict[PromptPart, int] = {}  # this VM's last trials
-        self._waiting: Counter[PromptPart] = Counter()
-        self._refused: set[PromptPart] = set()
+        self._used: dict[Subject, int] = {}  # this VM's last trials
+        self._waiting: Counter[Subject] = Counter()
+        self._refused: set[Subject] = set()
 
     @property
     def version(self) -> int:
@@ -57,146 +57,153 @@
         return self._known.state.version
 
     def update(self, state: QuarantineState, now: float) -> None:
-        """Apply the leader's state, and report parts known to be harmless."""
+        """Apply the leader's state, and report subjects known as harmless."""
         self._known.update(state, now)
         self._used = {
-            part: trial
-            for part, trial in self._used.items()
-            if self._known.get(part)
+            subject: trial
+            for subject, trial in self._used.items()
+            if self._known.get(subject)
         }
-        for record in state.parts:
-            self._local.clear(record.part)
-            if self._answered.contains(record.part, now):
-                self.reports.add_answered((record.part,))
+        for record in state.records:
+            self._local.clear(record.subject)
+            if self._answered.contains(record.subject, now):
+                self.reports.add_answered((record.subject,))
 
     def check(
-        self, parts: Iterable[PromptPart], age_s: float, now: float
-    ) -> PartVerdict:
-        """Return whether a request with these parts may be sent now.
+        self, subjects: Iterable[Subject], age_s: float, now: float
+    ) -> QuarantineVerdict:
+        """Return whether a request with these subjects may be sent now.
 
         ``age_s`` is the age of the state that came from the leader. Of several
         suspects, the most suspected one counts, or else the last one in the
         prompt: a trial of it tries the others too.
         """
         prime = FREE
-        for part in parts:
-            verdict = self._check_part(part, age_s, now)
-            if verdict.status is PartStatus.QUARANTINED:
-                self._refused.add(part)
+        for subject in subjects:
+            verdict = self._check_subject(subject, age_s, now)
+            if verdict.status is SendStatus.QUARANTINED:
+                self._refused.add(subject)
                 return verdict
             if verdict.crashes and verdict.crashes >= prime.crashes:
                 prime = verdict
         return prime
 
     def begin(
-        self, parts: Iterable[PromptPart], now: float
-    ) -> tuple[PromptPart, ...]:
-        """Record that a request is sent; return the parts that it tries."""
-        trials = tuple(part for part in parts if self._holds_trial(part))
-        for part in trials:
-            record = self._known.get(part)
-            self._used[part] = record.trials if record else 0
-        for part in parts:
-            self._local.record_trial(part, now)
+        self, subjects: Iterable[Subject], now: float
+    ) -> tuple[Subject, ...]:
+        """Record that a request is sent; return the subjects that it tries."""
+        trials = tuple(
+            subject for subject in subjects if self._holds_trial(subject)
+        )
+        for subject in trials:
+            record = self._known.get(subject)
+            self._used[subject] = record.trials if record else 0
+        for subject in subjects:
+            self._local.record_trial(subject, now)
         return trials
 
-    def cancel(self, trials: Iterable[PromptPart]) -> None:
+    def cancel(self, trials: Iterable[Subject]) -> None:
         """Take back ``begin``: the target did not run the request."""
-        for part in trials:
-            self._used.pop(part, None)
+        for subject in trials:
+            self._used.pop(subject, None)
 
-    def record_answer(self, parts: Iterable[PromptPart], now: float) -> None:
+    def record_answer(self, subjects: Iterable[Subject], now: float) -> None:
         """Record that a target has begun to answer a request."""
-        self._answered.record(parts, now)
-        for part in parts:
-            self._local.clear(part)
-            if self._known.get(part):
-                self.reports.add_answered((part,))
-
-    def record_crash(self, crash: PartCrash, now: float) -> PartCrash | None:
+        self._answered.record(subjects, now)
+        for subject in subjects:
+            self._local.clear(subject)
+            if self._known.get(subject):
+                self.reports.add_answered((subject,))
+
+    def record_crash(
+        self, crash: TargetCrash, now: float
+    ) -> TargetCrash | None:
         """Record a crash; return what it implicates, if anything.
 
-        ``crash.parts`` are those of a request that ran and had no answer.
+        ``crash.subjects`` are those of a request that ran and had no answer.
         """
         name = f'{crash.target}#{crash.incarnation}'
-        self._answered.record_crash(crash.parts, name)
+        self._answered.record_crash(crash.subjects, name)
         suspected = tuple(
-            part
-            for part in crash.parts
-            if not self._answered.contains(part, now)
+            subject
+            for subject in crash.subjects
+            if not self._answered.contains(subject, now)
         )
         if not suspected:
             return None
-        for part in suspected:
-            self._local.record_crash(part, name, now)
-        implicated = crash._replace(parts=suspected)
+        for subject in suspected:
+            self._local.record_crash(subject, name, now)
+        implicated = crash._replace(subjects=suspected)
         self.reports.add_crashes((implicated,))
         return implicated
 
-    def add_waiting(self, part: PromptPart, change: int) -> None:
-        """Change the number of requests that wait for a trial of a part."""
-        self._waiting[part] += change
+    def add_waiting(self, subject: Subject, change: int) -> None:
+        """Change the number of requests that wait for a trial of a subject."""
+        self._waiting[subject] += change
 
     def take_wishes(self) -> tuple[TrialWish, ...]:
-        """Return the parts whose requests wait, or were refused.
+        """Return the subjects whose requests wait, or were refused.
 
         Refused requests are counted since the last call.
         """
         self._waiting = +self._waiting
-        parts = sorted({*self._waiting, *self._refused})
+        subjects = sorted({*self._waiting, *self._refused})
         self._refused.clear()
         return tuple(
-            TrialWish(part, self._vm, part in self._waiting) for part in parts
+            TrialWish(subject, self._vm, subject in self._waiting)
+            for subject in subjects
         )
 
-    def _check_part(
-        self, part: PromptPart, age_s: float, now: float
-    ) -> PartVerdict:
-        if self._answered.contains(part, now):
+    def _check_subject(
+        self, subject: Subject, age_s: float, now: float
+    ) -> QuarantineVerdict:
+        if self._answered.contains(subject, now):
             return FREE
-        record = self._known.get(part)
+        record = self._known.get(subject)
         if record is None:
-            return self._check_local(part, age_s, now)
-        if self._holds_trial(part):
-            return self._verdict(PartStatus.FREE, record, now)
+            return self._check_local(subject, age_s, now)
+        if self._holds_trial(subject):
+            return self._verdict(SendStatus.FREE, record, now)
         if record.is_quarantined:
             return self._check_quarantined(record, age_s, now)
         if age_s > MAX_CONTACT_AGE_S:
-            self._local.adopt(part, record.crashes, now)
-            return self._check_local(part, age_s, now)
-        return self._verdict(PartStatus.HELD, record, now)
+            self._local.adopt(subject, record.crashes, now)
+            return self._check_local(subject, age_s, now)
+        return self._verdict(SendStatus.HELD, record, now)
 
     def _check_quarantined(
-        self, record: PartRecord, age_s: float, now: float
-    ) -> PartVerdict:
+        self, record: SubjectRecord, age_s: float, now: float
+    ) -> QuarantineVerdict:
         """Hold a request for the next trial if it is due, or refuse it."""
         delay_s = trial_delay_s(record)
         if delay_s is None or age_s > MAX_CONTACT_AGE_S:
-            return self._verdict(PartStatus.QUARANTINED, record, now)
-        is_due = self._known.age_s(record.part, now) >= delay_s
-        status = PartStatus.HELD if is_due else PartStatus.QUARANTINED
+            return self._verdict(SendStatus.QUARANTINED, record, now)
+        is_due = self._known.age_s(record.subject, now) >= delay_s
+        status = SendStatus.HELD if is_due else SendStatus.QUARANTINED
         return self._verdict(status, record, now)
 
     def _verdict(
-        self, status: PartStatus, record: PartRecord, now: float
-    ) -> PartVerdict:
-        age_s = self._known.age_s(record.part, now)
-        return PartVerdict(status, record.part, len(record.crashes), age_s)
+        self, status: SendStatus, record: SubjectRecord, now: float
+    ) -> QuarantineVerdict:
+        age_s = self._known.age_s(record.subject, now)
+        return QuarantineVerdict(
+            status, record.subject, len(record.crashes), age_s
+        )
 
     def _check_local(
-        self, part: PromptPart, age_s: float, now: float
-    ) -> PartVerdict:
-        if not self._local.is_held(part, age_s, now):
+        self, subject: Subject, age_s: float, now: float
+    ) -> QuarantineVerdict:
+        if not self._local.is_held(subject, age_s, now):
             return FREE
-        crashes = self._local.crashes(part)
-        status = PartStatus.HELD
+        crashes = self._local.crashes(subject)
+        status = SendStatus.HELD
         if crashes >= MANY_CRASHES:
-            status = PartStatus.QUARANTINED
-        return PartVerdict(status, part, crashes)
+            status = SendStatus.QUARANTINED
+        return QuarantineVerdict(status, subject, crashes)
 
-    def _holds_trial(self, part: PromptPart) -> bool:
-        """Return whether this VM may send one request with a part."""
-        record = self._known.get(part)
+    def _holds_trial(self, subject: Subject) -> bool:
+        """Return whether this VM may send one request with a subject."""
+        record = self._known.get(subject)
         if record is None or record.holder != self._vm:
             return False
-        return self._used.get(part) != record.trials
+        return self._used.get(subject) != record.trials
--- a/packages/lovagemast-core/src/lovagemast_core/quarantine/_local.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quarantine/_local.py
@@ -6,12 +6,12 @@
 
 from typing import Final
 
-from .._types import PromptPart
+from .._types import Subject
 
 LEADER_NEWS_S: Final = 0.5  # by when the leader's state has a reported crash
 MAX_CONTACT_AGE_S: Final = 1.0  # of the state, for a VM in contact
 RETENTION_S: Final = 60.0
-MAX_PARTS: Final = 256
+MAX_SUBJECTS: Final = 256
 # Without contact: the time from the latest crash or trial to the next trial,
 # after one, two, or more crashes.
 TRIAL_DELAYS_S: Final = (0.5, 2.0, 10.0)
@@ -28,49 +28,49 @@
     """Parts of requests that ran at a target when it crashed."""
 
     def __init__(self) -> None:
-        self._suspicions: dict[PromptPart, _Suspicion] = {}
+        self._suspicions: dict[Subject, _Suspicion] = {}
 
-    def record_crash(self, part: PromptPart, crash: str, now: float) -> None:
-        """Record a crash that implicates a part."""
+    def record_crash(self, subject: Subject, crash: str, now: float) -> None:
+        """Record a crash that implicates a subject."""
         self._drop_old(now)
-        if len(self._suspicions) >= MAX_PARTS:
+        if len(self._suspicions) >= MAX_SUBJECTS:
             return
-        suspicion = self._suspicions.setdefault(part, _Suspicion())
+        suspicion = self._suspicions.setdefault(subject, _Suspicion())
         suspicion.crashes.add(crash)
         suspicion.at = now
 
     def adopt(
-        self, part: PromptPart, crashes: tuple[str, ...], now: float
+        self, subject: Subject, crashes: tuple[str, ...], now: float
     ) -> None:
-        """Take over the leader's suspicion of a part, if there is no own one.
+        """Take over the leader's suspicion of a subject, if there is no own.
 
         Without a leader, nobody grants a trial of it.
         """
-        if part not in self._suspicions:
+        if subject not in self._suspicions:
             for crash in crashes:
-                self.record_crash(part, crash, now)
+                self.record_crash(subject, crash, now)
 
-    def record_trial(self, part: PromptPart, now: float) -> None:
-        """Record that a request with a part is sent, if it is suspected."""
-        suspicion = self._suspicions.get(part)
+    def record_trial(self, subject: Subject, now: float) -> None:
+        """Record that a request with a subject is sent, if it is suspected."""
+        suspicion = self._suspicions.get(subject)
         if suspicion:
             suspicion.at = now
 
-    def clear(self, part: PromptPart) -> None:
-        """Drop the suspicion of a part, as after an answer."""
-        self._suspicions.pop(part, None)
+    def clear(self, subject: Subject) -> None:
+        """Drop the suspicion of a subject, as after an answer."""
+        self._suspicions.pop(subject, None)
 
-    def crashes(self, part: PromptPart) -> int:
-        """Return the number of crashes that implicate a part."""
-        suspicion = self._suspicions.get(part)
+    def crashes(self, subject: Subject) -> int:
+        """Return the number of crashes that implicate a subject."""
+        suspicion = self._suspicions.get(subject)
         return len(suspicion.crashes) if suspicion else 0
 
-    def is_held(self, part: PromptPart, age_s: float, now: float) -> bool:
-        """Return whether requests with a part must wait.
+    def is_held(self, subject: Subject, age_s: float, now: float) -> bool:
+        """Return whether requests with a subject must wait.
 
         ``age_s`` is the age of the state that came from the leader.
         """
-        suspicion = self._suspicions.get(part)
+        suspicion = self._suspicions.get(subject)
         if suspicion is None:
             return False
         delay_s = LEADER_NEWS_S
@@ -81,7 +81,7 @@
 
     def _drop_old(self, now: float) -> None:
         self._suspicions = {
-            part: suspicion
-            for part, suspicion in self._suspicions.items()
+            subject: suspicion
+            for subject, suspicion in self._suspicions.items()
             if now - suspicion.at < RETENTION_S
         }
--- a/packages/lovagemast-core/src/lovagemast_core/quarantine/_records.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quarantine/_records.py
@@ -1,7 +1,7 @@
 """The quarantine state as one VM knows it, with the times of changes."""
 
-from .._types import PromptPart
-from ._state import PartRecord, QuarantineState
+from .._types import Subject
+from ._state import QuarantineState, SubjectRecord
 
 
 class KnownRecords:
@@ -9,8 +9,8 @@
 
     def __init__(self) -> None:
         self.state = QuarantineState()
-        self._records: dict[PromptPart, PartRecord] = {}
-        self._changed_at: dict[PromptPart, float] = {}
+        self._records: dict[Subject, SubjectRecord] = {}
+        self._changed_at: dict[Subject, float] = {}
 
     def update(self, state: QuarantineState, now: float) -> None:
         """Replace the state, if this one is newer."""
@@ -18,20 +18,22 @@
             return
         before = self._records
         self.state = state
-        self._records = {record.part: record for record in state.parts}
+        self._records = {record.subject: record for record in state.records}
         self._changed_at = {
-            part: self._changed_at[part] if before.get(part) == record else now
-            for part, record in self._records.items()
+            subject: self._changed_at[subject]
+            if before.get(subject) == record
+            else now
+            for subject, record in self._records.items()
         }
 
     def restart_times(self, now: float) -> None:
         """Let all times count from now, as after an election."""
         self._changed_at = dict.fromkeys(self._records, now)
 
-    def get(self, part: PromptPart) -> PartRecord | None:
-        """Return a part's record, ``None`` if it is not suspected."""
-        return self._records.get(part)
+    def get(self, subject: Subject) -> SubjectRecord | None:
+        """Return a subject's record, ``None`` if it is not suspected."""
+        return self._records.get(subject)
 
-    def age_s(self, part: PromptPart, now: float) -> float:
-        """Return the time since a part's record last changed, in s."""
-        return now - self._changed_at.get(part, now)
+    def age_s(self, subject: Subject, now: float) -> float:
+        """Return the time since a subject's record last changed, in s."""
+        return now - self._changed_at.get(subject, now)
--- a/packages/lovagemast-core/src/lovagemast_core/quarantine/_reports.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quarantine/_reports.py
@@ -7,27 +7,27 @@
 from collections.abc import Iterable
 from typing import Final
 
-from .._types import PromptPart, TargetName
-from ._state import PartCrash
+from .._types import Subject, TargetName
+from ._state import TargetCrash
 
 MAX_REPORTS: Final = 256  # of each kind; further ones are dropped
 
 _Incarnation = tuple[TargetName, int]
 
 
-class PartReports:
+class QuarantineReports:
     """Crashes and answers that are to be reported."""
 
     def __init__(self) -> None:
-        self._crashes: dict[_Incarnation, PartCrash] = {}
-        self._answered: dict[PromptPart, None] = {}
-        self._sent_with: dict[PartCrash | PromptPart, int] = {}
+        self._crashes: dict[_Incarnation, TargetCrash] = {}
+        self._answered: dict[Subject, None] = {}
+        self._sent_with: dict[TargetCrash | Subject, int] = {}
 
     def __bool__(self) -> bool:
         """Return whether anything is to be reported."""
         return bool(self._crashes or self._answered)
 
-    def add_crashes(self, crashes: Iterable[PartCrash]) -> None:
+    def add_crashes(self, crashes: Iterable[TargetCrash]) -> None:
         """Add crashes; those of the same target's incarnation are merged."""
         for crash in crashes:
             name = (crash.target, crash.incarnation)
@@ -36,28 +36,30 @@
                 continue
             self._crashes[name] = _merge(known, crash) if known else crash
 
-    def add_answered(self, parts: Iterable[PromptPart]) -> None:
-        """Add parts that were answered though they are suspected."""
-        for part in parts:
+    def add_answered(self, subjects: Iterable[Subject]) -> None:
+        """Add subjects that were answered though they are suspected."""
+        for subject in subjects:
             if len(self._answered) < MAX_REPORTS:
-                self._answered[part] = None
+                self._answered[subject] = None
 
-    def crashes(self, ask: int) -> tuple[PartCrash, ...]:
+    def crashes(self, ask: int) -> tuple[TargetCrash, ...]:
         """Return the crashes to send with the request of this number."""
         crashes = tuple(self._crashes.values())
         self._record_sent(crashes, ask)
         return crashes
 
-    def answered(self, ask: int) -> tuple[PromptPart, ...]:
-        """Return the answered parts to send with the request."""
-        parts = tuple(self._answered)
-        self._record_sent(parts, ask)
-        return parts
+    def answered(self, ask: int) -> tuple[Subject, ...]:
+        """Return the answered subjects to send with the request."""
+        subjects = tuple(self._answered)
+        self._record_sent(subjects, ask)
+        return subjects
 
-    def pending_parts(self) -> frozenset[PromptPart]:
-        """Return the parts of crashes that have not arrived yet."""
+    def pending_subjects(self) -> frozenset[Subject]:
+        """Return the subjects of crashes that have not arrived yet."""
         return frozenset(
-            part for crash in self._crashes.values() for part in crash.parts
+            subject
+            for crash in self._crashes.values()
+            for subject in crash.subjects
         )
 
     def on_reply(self, ask: int) -> None:
@@ -71,18 +73,20 @@
             if crash not in arrived
         }
         self._answered = {
-            part: None for part in self._answered if part not in arrived
+            subject: None
+            for subject in self._answered
+            if subject not in arrived
         }
 
     def _record_sent(
-        self, reports: Iterable[PartCrash] | Iterable[PromptPart], ask: int
+        self, reports: Iterable[TargetCrash] | Iterable[Subject], ask: int
     ) -> None:
         for report in reports:
             self._sent_with.setdefault(report, ask)
 
 
-def _merge(known: PartCrash, added: PartCrash) -> PartCrash:
+def _merge(known: TargetCrash, added: TargetCrash) -> TargetCrash:
     return known._replace(
-        parts=tuple(dict.fromkeys((*known.parts, *added.parts))),
+        subjects=tuple(dict.fromkeys((*known.subjects, *added.subjects))),
         trials=tuple(dict.fromkeys((*known.trials, *added.trials))),
     )
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
@@ -12,7 +12,7 @@
 from .._types import VmName, ZoneName
 from ..adapters import AdapterLabel
 from ..entry import FleetView
-from ..quarantine import PartReports, TrialWish
+from ..quarantine import QuarantineReports, TrialWish
 from ..streams import StreamDirectory
 from ..targetlimits import LimitExchange
 from ..targets import LimitReport, SyncAsk, SyncReply
@@ -48,7 +48,7 @@
         self._tokens = TokenSplitter()
         self._sends = TokenSplitter()  # for requests to limited targets
         self._limits = LimitExchange()
-        self._reports = PartReports()
+        self._reports = QuarantineReports()
         self._trials: dict[TrialWish, None] = {}
         self._uses_sent_at = float('-inf')
 
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
@@ -10,13 +10,13 @@
 from .._state import PublishedState
 from .._types import (
     AccountName,
-    PromptPart,
     SoftwareVersion,
+    Subject,
     TargetName,
     VmName,
     ZoneName,
 )
-from ..quarantine._state import PartCrash, QuarantineState, TrialWish
+from ..quarantine._state import QuarantineState, TargetCrash, TrialWish
 from ..streams._records import FoundStream, StreamKey, StreamStart
 
 
@@ -99,8 +99,8 @@
     seen: int = 0  # ``number`` of the newest reply received on the connection
     has_uses: bool = True
     quarantine: int = 0  # version of the quarantine state that it holds
-    crashes: tuple[PartCrash, ...] = ()
-    answered: tuple[PromptPart, ...] = ()  # suspected parts
+    crashes: tuple[TargetCrash, ...] = ()
+    answered: tuple[Subject, ...] = ()  # suspected parts
     trials: tuple[TrialWish, ...] = ()
     limits: tuple[LimitReport, ...] = ()  # learned since the last reply
     limit_stamp: int = 0  # of the newest limits that it holds
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -5,7 +5,7 @@
 
 from lovagemast_core.deployment import CallKind
 from lovagemast_core.entry import Candidate
-from lovagemast_core.quarantine import PartStatus
+from lovagemast_core.quarantine import SendStatus
 
 from .._clock import now_s
 from ..http import (
@@ -209,7 +209,7 @@
             detail = 'the target has left meanwhile'
         elif self._state.health.paused_until(self._target, now) is not None:
             detail = 'the target wants a pause'
-        elif self._prompt.verdict().status is not PartStatus.FREE:
+        elif self._prompt.verdict().status is not SendStatus.FREE:
             detail = 'a part of its prompt is suspected'
         if detail:
             return AttemptResult(AttemptOutcome.NOT_SENT, detail)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -50,7 +50,7 @@
     PeerService,
     serve_peers,
 )
-from ._quarantinelog import log_part_changes, set_part_metrics
+from ._quarantinelog import log_subject_changes, set_part_metrics
 from ._relayhost import RelayHost
 from ._settings import ControlSettings
 from ._sync import SYNC_ERRORS
@@ -253,7 +253,7 @@
     def _on_quarantine(self, effect: QuarantineChanged) -> None:
         set_part_metrics(self._metrics, effect.after)
         if self._node.is_ready_leader():
-            log_part_changes(self._log, effect.before, effect.after)
+            log_subject_changes(self._log, effect.before, effect.after)
 
     def _log_relay_failed(self, effect: RelayFailed) -> None:
         outcome = effect.outcome
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_controlapi.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_controlapi.py
@@ -14,7 +14,7 @@
     SetZoneOut,
 )
 from lovagemast_core.control import ControlNode, RecordDeparture
-from lovagemast_core.quarantine import ClearParts
+from lovagemast_core.quarantine import ClearSubjects
 from lovagemast_core.targets import LimitReport
 
 from .._clock import now_s
@@ -208,7 +208,7 @@
         await responder.send(status, JSON_HEADERS, EMPTY_JSON)
 
     async def _propose(
-        self, command: Command | RecordDeparture | ClearParts
+        self, command: Command | RecordDeparture | ClearSubjects
     ) -> object:
         """Propose a command and return its outcome."""
         call, fut = self._new_call()
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
@@ -18,7 +18,7 @@
     TargetHealth,
     WaitQueue,
 )
-from lovagemast_core.quarantine import PartGuard
+from lovagemast_core.quarantine import QuarantineGuard
 from lovagemast_core.quota import LocalTokens
 from lovagemast_core.streams import StreamLookups, StreamReports
 
@@ -58,7 +58,7 @@
         self.queue = WaitQueue()
         self.batch = BatchLimit()
         self.prefill = PrefillLimit()
-        self.guard = PartGuard(cfg.vm)
+        self.guard = QuarantineGuard(cfg.vm)
         self.streams = StreamReports()
         self.lookups = StreamLookups()
         self.metrics = EntryMetrics()
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 from lovagemast_core.entry import Candidate
-from lovagemast_core.quarantine import PartStatus
+from lovagemast_core.quarantine import SendStatus
 
 from .._clock import now_s
 from ._admitted import AdmittedRequest
@@ -166,11 +166,11 @@
             while True:
                 refusal = self._check_quarantine()
                 verdict = self._prompt.verdict()
-                if refusal or verdict.status is PartStatus.FREE:
+                if refusal or verdict.status is SendStatus.FREE:
                     return refusal
                 if now_s() >= give_up_at:
                     return self._as_possible_run(self._prompt.held_refusal())
-                self._prompt.wait_for(verdict.part)
+                self._prompt.wait_for(verdict.subject)
                 await self._state.wait_for_update(POLL_INTERVAL_S)
         finally:
             self._prompt.wait_for('')
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_promptcheck.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_promptcheck.py
@@ -2,7 +2,11 @@
 
 from typing import Final
 
-from lovagemast_core.quarantine import PartCrash, PartStatus, PartVerdict
+from lovagemast_core.quarantine import (
+    QuarantineVerdict,
+    SendStatus,
+    TargetCrash,
+)
 
 from .._clock import now_s
 from ..http import ConnectFailed
@@ -28,7 +32,7 @@
         self._trials: tuple[str, ...] = ()
         self._waiting_for = ''
 
-    def verdict(self) -> PartVerdict:
+    def verdict(self) -> QuarantineVerdict:
         """Return whether the request may be sent now."""
         now = now_s()
         state = self._state
@@ -37,7 +41,7 @@
     def quarantine_refusal(self) -> HttpRefusal | None:
         """Return the refusal if a part is quarantined."""
         verdict = self.verdict()
-        if verdict.status is not PartStatus.QUARANTINED:
+        if verdict.status is not SendStatus.QUARANTINED:
             return None
         self._state.metrics.record_quarantined()
         return _refusal(verdict)
@@ -90,7 +94,7 @@
             return
         now = now_s()
         self._state.health.record_unreachable(target, now)
-        crash = PartCrash(target, incarnation, self._parts, self._trials)
+        crash = TargetCrash(target, incarnation, self._parts, self._trials)
         implicated = self._state.guard.record_crash(crash, now)
         if implicated is None:
             return
@@ -99,7 +103,10 @@
             'quarantine',
             'target crashed',
             id=self._request_id,
-            **implicated._asdict(),
+            target=target,
+            incarnation=incarnation,
+            parts=implicated.subjects,
+            trials=implicated.trials,
         )
         self._state.request_sync()
 
@@ -114,15 +121,15 @@
         return False
 
 
-def _refusal(verdict: PartVerdict) -> HttpRefusal:
+def _refusal(verdict: QuarantineVerdict) -> HttpRefusal:
     """Return the refusal for a part that holds a request back."""
     code = SUSPECTED_CODE
     retry_after_s = SUSPECTED_RETRY_AFTER_S
-    if verdict.status is PartStatus.QUARANTINED:
+    if verdict.status is SendStatus.QUARANTINED:
         code = QUARANTINED_CODE
         retry_after_s = QUARANTINED_RETRY_AFTER_S
     reason = (
-        f'{code}: part {verdict.part}, {verdict.crashes} crashes, '
+        f'{code}: part {verdict.subject}, {verdict.crashes} crashes, '
         f'{verdict.age_s:.1f} s ago'
     )
     return HttpRefusal(503, reason, retry_after_s)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_quarantineapi.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_quarantineapi.py
@@ -10,13 +10,14 @@
 
 from lovagemast_core import Applied
 from lovagemast_core.quarantine import (
-    ClearParts,
-    PartRecord,
+    ClearSubjects,
     QuarantineState,
+    SubjectRecord,
 )
 
 from ..http import HttpRequest
 from ._jsonlog import JsonLog
+from ._quarantinelog import record_fields
 
 PATH: Final = '/admin/quarantine'
 OK: Final = 200
@@ -25,7 +26,7 @@
 METHOD_NOT_ALLOWED: Final = 405
 UNAVAILABLE: Final = 503
 
-Propose = Callable[[ClearParts], Awaitable[object]]
+Propose = Callable[[ClearSubjects], Awaitable[object]]
 
 
 class ApiReply(NamedTuple):
@@ -55,7 +56,7 @@
     async def serve(self, req: HttpRequest) -> ApiReply:
         """Serve a call to ``PATH``."""
         if req.method == 'GET':
-            parts = [_describe(record) for record in self._state().parts]
+            parts = [_describe(record) for record in self._state().records]
             return ApiReply(OK, {'parts': parts})
         if req.method == 'POST':
             return await self._clear(req.body)
@@ -68,7 +69,7 @@
             return ApiReply(BAD_REQUEST, {'reason': reason})
         if self._state().find(part) is None:
             return ApiReply(NOT_FOUND, {'reason': f'no suspected part {part}'})
-        outcome = await self._propose(ClearParts((part,)))
+        outcome = await self._propose(ClearSubjects((part,)))
         self._log.write(
             'admin', 'part cleared', part=part, outcome=repr(outcome)
         )
@@ -87,6 +88,6 @@
     return part.lower() if isinstance(part, str) else ''
 
 
-def _describe(record: PartRecord) -> dict[str, Any]:
+def _describe(record: SubjectRecord) -> dict[str, Any]:
     status = 'quarantined' if record.is_quarantined else 'suspected'
-    return {**record._asdict(), 'status': status}
+    return {**record_fields(record), 'status': status}
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_quarantinelog.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_quarantinelog.py
@@ -1,32 +1,40 @@
 """Log lines and metrics for changes of the quarantine state."""
 
-from lovagemast_core.quarantine import PartRecord, QuarantineState
+from typing import Any
+
+from lovagemast_core.quarantine import QuarantineState, SubjectRecord
 
 from ._jsonlog import JsonLog
 from ._metrics import ControlMetrics
 
 
+def record_fields(record: SubjectRecord) -> dict[str, Any]:
+    """Return a record's fields under the names that log lines have."""
+    fields = record._asdict()
+    return {'part': fields.pop('subject'), **fields}
+
+
 def set_part_metrics(metrics: ControlMetrics, state: QuarantineState) -> None:
     """Set the numbers of suspected and of quarantined parts."""
-    quarantined = sum(record.is_quarantined for record in state.parts)
-    metrics.set_parts(len(state.parts) - quarantined, quarantined)
+    quarantined = sum(record.is_quarantined for record in state.records)
+    metrics.set_parts(len(state.records) - quarantined, quarantined)
 
 
-def log_part_changes(
+def log_subject_changes(
     log: JsonLog, before: QuarantineState, after: QuarantineState
 ) -> None:
     """Write a line for each part that has changed."""
-    known = {record.part: record for record in before.parts}
-    for record in after.parts:
-        former = known.pop(record.part, None)
+    known = {record.subject: record for record in before.records}
+    for record in after.records:
+        former = known.pop(record.subject, None)
         if former != record:
             message = _describe_change(former, record)
-            log.write('quarantine', message, **record._asdict())
+            log.write('quarantine', message, **record_fields(record))
     for cleared in known.values():
-        log.write('quarantine', 'part cleared', **cleared._asdict())
+        log.write('quarantine', 'part cleared', **record_fields(cleared))
 
 
-def _describe_change(before: PartRecord | None, after: PartRecord) -> str:
+def _describe_change(before: SubjectRecord | None, after: SubjectRecord) -> str:
     if before is None:
         return 'part suspected'
     if before.is_quarantined != after.is_quarantined:
--- a/tests/quarantinefleet.py
+++ b/tests/quarantinefleet.py
@@ -12,11 +12,11 @@
 
 from lovagemast_core._state import ReplicatedState
 from lovagemast_core.quarantine import (
-    PartCrash,
-    PartGuard,
-    PartStatus,
     QuarantineController,
+    QuarantineGuard,
     QuarantineState,
+    SendStatus,
+    TargetCrash,
     TrialWish,
 )
 
@@ -76,7 +76,7 @@
     """An entry VM: its guard and the requests that wait there."""
 
     def __init__(self, name: str) -> None:
-        self.guard = PartGuard(name)
+        self.guard = QuarantineGuard(name)
         self.waiting: list[Request] = []
         self.asks = 0
         self.asked_at = 0.0
@@ -88,7 +88,7 @@
     at: float
     vm: EntryVm
     ask: int
-    crashes: tuple[PartCrash, ...]
+    crashes: tuple[TargetCrash, ...]
     answered: tuple[str, ...]
     wishes: tuple[TrialWish, ...]
 
@@ -154,8 +154,8 @@
     def quarantined(self) -> set[str]:
         """Return the parts that are quarantined now."""
         return {
-            record.part
-            for record in self.state.quarantine.parts
+            record.subject
+            for record in self.state.quarantine.records
             if record.is_quarantined
         }
 
@@ -191,11 +191,11 @@
         for req in list(vm.waiting):
             age_s = self.now - vm.confirmed_at
             verdict = vm.guard.check(req.parts, age_s, self.now)
-            is_held = verdict.status is PartStatus.HELD
-            self._wait(vm, req, verdict.part if is_held else '')
-            if verdict.status is PartStatus.QUARANTINED:
+            is_held = verdict.status is SendStatus.HELD
+            self._wait(vm, req, verdict.subject if is_held else '')
+            if verdict.status is SendStatus.QUARANTINED:
                 self._end(vm, req, 'quarantined')
-            elif verdict.status is PartStatus.FREE:
+            elif verdict.status is SendStatus.FREE:
                 self._send(vm, req)
             elif self.now - req.arrived_at > PATIENCE_S:
                 self._end(vm, req, 'held')
@@ -253,7 +253,7 @@
         cut_off, target.running = target.running, []
         for vm, req in cut_off:
             if not req.has_answer:
-                crash = PartCrash(
+                crash = TargetCrash(
                     target.name, target.incarnation, req.parts, req.trials
                 )
                 vm.guard.record_crash(crash, self.now)
--- a/tests/test_crashwitness.py
+++ b/tests/test_crashwitness.py
@@ -3,7 +3,11 @@
 from collections.abc import Iterable
 
 import pytest
-from lovagemast_core.quarantine import PartCrash, PartRecord, QuarantineState
+from lovagemast_core.quarantine import (
+    QuarantineState,
+    SubjectRecord,
+    TargetCrash,
+)
 from lovagemast_core.targets import SyncAsk
 
 from tests.controlcluster import VMS, Cluster, make_heartbeat
@@ -34,7 +38,7 @@
         """Report crashes of targets, each while ``p`` ran there."""
         parts = ('p',)
         crashes = tuple(
-            PartCrash(
+            TargetCrash(
                 target,
                 make_heartbeat(target, self.cluster.now).incarnation,
                 parts,
@@ -55,7 +59,7 @@
         """Return the committed state."""
         return self.cluster.nodes[self.cluster.leader()].replica.quarantine
 
-    def record(self) -> PartRecord | None:
+    def record(self) -> SubjectRecord | None:
         """Return what is known of ``p``."""
         return self.state().find('p')
 
@@ -81,7 +85,7 @@
 
 
 @pytest.mark.parametrize('delay_s', [0.0, 0.3, 0.6, 0.9, 1.1])
-def test_crashes_without_further_heartbeats_quarantine(delay_s: float) -> None:
+def test_crashes_and_silence_quarantine(delay_s: float) -> None:
     """Targets that fall silent with the report have crashed."""
     fleet = CutFleet()
     fleet.run(delay_s)
--- a/tests/test_deadlyrequests.py
+++ b/tests/test_deadlyrequests.py
@@ -5,7 +5,7 @@
 
 import pytest
 from lovagemast_core.deployment import CallKind, DeploymentIndex
-from lovagemast_core.quarantine import PartCrash, QuarantineState
+from lovagemast_core.quarantine import QuarantineState, TargetCrash
 from lovagemast_core.quarantine._state import record_crash
 
 from tests.test_calls import HOST, make_index
@@ -98,7 +98,7 @@
 
 async def implicated_by(
     case: Case, request_id: bytes = b'r1', key: bytes = b'k1'
-) -> tuple[PartCrash, ...]:
+) -> tuple[TargetCrash, ...]:
     """Return what one deadly request implicates at its first crash."""
     vm = await start_vm(case, DeadlyTarget())
     await vm.send(encode(case, DEADLY_PATH, request_id, key))
@@ -110,7 +110,7 @@
     """A crash implicates the request, whatever kind of route it is on."""
     crashes = asyncio.run(implicated_by(CASES[name]))
     assert len(crashes) == 1
-    assert crashes[0].parts
+    assert crashes[0].subjects
 
 
 @pytest.mark.parametrize('name', CASES)
@@ -125,7 +125,7 @@
             await implicated_by(case, key=b'k2'),
             await implicated_by(case._replace(body=b'other')),
         ]
-        return [one[0].parts for one in crashes]
+        return [one[0].subjects for one in crashes]
 
     first, repeat, other_account, other_body = asyncio.run(play())
     assert first == repeat
@@ -134,7 +134,7 @@
 
 
 @pytest.mark.parametrize('name', CASES)
-def test_attempts_of_a_deadly_request_are_not_repeated_at_once(
+def test_deadly_attempts_are_not_repeated_at_once(
     name: str,
 ) -> None:
     """After the first crash, no second target gets it before a trial."""
--- a/tests/test_promptcheck.py
+++ b/tests/test_promptcheck.py
@@ -8,10 +8,10 @@
 from lovagemast_core import PublishedState
 from lovagemast_core.deployment import CallKind
 from lovagemast_core.quarantine import (
-    PartCrash,
-    PartRecord,
     QuarantineState,
     StartTrial,
+    SubjectRecord,
+    TargetCrash,
 )
 from lovagemast_core.quarantine._state import start_trial
 from lovagemast_core.targets import SyncReply, TargetRecord
@@ -132,7 +132,7 @@
         self.state.guard.update(state, now_s())
         self.state.notify_update()
 
-    def implicated(self) -> tuple[PartCrash, ...]:
+    def implicated(self) -> tuple[TargetCrash, ...]:
         """Return the crashes that are to be reported."""
         return self.state.guard.reports.crashes(1)
 
@@ -147,29 +147,29 @@
         await RequestHandler(self.state, req, responder).run()
 
 
-SUSPECTED = QuarantineState(1, (PartRecord('d', ('t1#1',)),))
+SUSPECTED = QuarantineState(1, (SubjectRecord('d', ('t1#1',)),))
 QUARANTINED = QuarantineState(
-    2, (PartRecord('d', ('t1#1', 't2#1', 't3#1'), ('t3#1',)),)
+    2, (SubjectRecord('d', ('t1#1', 't2#1', 't3#1'), ('t3#1',)),)
 )
 
 
 def test_crash_implicates_unanswered_parts() -> None:
     """A crash is reported with the parts that had no answer before."""
 
-    async def play() -> tuple[PartCrash, ...]:
+    async def play() -> tuple[TargetCrash, ...]:
         vm = EntryVm()
         await vm.serve(CrashingTarget())
         assert (await vm.request('sys:9,own1:1')).status == 200
         assert (await vm.request('SYS:9,D:1,own2:1')).status == 502
         return vm.implicated()
 
-    assert asyncio.run(play()) == (PartCrash('t0', 7, ('d',)),)
+    assert asyncio.run(play()) == (TargetCrash('t0', 7, ('d',)),)
 
 
 def test_reset_connection_implicates_nothing() -> None:
     """A target that still takes connections has not crashed."""
 
-    async def play() -> tuple[PartCrash, ...]:
+    async def play() -> tuple[TargetCrash, ...]:
         vm = EntryVm()
         await vm.serve(CrashingTarget(resets=True))
         assert (await vm.request('sys:9,d:1,own:1')).status == 502
@@ -245,7 +245,7 @@
     target = CrashingTarget()
     state = start_trial(SUSPECTED, StartTrial('d', 'e1', 1))
 
-    async def play() -> tuple[PartCrash, ...]:
+    async def play() -> tuple[TargetCrash, ...]:
         vm = EntryVm()
         await vm.serve(target, CrashingTarget())
         vm.quarantine(state)
@@ -260,7 +260,7 @@
 
 def test_answered_trial_clears() -> None:
     """A trial that is answered is reported as an answer."""
-    state = QuarantineState(1, (PartRecord('s', ('t1#1',)),))
+    state = QuarantineState(1, (SubjectRecord('s', ('t1#1',)),))
     state = start_trial(state, StartTrial('s', 'e1', 1))
 
     async def play() -> tuple[str, ...]:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -3,20 +3,20 @@
 import pytest
 from lovagemast_core.quarantine import (
     MAX_QUARANTINE_TRIALS,
-    ClearParts,
-    PartCrash,
-    PartGuard,
-    PartRecord,
-    PartStatus,
+    ClearSubjects,
     QuarantineController,
+    QuarantineGuard,
     QuarantineState,
+    SendStatus,
     StartTrial,
+    SubjectRecord,
+    TargetCrash,
     TrialWish,
     _state,
     _timing,
 )
 from lovagemast_core.quarantine._state import (
-    clear_parts,
+    clear_subjects,
     record_crash,
     start_trial,
 )
@@ -25,12 +25,12 @@
 EMPTY = QuarantineState()
 
 
-def crash(number: int, *parts: str, trial: bool = False) -> PartCrash:
+def crash(number: int, *parts: str, trial: bool = False) -> TargetCrash:
     """Return the crash of a target, with its parts in a trial or not."""
-    return PartCrash(f't{number}', 1, parts, parts if trial else ())
+    return TargetCrash(f't{number}', 1, parts, parts if trial else ())
 
 
-def after(*crashes: PartCrash) -> QuarantineState:
+def after(*crashes: TargetCrash) -> QuarantineState:
     """Return the state after some crashes."""
     state = EMPTY
     for one in crashes:
@@ -38,9 +38,9 @@
     return state
 
 
-def quarantined_parts(state: QuarantineState) -> list[str]:
+def quarantined_subjects(state: QuarantineState) -> list[str]:
     """Return the parts whose requests are refused."""
-    return [one.part for one in state.parts if one.is_quarantined]
+    return [one.subject for one in state.records if one.is_quarantined]
 
 
 QUARANTINED = after(crash(1, 'p'), crash(2, 'p'), crash(3, 'p', trial=True))
@@ -58,7 +58,7 @@
         ],
     )
     def test_quarantine_follows_a_crashed_trial(
-        self, crashes: list[PartCrash], is_quarantined: bool
+        self, crashes: list[TargetCrash], is_quarantined: bool
     ) -> None:
         """Crashes at the same time may have a cause of their own."""
         record = after(*crashes).find('p')
@@ -72,8 +72,8 @@
 
     def test_answer_clears(self) -> None:
         """A part that was answered is not suspected any more."""
-        state = clear_parts(QUARANTINED, ClearParts(('p', 'other')))
-        assert state.parts == ()
+        state = clear_subjects(QUARANTINED, ClearSubjects(('p', 'other')))
+        assert state.records == ()
         assert state.version > QUARANTINED.version
 
     def test_trial_is_given_once(self) -> None:
@@ -93,15 +93,15 @@
         assert record
         assert record.trials == MAX_QUARANTINE_TRIALS
 
-    def test_quarantined_parts_outlive_suspects(
+    def test_quarantined_subjects_outlive_suspects(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         """Many suspects don't push a quarantined part out of the table."""
-        monkeypatch.setattr(_state, 'MAX_PARTS', 10)
+        monkeypatch.setattr(_state, 'MAX_SUBJECTS', 10)
         state = QUARANTINED
         for number in range(50):
             state = record_crash(state, crash(number, f's{number}'))
-        assert len(state.parts) == 10
+        assert len(state.records) == 10
         assert state.find('p')
         assert state.find('s49')
 
@@ -110,14 +110,14 @@
     def test_quarantined_part_explains_its_crashes(self) -> None:
         """Requests that ran beside a quarantined part are not suspected."""
         state = record_crash(QUARANTINED, crash(9, 'p', 's'))
-        assert [record.part for record in state.parts] == ['p']
+        assert [record.subject for record in state.records] == ['p']
         assert record_crash(state, crash(9, 'other')) is state
 
     def test_crashes_of_a_quarantined_part_do_not_count(self) -> None:
         """Parts that were only beside the guilty one are dropped."""
         state = after(crash(1, 'p', 's'), crash(2, 's', 'p'))
         state = record_crash(state, crash(3, 'p', trial=True))
-        assert [record.part for record in state.parts] == ['p']
+        assert [record.subject for record in state.records] == ['p']
 
     @pytest.mark.parametrize('order', [('p', 's'), ('s', 'p')])
     def test_trials_at_the_same_target(self, order: tuple[str, ...]) -> None:
@@ -125,7 +125,7 @@
         state = after(crash(1, 'p', 's'), crash(2, 'p', 's'), crash(4, 'p'))
         for part in order:
             state = record_crash(state, crash(3, part, trial=True))
-        assert quarantined_parts(state) == ['p']
+        assert quarantined_subjects(state) == ['p']
 
     @pytest.mark.parametrize(
         ('before', 'quarantined'),
@@ -135,21 +135,21 @@
         ],
     )
     def test_trial_of_several_suspects(
-        self, before: tuple[PartCrash, ...], quarantined: str
+        self, before: tuple[TargetCrash, ...], quarantined: str
     ) -> None:
         """The most suspected part is blamed, or else the most specific."""
         state = after(*before, crash(3, 'a', 'b', trial=True))
-        assert quarantined_parts(state) == [quarantined]
+        assert quarantined_subjects(state) == [quarantined]
 
 
-def make_guard(state: QuarantineState = EMPTY) -> PartGuard:
+def make_guard(state: QuarantineState = EMPTY) -> QuarantineGuard:
     """Return the guard of the VM ``e1`` that knows a state."""
-    guard = PartGuard('e1')
+    guard = QuarantineGuard('e1')
     guard.update(state, NOW)
     return guard
 
 
-def status(guard: PartGuard, *parts: str, at: float = NOW) -> PartStatus:
+def status(guard: QuarantineGuard, *parts: str, at: float = NOW) -> SendStatus:
     """Return the status of a request at a VM in contact with the leader."""
     return guard.check(parts, 0.1, at).status
 
@@ -158,14 +158,14 @@
     @pytest.mark.parametrize(
         ('parts', 'expected'),
         [
-            (('a',), PartStatus.FREE),
-            (('a', 's'), PartStatus.HELD),
-            (('p', 's'), PartStatus.QUARANTINED),
-            (('s', 'p'), PartStatus.QUARANTINED),
-            ((), PartStatus.FREE),
+            (('a',), SendStatus.FREE),
+            (('a', 's'), SendStatus.HELD),
+            (('p', 's'), SendStatus.QUARANTINED),
+            (('s', 'p'), SendStatus.QUARANTINED),
+            ((), SendStatus.FREE),
         ],
     )
-    def test_status(self, parts: tuple[str, ...], expected: PartStatus) -> None:
+    def test_status(self, parts: tuple[str, ...], expected: SendStatus) -> None:
         """The worst status of a request's parts counts."""
         state = record_crash(QUARANTINED, crash(9, 's'))
         assert status(make_guard(state), *parts) is expected
@@ -178,23 +178,23 @@
         ],
     )
     def test_request_waits_for_its_prime_suspect(
-        self, crashes: tuple[PartCrash, ...], prime: str
+        self, crashes: tuple[TargetCrash, ...], prime: str
     ) -> None:
         """Requests that share only the other suspect need not wait for it."""
         guard = make_guard(after(*crashes))
-        assert guard.check(('a', 'b'), 0.1, NOW).part == prime
+        assert guard.check(('a', 'b'), 0.1, NOW).subject == prime
         state = start_trial(after(*crashes), StartTrial(prime, 'e1', 1))
         guard = make_guard(state)
-        assert status(guard, 'a', 'b') is PartStatus.FREE
+        assert status(guard, 'a', 'b') is SendStatus.FREE
         assert guard.begin(('a', 'b'), NOW) == (prime,)
-        assert status(guard, 'a', 'b') is PartStatus.HELD
+        assert status(guard, 'a', 'b') is SendStatus.HELD
 
     def test_crash_holds_back_before_the_leader_knows(self) -> None:
         """A request that ran at a crash is not repeated at once."""
         guard = make_guard()
         guard.record_crash(crash(1, 'p'), NOW)
-        assert status(guard, 'p') is PartStatus.HELD
-        assert status(guard, 'p', at=NOW + 0.6) is PartStatus.FREE
+        assert status(guard, 'p') is SendStatus.HELD
+        assert status(guard, 'p', at=NOW + 0.6) is SendStatus.FREE
 
     def test_answered_part_is_not_blamed(self) -> None:
         """Parts that many sound requests hold are not suspected."""
@@ -202,8 +202,8 @@
         guard.record_answer(('system',), NOW - 1.0)
         implicated = guard.record_crash(crash(1, 'system', 'p'), NOW)
         assert implicated
-        assert implicated.parts == ('p',)
-        assert status(guard, 'system') is PartStatus.FREE
+        assert implicated.subjects == ('p',)
+        assert status(guard, 'system') is SendStatus.FREE
 
     def test_answer_elsewhere_clears(self) -> None:
         """A VM that had an answer tells the leader of a false suspicion."""
@@ -211,7 +211,7 @@
         guard.record_answer(('s',), NOW - 1.0)
         guard.update(after(crash(1, 's')), NOW)
         assert guard.reports.answered(1) == ('s',)
-        assert status(guard, 's') is PartStatus.FREE
+        assert status(guard, 's') is SendStatus.FREE
 
     def test_old_answer_proves_nothing(self) -> None:
         """A part may become deadly with a new version of an adapter."""
@@ -231,30 +231,30 @@
         """The holder of a trial sends one request, others none."""
         state = start_trial(after(crash(1, 'p')), StartTrial('p', 'e1', 1))
         guard = make_guard(state)
-        assert status(guard, 'p') is PartStatus.FREE
+        assert status(guard, 'p') is SendStatus.FREE
         assert guard.begin(('p',), NOW) == ('p',)
-        assert status(guard, 'p') is PartStatus.HELD
+        assert status(guard, 'p') is SendStatus.HELD
 
     def test_trial_that_did_not_run_is_repeated(self) -> None:
         """A target that was full has not tried the part."""
         state = start_trial(after(crash(1, 'p')), StartTrial('p', 'e1', 1))
         guard = make_guard(state)
         guard.cancel(guard.begin(('p',), NOW))
-        assert status(guard, 'p') is PartStatus.FREE
+        assert status(guard, 'p') is SendStatus.FREE
 
     @pytest.mark.parametrize(
         ('crashes', 'delay_s', 'expected'),
         [
-            (1, 0.4, PartStatus.HELD),
-            (1, 0.6, PartStatus.FREE),
-            (2, 1.9, PartStatus.HELD),
-            (3, 9.0, PartStatus.QUARANTINED),
-            (5, 9.0, PartStatus.QUARANTINED),
-            (5, 11.0, PartStatus.FREE),
+            (1, 0.4, SendStatus.HELD),
+            (1, 0.6, SendStatus.FREE),
+            (2, 1.9, SendStatus.HELD),
+            (3, 9.0, SendStatus.QUARANTINED),
+            (5, 9.0, SendStatus.QUARANTINED),
+            (5, 11.0, SendStatus.FREE),
         ],
     )
     def test_cut_off_vm_decides_for_itself(
-        self, crashes: int, delay_s: float, expected: PartStatus
+        self, crashes: int, delay_s: float, expected: SendStatus
     ) -> None:
         """Without a leader, a VM goes by the crashes that it saw."""
         guard = make_guard()
@@ -268,17 +268,17 @@
         """Without a leader, nobody would grant a trial of a known suspect."""
         guard = make_guard(after(crash(1, 's')))
         held = [guard.check(('s',), 2.0, NOW + at).status for at in (0.0, 0.4)]
-        assert held == [PartStatus.HELD] * 2
-        assert guard.check(('s',), 2.0, NOW + 0.6).status is PartStatus.FREE
+        assert held == [SendStatus.HELD] * 2
+        assert guard.check(('s',), 2.0, NOW + 0.6).status is SendStatus.FREE
         guard.begin(('s',), NOW + 0.6)
-        assert guard.check(('s',), 2.0, NOW + 0.7).status is PartStatus.HELD
+        assert guard.check(('s',), 2.0, NOW + 0.7).status is SendStatus.HELD
 
     def test_cut_off_vm_keeps_a_quarantine(self) -> None:
         """Without a leader, a quarantined part is not tried."""
         guard = make_guard(QUARANTINED)
         for second in range(0, 600, 20):
             verdict = guard.check(('p',), 2.0 + second, NOW + second)
-            assert verdict.status is PartStatus.QUARANTINED
+            assert verdict.status is SendStatus.QUARANTINED
 
     def test_reports_are_kept_until_they_arrive(self) -> None:
         """A report is repeated until the request with it is answered."""
@@ -343,16 +343,16 @@
         ('state', 'idle_s', 'expected'),
         [
             (after(crash(1, 'p')), 59.0, None),
-            (after(crash(1, 'p')), 61.0, ClearParts(('p',))),
+            (after(crash(1, 'p')), 61.0, ClearSubjects(('p',))),
             (QUARANTINED, 890.0, None),
-            (QUARANTINED, 910.0, ClearParts(('p',))),
+            (QUARANTINED, 910.0, ClearSubjects(('p',))),
         ],
     )
     def test_parts_without_requests_are_dropped(
         self,
         state: QuarantineState,
         idle_s: float,
-        expected: ClearParts | None,
+        expected: ClearSubjects | None,
     ) -> None:
         """A part is kept for as long as requests with it come."""
         controller = make_controller(state)
@@ -361,7 +361,7 @@
 
     def test_quarantine_lasts_while_requests_come(self) -> None:
         """After its trials, a part stays quarantined."""
-        spent = PartRecord(
+        spent = SubjectRecord(
             'p',
             ('a', 'b', 'c'),
             ('c',),
--- a/tests/test_quarantineapi.py
+++ b/tests/test_quarantineapi.py
@@ -7,7 +7,11 @@
 import pytest
 from lovagemast_cli import main
 from lovagemast_core import Applied, Unavailable
-from lovagemast_core.quarantine import ClearParts, PartRecord, QuarantineState
+from lovagemast_core.quarantine import (
+    ClearSubjects,
+    QuarantineState,
+    SubjectRecord,
+)
 from lovagemast_node.fleet._jsonlog import JsonLog
 from lovagemast_node.fleet._quarantineapi import PATH, ApiReply, QuarantineApi
 from lovagemast_node.http import (
@@ -22,8 +26,8 @@
 STATE = QuarantineState(
     4,
     (
-        PartRecord('ab', CRASHES, CRASHES[:1]),
-        PartRecord('cd', CRASHES[:1]),
+        SubjectRecord('ab', CRASHES, CRASHES[:1]),
+        SubjectRecord('cd', CRASHES[:1]),
     ),
 )
 
@@ -32,7 +36,7 @@
     """A quarantine API whose commands have a given outcome."""
 
     def __init__(self, outcome: object = Applied(1)) -> None:
-        self.proposed: list[ClearParts] = []
+        self.proposed: list[ClearSubjects] = []
         self._outcome = outcome
         self.api = QuarantineApi(lambda: STATE, self._propose, JsonLog('c1'))
 
@@ -41,7 +45,7 @@
         req = HttpRequest(method, PATH, (), body)
         return asyncio.run(self.api.serve(req))
 
-    async def _propose(self, command: ClearParts) -> object:
+    async def _propose(self, command: ClearSubjects) -> object:
         self.proposed.append(command)
         return self._outcome
 
@@ -72,7 +76,7 @@
     fixture = ApiFixture(outcome)
     reply = fixture.call(method, json.dumps(body).encode())
     assert reply.status == status
-    assert fixture.proposed == [ClearParts(('ab',))] * proposals
+    assert fixture.proposed == [ClearSubjects(('ab',))] * proposals
 
 
 @pytest.mark.parametrize(
--- a/tests/test_quarantinesync.py
+++ b/tests/test_quarantinesync.py
@@ -112,7 +112,7 @@
         cluster.run(0.1)
         reply = leader.on_ask(make_ask('r1'), cluster.now)
         assert reply.quarantine
-        assert [one.holder for one in reply.quarantine.parts] == ['e1']
+        assert [one.holder for one in reply.quarantine.records] == ['e1']
 
 
 @pytest.mark.parametrize('seed', range(1, 6))
@@ -157,7 +157,7 @@
             fleet.lose_power()
             fleet.run(5.0)
         assert not fleet.ever_quarantined
-        assert not fleet.state.quarantine.parts
+        assert not fleet.state.quarantine.records
         served = fleet.outcomes['sound', 'served']
         held = fleet.outcomes['sound', 'held']
         assert held <= served / 100
