--- a/packages/lovagemast-core/src/lovagemast_core/quarantine/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quarantine/__init__.py
@@ -1,8 +1,9 @@
-"""Quarantine of prompt parts that crash targets.
+"""Quarantine of prompt parts and whole requests that crash targets.
 
 A prompt consists of parts that requests share. A part may crash each target
 that begins to answer a request holding it, so requests with that part are
-kept from targets, whoever sends them. The part is the subject of a quarantine.
+kept from targets, whoever sends them. So it is with a whole request that is
+repeated. Parts and whole requests are the subjects of a quarantine.
 
 A crash implicates the subjects of all requests that ran at the target and had
 no answer yet; an answer clears the subjects of its request. Implicated subjects
@@ -11,6 +12,7 @@
 quarantined, and its requests are refused but for a few later trials.
 """
 
+from .._types import Subject
 from ._answered import AnsweredSubjects
 from ._controller import QuarantineController
 from ._guard import QuarantineGuard, QuarantineVerdict, SendStatus
@@ -24,6 +26,7 @@
     TargetCrash,
     TrialWish,
 )
+from ._subjects import RequestIdentity, is_request
 
 __all__ = [
     'MAX_QUARANTINE_TRIALS',
@@ -34,9 +37,12 @@
     'QuarantineReports',
     'QuarantineState',
     'QuarantineVerdict',
+    'RequestIdentity',
     'SendStatus',
     'StartTrial',
+    'Subject',
     'SubjectRecord',
     'TargetCrash',
     'TrialWish',
+    'is_request',
 ]
--- a/packages/lovagemast-core/src/lovagemast_core/quarantine/_guard.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quarantine/_guard.py
@@ -11,6 +11,7 @@
 from ._records import KnownRecords
 from ._reports import QuarantineReports
 from ._state import QuarantineState, SubjectRecord, TargetCrash, TrialWish
+from ._subjects import is_request
 from ._timing import trial_delay_s
 
 
@@ -75,8 +76,9 @@
         """Return whether a request with these subjects may be sent now.
 
         ``age_s`` is the age of the state that came from the leader. Of several
-        suspects, the most suspected one counts, or else the last one in the
-        prompt: a trial of it tries the others too.
+        suspected parts, the most suspected one counts, or else the last one in
+        the prompt: a trial of it tries the others too. The whole request, which
+        comes last, counts if none of its parts is suspected.
         """
         prime = FREE
         for subject in subjects:
@@ -84,7 +86,7 @@
             if verdict.status is SendStatus.QUARANTINED:
                 self._refused.add(subject)
                 return verdict
-            if verdict.crashes and verdict.crashes >= prime.crashes:
+            if _is_more_suspect(verdict, prime):
                 prime = verdict
         return prime
 
@@ -207,3 +209,14 @@
         if record is None or record.holder != self._vm:
             return False
         return self._used.get(subject) != record.trials
+
+
+def _is_more_suspect(
+    verdict: QuarantineVerdict, prime: QuarantineVerdict
+) -> bool:
+    """Return whether a subject is to be tried rather than one before it."""
+    if not verdict.crashes:
+        return False
+    if is_request(verdict.subject) and prime.crashes:
+        return False
+    return verdict.crashes >= prime.crashes
