Count a crash towards a quarantine only once heartbeats confirm it

Cause: the VM that lost a connection was the only witness, and to it a lost path looks like a crash. Now the leader judges each report by the target's heartbeats: a later one of the same incarnation refutes it, a newer incarnation, a removal or 1.8 s of silence confirm it. Until then the subject is held back as a suspect, and not tried again once its crashes would suffice.

Ruled out as a witness: another entry VM, since whole zones are cut off together. Suspects with the fewest crashes are dropped first from a full table.

Tests that applied a crash at once now apply its confirmation too: they check the same. test_loss_of_power: whole requests that never come again have no answer to clear them, so the emptiness of the table is checked after their retention; prompt parts must still be gone at once.

--- a/packages/lovagemast-core/src/lovagemast_core/_commands.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_commands.py
@@ -3,7 +3,12 @@
 from typing import NamedTuple
 
 from .agreement._roster import Roster
-from .quarantine._state import ClearSubjects, StartTrial, TargetCrash
+from .quarantine._state import (
+    ClearSubjects,
+    JudgeCrash,
+    StartTrial,
+    TargetCrash,
+)
 from .streams._software import SetSoftware
 
 
@@ -126,6 +131,7 @@
     | RecordDeparture
     | TargetCrash
     | ClearSubjects
+    | JudgeCrash
     | StartTrial
     | SetSoftware
     | SetVoters
--- a/packages/lovagemast-core/src/lovagemast_core/_state.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_state.py
@@ -29,10 +29,12 @@
 from .agreement._roster import Roster, find_entry, without_vm
 from .quarantine._state import (
     ClearSubjects,
+    JudgeCrash,
     QuarantineState,
     StartTrial,
     TargetCrash,
     clear_subjects,
+    judge_crash,
     record_crash,
     start_trial,
 )
@@ -149,6 +151,7 @@
             RecordDeparture: self._record_departure,
             TargetCrash: self._record_target_crash,
             ClearSubjects: self._clear_subjects,
+            JudgeCrash: self._judge_crash,
             StartTrial: self._start_trial,
             SetSoftware: self._set_software,
         }
@@ -302,6 +305,10 @@
         self.quarantine = record_crash(self.quarantine, command)
         return self._applied()
 
+    def _judge_crash(self, command: JudgeCrash) -> Outcome:
+        self.quarantine = judge_crash(self.quarantine, command)
+        return self._applied()
+
     def _clear_subjects(self, command: ClearSubjects) -> Outcome:
         self.quarantine = clear_subjects(self.quarantine, command)
         return self._applied()
--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -12,7 +12,7 @@
     TargetReport,
 )
 from ..deployment import DeploymentIndex
-from ..quarantine import QuarantineController
+from ..quarantine import JudgeCrash, LastHeartbeat, QuarantineController
 from ..quota import ISSUE_LEASE_S, QuotaBounds, TokenIssuer
 from ..streams import SetSoftware, SoftwareTracker, TargetSoftware, retention_s
 from ..targetlimits import SendBounds, TargetLimits
@@ -237,6 +237,10 @@
             self.limits.retain(self.registry.names(), now)
         return expired
 
+    def judge_crashes(self, now: float) -> list[JudgeCrash]:
+        """Return what heartbeats tell of the crashes that were reported."""
+        return self.quarantine.judge_crashes(self._last_heartbeat, now)
+
     def software_changes(self, now: float) -> list[SetSoftware]:
         """Return the changes of pools' software versions to commit."""
         stamp = self.registry.stamp
@@ -284,6 +288,13 @@
         if self.planner.record_report(report, now):
             self.registry.mark_changed(report.target)
 
+    def _last_heartbeat(self, target: TargetName) -> LastHeartbeat | None:
+        registered = self.registry.get(target)
+        if registered is None:
+            return None
+        incarnation = registered.heartbeat.incarnation
+        return LastHeartbeat(incarnation, registered.received_at)
+
     def _target_loads(self) -> tuple[TargetLoad, ...]:
         return tuple(
             TargetLoad(name, self.planner.requests_at(name))
--- a/packages/lovagemast-core/src/lovagemast_core/control/_node.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_node.py
@@ -266,7 +266,7 @@
     def _step(self, now: float) -> None:
         if self.is_ready_leader():
             self._maintain_holders(now)
-            self._expire_quarantine(now)
+            self._maintain_quarantine(now)
             self._store_software(now)
             if self.fleet.expire(now):
                 self._effects.append(PushUpdates())
@@ -290,7 +290,9 @@
         if commands:
             self._finish_step(now)
 
-    def _expire_quarantine(self, now: float) -> None:
+    def _maintain_quarantine(self, now: float) -> None:
+        for judgement in self.fleet.judge_crashes(now):
+            self.replica.propose(judgement, now)
         command = self.fleet.quarantine.expire(now)
         if command:
             self.replica.propose(command, now)
--- a/packages/lovagemast-core/src/lovagemast_core/quarantine/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quarantine/__init__.py
@@ -20,6 +20,7 @@
 from ._state import (
     MAX_QUARANTINE_TRIALS,
     ClearSubjects,
+    JudgeCrash,
     QuarantineState,
     StartTrial,
     SubjectRecord,
@@ -27,11 +28,14 @@
     TrialWish,
 )
 from ._subjects import RequestIdentity, is_request
+from ._witness import LastHeartbeat
 
 __all__ = [
     'MAX_QUARANTINE_TRIALS',
     'AnsweredSubjects',
     'ClearSubjects',
+    'JudgeCrash',
+    'LastHeartbeat',
     'QuarantineController',
     'QuarantineGuard',
     'QuarantineReports',
--- a/packages/lovagemast-core/src/lovagemast_core/quarantine/_controller.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quarantine/_controller.py
@@ -1,12 +1,13 @@
-"""The leader's subject: turns reports into commands, and grants trials."""
+"""The leader's part: turns reports into commands, and grants trials."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
-from .._types import Subject
+from .._types import Subject, TargetName
 from ._records import KnownRecords
 from ._state import (
     ClearSubjects,
+    JudgeCrash,
     QuarantineState,
     StartTrial,
     SubjectRecord,
@@ -15,10 +16,12 @@
     record_crash,
 )
 from ._timing import retention_s, trial_delay_s
+from ._witness import LastHeartbeat, ReportedCrash, has_crashed
 
-PROPOSAL_TIMEOUT_S: Final = 0.5  # after which a trial is proposed again
+PROPOSAL_TIMEOUT_S: Final = 0.5  # after which a command is proposed again
 
 QuarantineCommand = TargetCrash | ClearSubjects | StartTrial
+FindHeartbeat = Callable[[TargetName], LastHeartbeat | None]
 
 
 class QuarantineController:
@@ -28,6 +31,9 @@
         self._known = KnownRecords()
         self._wished_at: dict[Subject, float] = {}
         self._proposed: dict[Subject, tuple[int, float]] = {}
+        self._led_since = 0.0  # s
+        self._unjudged: dict[str, float] = {}  # when each was learned of, in s
+        self._judged_at: dict[str, float] = {}  # when that was proposed, in s
 
     @property
     def state(self) -> QuarantineState:
@@ -42,6 +48,16 @@
             self._wished_at.pop(subject)
         for subject in set(self._proposed) - present:
             self._proposed.pop(subject)
+        self._unjudged = {
+            name: self._unjudged.get(name, now)
+            for record in state.records
+            for name in record.unconfirmed
+        }
+        self._judged_at = {
+            name: at
+            for name, at in self._judged_at.items()
+            if name in self._unjudged
+        }
 
     def newer_than(self, version: int) -> QuarantineState | None:
         """Return the state, ``None`` if a receiver has this version."""
@@ -50,6 +66,9 @@
     def start_term(self, now: float) -> None:
         """Wait anew for trials: a former leader may have granted some."""
         self._known.restart_times(now)
+        self._led_since = now
+        self._unjudged = dict.fromkeys(self._unjudged, now)
+        self._judged_at.clear()
         self._proposed.clear()
         self._wished_at = dict.fromkeys(
             (record.subject for record in self.state.records), now
@@ -79,6 +98,24 @@
                 commands.append(trial)
         return commands
 
+    def judge_crashes(
+        self, find_heartbeat: FindHeartbeat, now: float
+    ) -> list[JudgeCrash]:
+        """Return the commands that confirm or refute reported crashes."""
+        commands: list[JudgeCrash] = []
+        for name, learned_at in self._unjudged.items():
+            proposed_at = self._judged_at.get(name, float('-inf'))
+            if now - proposed_at < PROPOSAL_TIMEOUT_S:
+                continue
+            target, _, incarnation = name.rpartition('#')
+            crash = ReportedCrash(int(incarnation), learned_at)
+            heartbeat = find_heartbeat(target)
+            crashed = has_crashed(crash, heartbeat, self._led_since, now)
+            if crashed is not None:
+                self._judged_at[name] = now
+                commands.append(JudgeCrash(target, crash.incarnation, crashed))
+        return commands
+
     def expire(self, now: float) -> ClearSubjects | None:
         """Return the command that drops subjects without recent requests."""
         expired = tuple(
--- a/packages/lovagemast-core/src/lovagemast_core/quarantine/_state.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quarantine/_state.py
@@ -1,4 +1,4 @@
-"""The replicated table of suspected and quarantined prompt parts."""
+"""The replicated table of suspected and quarantined subjects."""
 
 from typing import Final, NamedTuple
 
@@ -24,6 +24,14 @@
     trials: tuple[Subject, ...] = ()
 
 
+class JudgeCrash(NamedTuple):
+    """Confirms a reported crash of a target, or refutes it."""
+
+    target: TargetName
+    incarnation: int
+    crashed: bool
+
+
 class ClearSubjects(NamedTuple):
     """Removes subjects that were answered, or that an operator has cleared."""
 
@@ -63,20 +71,37 @@
     trials: int = 0
     quarantine_trials: int = 0  # of ``trials``, those since the quarantine
     holder: VmName = ''
+    unconfirmed: tuple[str, ...] = ()  # of ``crashes``, those not yet judged
 
     @property
     def is_quarantined(self) -> bool:
         """Return whether requests with the subject are refused."""
-        has_crashes = len(self.crashes) >= QUARANTINE_CRASHES
-        return has_crashes and bool(self.trial_crashes)
+        return _suffices(
+            self._confirmed(self.crashes), self._confirmed(self.trial_crashes)
+        )
+
+    @property
+    def is_blamed(self) -> bool:
+        """Return whether its crashes suffice, confirmed or not."""
+        return _suffices(self.crashes, self.trial_crashes)
+
+    @property
+    def awaits_judgement(self) -> bool:
+        """Return whether it is quarantined once its crashes are confirmed."""
+        return self.is_blamed and not self.is_quarantined
 
     @property
     def may_be_tried(self) -> bool:
-        """Return whether the number of trials allows another one."""
+        """Return whether another trial is allowed."""
+        if self.awaits_judgement:
+            return False
         if not self.is_quarantined:
             return True
         return self.quarantine_trials < MAX_QUARANTINE_TRIALS
 
+    def _confirmed(self, crashes: tuple[str, ...]) -> tuple[str, ...]:
+        return tuple(name for name in crashes if name not in self.unconfirmed)
+
 
 class QuarantineState(NamedTuple):
     """All suspected and quarantined subjects, oldest news first."""
@@ -97,7 +122,7 @@
 
 def record_crash(state: QuarantineState, crash: TargetCrash) -> QuarantineState:
     """Return the state after a crash; one that is known changes nothing."""
-    name = f'{crash.target}#{crash.incarnation}'
+    name = crash_name(crash.target, crash.incarnation)
     records = {record.subject: record for record in state.records}
     tried = _prime_suspect(crash.trials, records)
     for subject in _implicated(crash, name, tried, records):
@@ -111,6 +136,22 @@
     return _replace_records(state, _drop_excess(_without_explained(records)))
 
 
+def judge_crash(state: QuarantineState, command: JudgeCrash) -> QuarantineState:
+    """Return the state after a reported crash was confirmed or refuted."""
+    name = crash_name(command.target, command.incarnation)
+    records = {
+        record.subject: _judged(record, name, crashed=command.crashed)
+        for record in state.records
+    }
+    kept = _without_explained(records)
+    return _replace_records(state, tuple(kept.values()))
+
+
+def crash_name(target: TargetName, incarnation: int) -> str:
+    """Return the name of a crash in records."""
+    return f'{target}#{incarnation}'
+
+
 def clear_subjects(
     state: QuarantineState, command: ClearSubjects
 ) -> QuarantineState:
@@ -131,17 +172,17 @@
 ) -> tuple[Subject, ...]:
     """Return the subjects whose records a crash is added to.
 
-    Where a quarantined subject ran, others are not suspected, unless there is
+    Where a blamed subject ran, others are not suspected, unless there is
     more evidence against one of them.
     """
-    quarantined = [one for one in records.values() if one.is_quarantined]
-    subjects = {one.subject for one in quarantined}
+    blamed = [one for one in records.values() if one.is_blamed]
+    subjects = {one.subject for one in blamed}
     present = tuple(
         subject for subject in crash.subjects if subject in subjects
     )
     if present:
         return present
-    explaining = [one for one in quarantined if name in one.crashes]
+    explaining = [one for one in blamed if name in one.crashes]
     if not explaining:
         return crash.subjects
     most = max(_suspicion(one) for one in explaining)
@@ -181,7 +222,7 @@
     most = max((_suspicion(one) for one in tried), default=(0, 0))
     for record in tried:
         if _suspicion(record) < most:
-            others = tuple(one for one in record.trial_crashes if one != name)
+            others = _without(record.trial_crashes, name)
             records[record.subject] = record._replace(trial_crashes=others)
 
 
@@ -190,27 +231,71 @@
 
 
 def _without_explained(records: _Records) -> _Records:
-    """Drop the crashes of quarantined subjects from the records of others.
+    """Drop the crashes of blamed subjects from the records of others.
 
-    Parts with as much evidence against them keep it: they may be the cause,
+    Subjects with other evidence against them keep it: they may be the cause,
     or another one.
     """
-    explained = {
-        name
-        for record in records.values()
-        if record.is_quarantined
-        for name in record.crashes
-    }
+    blamed = [record for record in records.values() if record.is_blamed]
     kept: _Records = {}
     for subject, record in records.items():
-        crashes = record.crashes
-        if not record.trial_crashes and len(crashes) < QUARANTINE_CRASHES:
-            crashes = tuple(name for name in crashes if name not in explained)
+        explained = {
+            name
+            for other in blamed
+            if _explains(other, record)
+            for name in other.crashes
+        }
+        crashes = tuple(one for one in record.crashes if one not in explained)
         if crashes:
-            kept[subject] = record._replace(crashes=crashes)
+            kept[subject] = _with_crashes(record, crashes)
     return kept
 
 
+def _explains(blamed: SubjectRecord, record: SubjectRecord) -> bool:
+    """Return whether a blamed subject clears another of the same crashes."""
+    if record.trial_crashes:
+        return len(blamed.trial_crashes) > len(record.trial_crashes)
+    has_others = not set(record.crashes) <= set(blamed.crashes)
+    return not has_others or len(record.crashes) < QUARANTINE_CRASHES
+
+
+def _with_crashes(
+    record: SubjectRecord, crashes: tuple[str, ...]
+) -> SubjectRecord:
+    """Return a record without all other crashes."""
+    return record._replace(
+        crashes=crashes,
+        trial_crashes=_among(record.trial_crashes, crashes),
+        unconfirmed=_among(record.unconfirmed, crashes),
+    )
+
+
+def _among(names: tuple[str, ...], kept: tuple[str, ...]) -> tuple[str, ...]:
+    return tuple(name for name in names if name in kept)
+
+
+def _suffices(crashes: tuple[str, ...], trial_crashes: tuple[str, ...]) -> bool:
+    """Return whether crashes are enough for a quarantine."""
+    return len(crashes) >= QUARANTINE_CRASHES and bool(trial_crashes)
+
+
+def _judged(
+    record: SubjectRecord, name: str, *, crashed: bool
+) -> SubjectRecord:
+    unconfirmed = _without(record.unconfirmed, name)
+    if crashed:
+        return record._replace(unconfirmed=unconfirmed)
+    return record._replace(
+        crashes=_without(record.crashes, name),
+        trial_crashes=_without(record.trial_crashes, name),
+        unconfirmed=unconfirmed,
+    )
+
+
+def _without(names: tuple[str, ...], name: str) -> tuple[str, ...]:
+    return tuple(one for one in names if one != name)
+
+
 def _with_crash(
     known: SubjectRecord, name: str, *, is_trial: bool
 ) -> SubjectRecord:
@@ -220,6 +305,7 @@
         if is_trial
         else known.trial_crashes,
         holder='' if is_trial else known.holder,
+        unconfirmed=(*known.unconfirmed, name),
     )
 
 
@@ -238,10 +324,16 @@
 def _drop_excess(
     records: dict[Subject, SubjectRecord],
 ) -> tuple[SubjectRecord, ...]:
-    """Return at most ``MAX_SUBJECTS`` records; suspects are dropped first."""
+    """Return at most ``MAX_SUBJECTS`` records.
+
+    Suspects are dropped first, and of these the ones with the fewest crashes.
+    """
     excess = len(records) - MAX_SUBJECTS
     if excess > 0:
-        by_rank = sorted(records.values(), key=lambda one: one.is_quarantined)
+        by_rank = sorted(
+            records.values(),
+            key=lambda one: (one.is_quarantined, len(one.crashes)),
+        )
         for record in by_rank[:excess]:
             records.pop(record.subject)
     return tuple(records.values())
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_quarantinelog.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_quarantinelog.py
@@ -41,4 +41,8 @@
         return 'part quarantined' if after.is_quarantined else 'part suspected'
     if before.trials != after.trials:
         return 'trial granted'
+    if len(before.crashes) > len(after.crashes):
+        return 'crash refuted'
+    if len(before.unconfirmed) > len(after.unconfirmed):
+        return 'crash confirmed'
     return 'another crash'
--- a/tests/quarantinefleet.py
+++ b/tests/quarantinefleet.py
@@ -12,6 +12,7 @@
 
 from lovagemast_core._state import ReplicatedState
 from lovagemast_core.quarantine import (
+    LastHeartbeat,
     QuarantineController,
     QuarantineGuard,
     QuarantineState,
@@ -29,6 +30,7 @@
 ANSWER_AFTER_S = 0.15
 ANSWER_TAKES_S = 1.0
 RESTART_S = 3.3
+HEARTBEAT_INTERVAL_S = 1.2
 PATIENCE_S = 1.2
 MAX_ATTEMPTS = 2
 SOUND_PARTS = 40
@@ -70,6 +72,13 @@
         self.incarnation = 1
         self.down_until = 0.0
         self.running: list[tuple[EntryVm, Request]] = []
+        self.heartbeat = LastHeartbeat(1, 0.0)
+
+    def send_heartbeat(self, now: float) -> None:
+        """Send a heartbeat if one is due and the target is up."""
+        is_due = now - self.heartbeat.received_at >= HEARTBEAT_INTERVAL_S
+        if is_due and self.down_until <= now:
+            self.heartbeat = LastHeartbeat(self.incarnation, now)
 
 
 class EntryVm:
@@ -105,6 +114,7 @@
         sound_per_s: float = 30.0,
         deadly_per_s: float = 1.7,
         seed: int = 1,
+        popular: int = 0,
     ) -> None:
         self.now = 0.0
         self.rng = random.Random(seed)
@@ -113,12 +123,14 @@
         self.deadly = tuple(deadly)
         self.sound_per_s = sound_per_s
         self.deadly_per_s = deadly_per_s
+        self.popular = popular
         self.state = ReplicatedState()
         self.leader: QuarantineController | None = QuarantineController()
         self.crashes: list[Crash] = []
         self.arrivals: list[Arrival] = []
         self.outcomes: Counter[str] = Counter()
         self.ever_quarantined: set[str] = set()
+        self._requests = 0
         self._up: list[_Message] = []
         self._commits: list[tuple[float, object]] = []
         self._down: list[tuple[float, EntryVm, int, QuarantineState]] = []
@@ -129,6 +141,8 @@
             self.now += STEP_S
             self._add_requests()
             self._run_targets()
+            for target in self.targets:
+                target.send_heartbeat(self.now)
             for vm in self.vms:
                 self._serve(vm)
                 self._sync(vm)
@@ -159,20 +173,20 @@
             if record.is_quarantined
         }
 
-    def late_arrivals(self, part: str) -> list[Arrival]:
+    def late_arrivals(self, part: str, allowed: int = 5) -> list[Arrival]:
         """Return the arrivals that count against the budget.
 
         These are the requests with a part that entry VMs in touch have sent
-        later than 3 s after its fifth crash.
+        later than 3 s after as many crashes as are allowed.
         """
         crashes = [crash.at for crash in self.crashes if crash.part == part]
-        if len(crashes) < 5:
+        if len(crashes) < allowed:
             return []
         return [
             arrival
             for arrival in self.arrivals
             if part in arrival.parts
-            and arrival.at > crashes[4] + 3.0
+            and arrival.at > crashes[allowed - 1] + 3.0
             and not arrival.is_cut_off
         ]
 
@@ -183,9 +197,20 @@
             self._add_request((self.rng.choice(self.deadly),))
 
     def _add_request(self, deadly: tuple[str, ...]) -> None:
-        session = f's{self.rng.randrange(SOUND_PARTS)}'
         vm = self.rng.choice(self.vms)
-        vm.waiting.append(Request(('system', session, *deadly), self.now))
+        vm.waiting.append(Request(self._subjects(deadly), self.now))
+
+    def _subjects(self, deadly: tuple[str, ...]) -> tuple[str, ...]:
+        """Return the subjects of a new request.
+
+        Where there are popular requests, none has a prompt.
+        """
+        if self.popular:
+            number = self.rng.randrange(self.popular)
+            return deadly or (f'request:sound{number}',)
+        self._requests += 1
+        session = f's{self.rng.randrange(SOUND_PARTS)}'
+        return ('system', session, *deadly, f'request:{self._requests}')
 
     def _serve(self, vm: EntryVm) -> None:
         for req in list(vm.waiting):
@@ -285,6 +310,11 @@
     def _deliver(self) -> None:
         if self.leader is None:
             return
+        expired = self.leader.expire(self.now)
+        if expired:
+            self._commits.append((self.now + COMMIT_S, expired))
+        for judgement in self.leader.judge_crashes(self._heartbeat, self.now):
+            self._commits.append((self.now + COMMIT_S, judgement))
         arrived = [one for one in self._up if one.at <= self.now]
         self._up = [one for one in self._up if one.at > self.now]
         for message in arrived:
@@ -298,6 +328,9 @@
                 self._reply(vm, 0)
         self._deliver_replies()
 
+    def _heartbeat(self, target: str) -> LastHeartbeat:
+        return self.targets[int(target.removeprefix('t'))].heartbeat
+
     def _reply(self, vm: EntryVm, ask: int) -> None:
         """Send the state to an entry VM, as a push if ``ask`` is 0."""
         state = self.state.quarantine
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -4,6 +4,8 @@
 from lovagemast_core.quarantine import (
     MAX_QUARANTINE_TRIALS,
     ClearSubjects,
+    JudgeCrash,
+    LastHeartbeat,
     QuarantineController,
     QuarantineGuard,
     QuarantineState,
@@ -17,9 +19,11 @@
 )
 from lovagemast_core.quarantine._state import (
     clear_subjects,
+    judge_crash,
     record_crash,
     start_trial,
 )
+from lovagemast_core.quarantine._witness import ReportedCrash, has_crashed
 
 NOW = 100.0
 EMPTY = QuarantineState()
@@ -30,11 +34,17 @@
     return TargetCrash(f't{number}', 1, parts, parts if trial else ())
 
 
+def confirmed(state: QuarantineState, one: TargetCrash) -> QuarantineState:
+    """Return the state after a crash that heartbeats confirm."""
+    judgement = JudgeCrash(one.target, one.incarnation, crashed=True)
+    return judge_crash(record_crash(state, one), judgement)
+
+
 def after(*crashes: TargetCrash) -> QuarantineState:
     """Return the state after some crashes."""
     state = EMPTY
     for one in crashes:
-        state = record_crash(state, one)
+        state = confirmed(state, one)
     return state
 
 
@@ -68,7 +78,7 @@
     def test_known_crash_changes_nothing(self) -> None:
         """Reports are repeated, and come from several entry VMs."""
         state = after(crash(1, 'p'))
-        assert record_crash(state, crash(1, 'p')) is state
+        assert confirmed(state, crash(1, 'p')) is state
 
     def test_answer_clears(self) -> None:
         """A part that was answered is not suspected any more."""
@@ -100,23 +110,95 @@
         monkeypatch.setattr(_state, 'MAX_SUBJECTS', 10)
         state = QUARANTINED
         for number in range(50):
-            state = record_crash(state, crash(number, f's{number}'))
+            state = confirmed(state, crash(number, f's{number}'))
         assert len(state.records) == 10
         assert state.find('p')
         assert state.find('s49')
 
 
+class TestJudgement:
+    """Crashes count towards a quarantine once heartbeats confirm them."""
+
+    REPORTED = (crash(1, 'p'), crash(2, 'p'), crash(3, 'p', trial=True))
+
+    def reported(self) -> QuarantineState:
+        """Return the state after three reports that are not judged."""
+        state = EMPTY
+        for one in self.REPORTED:
+            state = record_crash(state, one)
+        return state
+
+    def test_unjudged_crashes_hold_back(self) -> None:
+        """Their subject is neither refused nor tried meanwhile."""
+        record = self.reported().find('p')
+        assert record
+        assert not record.is_quarantined
+        assert not record.may_be_tried
+        assert status(make_guard(self.reported()), 'p') is SendStatus.HELD
+
+    @pytest.mark.parametrize(
+        ('judged', 'is_quarantined'),
+        [
+            ((), False),
+            ((1, 2), False),
+            ((1, 2, 3), True),
+        ],
+    )
+    def test_confirmed_crashes_quarantine(
+        self, judged: tuple[int, ...], is_quarantined: bool
+    ) -> None:
+        """All that the quarantine needs must be confirmed."""
+        state = self.reported()
+        for number in judged:
+            state = judge_crash(state, JudgeCrash(f't{number}', 1, True))
+        record = state.find('p')
+        assert record
+        assert record.is_quarantined is is_quarantined
+
+    def test_refuted_crash_is_forgotten(self) -> None:
+        """Trials go on, and nothing is left when all are refuted."""
+        state = judge_crash(self.reported(), JudgeCrash('t3', 1, False))
+        record = state.find('p')
+        assert record
+        assert record.may_be_tried
+        for number in (1, 2):
+            state = judge_crash(state, JudgeCrash(f't{number}', 1, False))
+        assert not state.records
+
+
+@pytest.mark.parametrize(
+    ('heartbeat', 'led_s', 'expected'),
+    [
+        (LastHeartbeat(1, NOW - 0.5), 90.0, None),
+        (LastHeartbeat(1, NOW - 2.0), 90.0, True),
+        (LastHeartbeat(1, NOW + 0.2), 90.0, None),
+        (LastHeartbeat(1, NOW + 0.4), 90.0, False),
+        (LastHeartbeat(2, NOW - 0.5), 90.0, True),
+        (LastHeartbeat(2, NOW + 0.4), 90.0, True),
+        (None, 90.0, True),
+        (None, 2.0, None),
+    ],
+)
+def test_heartbeats_judge_a_crash(
+    heartbeat: LastHeartbeat | None, led_s: float, expected: bool | None
+) -> None:
+    """A later heartbeat of the same incarnation refutes a crash."""
+    now = NOW + 0.5
+    reported = ReportedCrash(1, NOW)
+    assert has_crashed(reported, heartbeat, now - led_s, now) is expected
+
+
 class TestAttribution:
     def test_quarantined_part_explains_its_crashes(self) -> None:
         """Requests that ran beside a quarantined part are not suspected."""
-        state = record_crash(QUARANTINED, crash(9, 'p', 's'))
+        state = confirmed(QUARANTINED, crash(9, 'p', 's'))
         assert [record.subject for record in state.records] == ['p']
-        assert record_crash(state, crash(9, 'other')) is state
+        assert confirmed(state, crash(9, 'other')) is state
 
     def test_crashes_of_a_quarantined_part_do_not_count(self) -> None:
         """Parts that were only beside the guilty one are dropped."""
         state = after(crash(1, 'p', 's'), crash(2, 's', 'p'))
-        state = record_crash(state, crash(3, 'p', trial=True))
+        state = confirmed(state, crash(3, 'p', trial=True))
         assert [record.subject for record in state.records] == ['p']
 
     @pytest.mark.parametrize('order', [('p', 's'), ('s', 'p')])
@@ -124,7 +206,7 @@
         """A sound part that is tried beside the deadly one is not blamed."""
         state = after(crash(1, 'p', 's'), crash(2, 'p', 's'), crash(4, 'p'))
         for part in order:
-            state = record_crash(state, crash(3, part, trial=True))
+            state = confirmed(state, crash(3, part, trial=True))
         assert quarantined_subjects(state) == ['p']
 
     @pytest.mark.parametrize(
@@ -167,7 +249,7 @@
     )
     def test_status(self, parts: tuple[str, ...], expected: SendStatus) -> None:
         """The worst status of a request's parts counts."""
-        state = record_crash(QUARANTINED, crash(9, 's'))
+        state = confirmed(QUARANTINED, crash(9, 's'))
         assert status(make_guard(state), *parts) is expected
 
     @pytest.mark.parametrize(
--- a/tests/test_quarantinesync.py
+++ b/tests/test_quarantinesync.py
@@ -5,6 +5,8 @@
 import pytest
 from lovagemast_core.entry import FleetView
 from lovagemast_core.quarantine import TrialWish
+from lovagemast_core.quarantine._subjects import is_request
+from lovagemast_core.quarantine._timing import SUSPECT_RETENTION_S
 from lovagemast_core.syncrelay import SyncRelay
 from lovagemast_core.targets import SyncAsk, SyncReply
 
@@ -79,6 +81,7 @@
             leader = cluster.nodes[cluster.leader()]
             leader.on_ask(make_ask('r1', crashes=crashes), cluster.now)
             cluster.run(0.1)
+        cluster.run(4.0)  # no heartbeat comes, which confirms the crashes
 
     @pytest.mark.parametrize('stopped', [1, 3])
     def test_restarts_forget_no_quarantine(self, stopped: int) -> None:
@@ -149,6 +152,32 @@
         assert fleet.ever_quarantined == set(deadly)
         assert fleet.outcomes['sound', 'quarantined'] == 0
 
+    def test_deadly_requests_among_popular_ones(self, seed: int) -> None:
+        """One deadly request stops; equal sound ones are served throughout."""
+        fleet = QuarantineFleet(
+            deadly=('request:deadly',), popular=2, sound_per_s=40.0, seed=seed
+        )
+        fleet.run(40.0)
+        assert len(fleet.late_arrivals('request:deadly', 3)) <= 3
+        assert fleet.ever_quarantined == {'request:deadly'}
+        assert fleet.outcomes['sound', 'quarantined'] == 0
+        held = fleet.outcomes['sound', 'held']
+        assert held <= fleet.outcomes['sound', 'served'] / 100
+
+    def test_vms_out_of_touch_by_turns(self, seed: int) -> None:
+        """Nor does a deadly request crash more where VMs are cut off."""
+        fleet = QuarantineFleet(
+            deadly=('request:deadly',), popular=9, seed=seed
+        )
+        for turn in range(20):
+            cut = fleet.vms[turn % len(fleet.vms)]
+            cut.is_cut_off = True
+            fleet.run(4.0)
+            cut.is_cut_off = False
+            fleet.run(4.0)
+        assert len(fleet.late_arrivals('request:deadly', 3)) <= 3
+        assert fleet.ever_quarantined == {'request:deadly'}
+
     def test_loss_of_power_blames_no_part(self, seed: int) -> None:
         """Crashes of all targets at once quarantine nothing."""
         fleet = QuarantineFleet(deadly_per_s=0.0, seed=seed)
@@ -157,10 +186,14 @@
             fleet.lose_power()
             fleet.run(5.0)
         assert not fleet.ever_quarantined
-        assert not fleet.state.quarantine.records
+        records = fleet.state.quarantine.records
+        assert all(is_request(one.subject) for one in records)
         served = fleet.outcomes['sound', 'served']
         held = fleet.outcomes['sound', 'held']
         assert held <= served / 100
+        # Whole requests that never came again had no answer to clear them.
+        fleet.run(SUSPECT_RETENTION_S + 1.0)
+        assert not fleet.state.quarantine.records
 
     def test_new_leader_does_not_forget(self, seed: int) -> None:
         """The part is learnt though leaders are lost meanwhile."""
