Quarantine whole requests on the platform's path

Cause: the quarantine knew prompt parts only; record_lost returned at once for a request without shared parts. Whole requests were quarantined by lovagemastd alone. The same mechanism stood twice, keyed by a different fact in each. Change: each admitted request has the whole request as its last subject, under the same records, trials, relays, bounds, lovagectl and logs; refusals name request-quarantined or request-suspected, 503 if nothing ran, else 502. An answer with a server error clears too: its target did not crash.

--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_admission.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_admission.py
@@ -1,6 +1,6 @@
 """Admission control: checks a request before a target is chosen.
 
-The checks run in this order: route, API key, pool, prompt parts, quota. A
+The checks run in this order: route, API key, pool, quarantine, quota. A
 check either passes the request on or rejects it with a response that the
 entry VM generates itself.
 """
@@ -12,13 +12,14 @@
     DeploymentIndex,
     RouteSpec,
 )
+from lovagemast_core.quarantine import RequestIdentity, Subject
 
 from .._clock import now_s
 from ..http import HttpRequest, header_value
 from ._admitted import AdmittedRequest
 from ._codec import RequestMetadata
 from ._entrystate import POLL_INTERVAL_S, EntryState
-from ._promptcheck import PromptCheck
+from ._quarantinecheck import QuarantineCheck
 from ._quotacharge import QuotaCharge
 from ._refusal import ELECTION_RETRY_AFTER_S, HttpRefusal
 
@@ -62,7 +63,9 @@
             return HttpRefusal(
                 503, 'the route has no pool', CONFIG_RETRY_AFTER_S
             )
-        refusal = PromptCheck(self._state, metadata).quarantine_refusal()
+        subjects = _subjects(req, host, account, metadata)
+        check = QuarantineCheck(self._state, subjects, metadata.request_id)
+        refusal = check.quarantine_refusal()
         if refusal:
             return refusal
         admitted = AdmittedRequest(
@@ -74,6 +77,7 @@
             arrived_at,
             arrived_at + _timeout_s(route, metadata),
             _cost(account, metadata),
+            subjects,
         )
         return await QuotaCharge(self._state, admitted).charge() or admitted
 
@@ -124,6 +128,23 @@
     return min(route.timeout_s, metadata.deadline_s)
 
 
+def _subjects(
+    req: HttpRequest,
+    host: str,
+    account: AccountSpec | None,
+    metadata: RequestMetadata,
+) -> tuple[Subject, ...]:
+    """Return what may be quarantined of a request, the whole of it last."""
+    identity = RequestIdentity(
+        req.method,
+        host,
+        req.request_target,
+        account.name if account else None,
+        req.body,
+    )
+    return (*metadata.parts, identity.subject)
+
+
 def _cost(account: AccountSpec | None, metadata: RequestMetadata) -> float:
     if account is None:
         return 0.0
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_admitted.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_admitted.py
@@ -3,6 +3,7 @@
 from typing import Final, NamedTuple
 
 from lovagemast_core.deployment import AccountSpec, PoolSpec, RouteSpec
+from lovagemast_core.quarantine import Subject
 
 from ..http import HttpRequest
 from ._codec import RequestMetadata
@@ -27,6 +28,7 @@
     arrived_at: float
     deadline: float
     cost: float = 0.0  # charged to the account, in its quota unit
+    subjects: tuple[Subject, ...] = ()  # that may be quarantined
 
     @property
     def account_name(self) -> str | None:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -22,7 +22,7 @@
 from ._admitted import AdmittedRequest
 from ._codec import TargetRequestMetadata, TargetResponseMetadata
 from ._entrystate import EntryState
-from ._promptcheck import PromptCheck
+from ._quarantinecheck import QuarantineCheck
 from ._relay import ResponseRelay
 from ._streamcontinuity import StreamContinuity
 from ._targetlimits import record_limit, send_terms
@@ -67,14 +67,14 @@
         admitted: AdmittedRequest,
         candidate: Candidate,
         relay: ResponseRelay,
-        prompt: PromptCheck,
+        quarantine: QuarantineCheck,
         continuity: StreamContinuity,
     ) -> None:
         self._state = state
         self._admitted = admitted
         self._candidate = candidate
         self._relay = relay
-        self._prompt = prompt
+        self._quarantine = quarantine
         self._continuity = continuity
         self._target = candidate.known.record.target
         self._prefill_tokens = 0.0  # counted against the target's limit
@@ -152,7 +152,7 @@
         state.cold.record_request(self._target, now)
         self.may_have_run = True
         self._reserve_prefill()
-        self._prompt.begin()
+        self._quarantine.begin()
         conn.send(
             self._encode(now),
             self._admitted.metadata.request_id.encode('latin-1'),
@@ -189,6 +189,7 @@
         if response.status >= STATUS_SERVER_ERROR:
             self._state.health.record_failure(self._target, now_s())
             if not is_last_attempt:
+                self._record_answer()
                 return AttemptResult(
                     AttemptOutcome.FAILED, str(response.status)
                 )
@@ -209,8 +210,8 @@
             detail = 'the target has left meanwhile'
         elif self._state.health.paused_until(self._target, now) is not None:
             detail = 'the target wants a pause'
-        elif self._prompt.verdict().status is not SendStatus.FREE:
-            detail = 'a part of its prompt is suspected'
+        elif self._quarantine.verdict().status is not SendStatus.FREE:
+            detail = 'it is suspected to crash targets'
         if detail:
             return AttemptResult(AttemptOutcome.NOT_SENT, detail)
         return None
@@ -266,14 +267,14 @@
         if self._has_answer:
             return
         record = self._candidate.known.record
-        await self._prompt.record_lost(
+        await self._quarantine.record_lost(
             record.target, record.incarnation, record.address
         )
 
     def _record_answer(self) -> None:
         if not self._has_answer:
             self._has_answer = True
-            self._prompt.record_answer()
+            self._quarantine.record_answer()
 
     def _fail(self, detail: str) -> AttemptResult:
         self._state.health.record_failure(self._target, now_s())
@@ -291,7 +292,7 @@
         state = self._state
         label = self._candidate.label
         self.may_have_run = False
-        self._prompt.record_not_run()
+        self._quarantine.record_not_run()
         if not response.other_target:
             state.health.record_rejection(self._target, FULL_BACKOFF_S, now_s())
         elif label and label.adapter:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
@@ -9,7 +9,7 @@
 from ._admitted import AdmittedRequest
 from ._attempt import Attempt, AttemptOutcome, AttemptResult
 from ._entrystate import POLL_INTERVAL_S, EntryState
-from ._promptcheck import PromptCheck
+from ._quarantinecheck import QuarantineCheck
 from ._refusal import HttpRefusal
 from ._relay import ResponseRelay
 from ._streamcontinuity import StreamContinuity
@@ -36,9 +36,11 @@
         self._state = state
         self._admitted = admitted
         self._relay = relay
-        self._prompt = PromptCheck(state, admitted.metadata)
+        self._quarantine = QuarantineCheck(
+            state, admitted.subjects, admitted.metadata.request_id
+        )
         self._continuity = continuity
-        self._wait = TargetWait(state, admitted, self._prompt, continuity)
+        self._wait = TargetWait(state, admitted, self._quarantine, continuity)
         self._tried: set[str] = set()
         self._possible_runs = 0
         self.sends = 0
@@ -75,7 +77,7 @@
             self._admitted,
             candidate,
             self._relay,
-            self._prompt,
+            self._quarantine,
             self._continuity,
         )
         self.target = candidate.target
@@ -160,23 +162,25 @@
         return HttpRefusal(503, reason, NOT_RUN_RETRY_AFTER_S)
 
     async def _wait_for_trial(self) -> HttpRefusal | None:
-        """Wait until no part of the prompt holds the request back."""
+        """Wait until no suspicion holds the request back."""
         give_up_at = self._wait_deadline()
         try:
             while True:
                 refusal = self._check_quarantine()
-                verdict = self._prompt.verdict()
+                verdict = self._quarantine.verdict()
                 if refusal or verdict.status is SendStatus.FREE:
                     return refusal
                 if now_s() >= give_up_at:
-                    return self._as_possible_run(self._prompt.held_refusal())
-                self._prompt.wait_for(verdict.subject)
+                    return self._as_possible_run(
+                        self._quarantine.held_refusal()
+                    )
+                self._quarantine.wait_for(verdict.subject)
                 await self._state.wait_for_update(POLL_INTERVAL_S)
         finally:
-            self._prompt.wait_for('')
+            self._quarantine.wait_for('')
 
     def _check_quarantine(self) -> HttpRefusal | None:
-        refusal = self._prompt.quarantine_refusal()
+        refusal = self._quarantine.quarantine_refusal()
         return self._as_possible_run(refusal) if refusal else None
 
     def _as_possible_run(self, refusal: HttpRefusal) -> HttpRefusal:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_promptcheck.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_quarantinecheck.py
@@ -1,34 +1,45 @@
-"""Keeps requests with suspected or quarantined prompt parts from targets."""
+"""Keeps suspected and quarantined requests from targets."""
 
 from typing import Final
 
 from lovagemast_core.quarantine import (
     QuarantineVerdict,
     SendStatus,
+    Subject,
     TargetCrash,
+    is_request,
 )
 
 from .._clock import now_s
 from ..http import ConnectFailed
-from ._codec import RequestMetadata
 from ._entrystate import EntryState
 from ._refusal import HttpRefusal
 
 # First words of the refusal's reason, which callers may rely on.
-QUARANTINED_CODE: Final = 'prompt-part-quarantined'
-SUSPECTED_CODE: Final = 'prompt-part-suspected'
+PART_QUARANTINED_CODE: Final = 'prompt-part-quarantined'
+PART_SUSPECTED_CODE: Final = 'prompt-part-suspected'
+REQUEST_QUARANTINED_CODE: Final = 'request-quarantined'
+REQUEST_SUSPECTED_CODE: Final = 'request-suspected'
 QUARANTINED_RETRY_AFTER_S: Final = 30.0
 SUSPECTED_RETRY_AFTER_S: Final = 1.0
 PROBE_TIMEOUT_S: Final = 0.2
 
 
-class PromptCheck:
-    """Checks one request's prompt parts, and reports how its sends ended."""
+class QuarantineCheck:
+    """Checks one request's subjects, and reports how its sends ended.
 
-    def __init__(self, state: EntryState, metadata: RequestMetadata) -> None:
+    These are the parts of its prompt and, last, the request itself.
+    """
+
+    def __init__(
+        self,
+        state: EntryState,
+        subjects: tuple[Subject, ...],
+        request_id: str,
+    ) -> None:
         self._state = state
-        self._parts = metadata.parts
-        self._request_id = metadata.request_id
+        self._subjects = subjects
+        self._request_id = request_id
         self._trials: tuple[str, ...] = ()
         self._waiting_for = ''
 
@@ -36,10 +47,10 @@
         """Return whether the request may be sent now."""
         now = now_s()
         state = self._state
-        return state.guard.check(self._parts, state.view.age(now), now)
+        return state.guard.check(self._subjects, state.view.age(now), now)
 
     def quarantine_refusal(self) -> HttpRefusal | None:
-        """Return the refusal if a part is quarantined."""
+        """Return the refusal if a subject is quarantined."""
         verdict = self.verdict()
         if verdict.status is not SendStatus.QUARANTINED:
             return None
@@ -50,21 +61,21 @@
         """Return the refusal of a request that has waited for a trial."""
         return _refusal(self.verdict())
 
-    def wait_for(self, part: str) -> None:
-        """Request a trial of a part; an empty one ends the wait."""
-        if part == self._waiting_for:
+    def wait_for(self, subject: Subject) -> None:
+        """Request a trial of a subject; an empty one ends the wait."""
+        if subject == self._waiting_for:
             return
         guard = self._state.guard
         if self._waiting_for:
             guard.add_waiting(self._waiting_for, -1)
-        self._waiting_for = part
-        if part:
-            guard.add_waiting(part, 1)
+        self._waiting_for = subject
+        if subject:
+            guard.add_waiting(subject, 1)
             self._state.request_sync()
 
     def begin(self) -> None:
         """Record that the request is sent to a target."""
-        self._trials = self._state.guard.begin(self._parts, now_s())
+        self._trials = self._state.guard.begin(self._subjects, now_s())
         if self._trials:
             self._state.log.write(
                 'quarantine', 'trial', id=self._request_id, parts=self._trials
@@ -78,7 +89,7 @@
     def record_answer(self) -> None:
         """Record that the target has begun to answer."""
         guard = self._state.guard
-        guard.record_answer(self._parts, now_s())
+        guard.record_answer(self._subjects, now_s())
         if guard.reports:
             self._state.request_sync()
 
@@ -90,11 +101,11 @@
         A target that takes no further connection has crashed; otherwise only
         this connection is lost.
         """
-        if not self._parts or not await self._has_crashed(address):
+        if not await self._has_crashed(address):
             return
         now = now_s()
         self._state.health.record_unreachable(target, now)
-        crash = TargetCrash(target, incarnation, self._parts, self._trials)
+        crash = TargetCrash(target, incarnation, self._subjects, self._trials)
         implicated = self._state.guard.record_crash(crash, now)
         if implicated is None:
             return
@@ -122,14 +133,25 @@
 
 
 def _refusal(verdict: QuarantineVerdict) -> HttpRefusal:
-    """Return the refusal for a part that holds a request back."""
-    code = SUSPECTED_CODE
-    retry_after_s = SUSPECTED_RETRY_AFTER_S
-    if verdict.status is SendStatus.QUARANTINED:
-        code = QUARANTINED_CODE
-        retry_after_s = QUARANTINED_RETRY_AFTER_S
+    """Return the refusal for a subject that holds a request back."""
+    is_quarantined = verdict.status is SendStatus.QUARANTINED
+    retry_after_s = (
+        QUARANTINED_RETRY_AFTER_S if is_quarantined else SUSPECTED_RETRY_AFTER_S
+    )
     reason = (
-        f'{code}: part {verdict.subject}, {verdict.crashes} crashes, '
-        f'{verdict.age_s:.1f} s ago'
+        f'{_subject_text(verdict.subject, is_quarantined=is_quarantined)}, '
+        f'{verdict.crashes} crashes, {verdict.age_s:.1f} s ago'
     )
     return HttpRefusal(503, reason, retry_after_s)
+
+
+def _subject_text(subject: Subject, *, is_quarantined: bool) -> str:
+    if is_request(subject):
+        code = (
+            REQUEST_QUARANTINED_CODE
+            if is_quarantined
+            else REQUEST_SUSPECTED_CODE
+        )
+        return f'{code}: {subject}'
+    code = PART_QUARANTINED_CODE if is_quarantined else PART_SUSPECTED_CODE
+    return f'{code}: part {subject}'
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_targetwait.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_targetwait.py
@@ -12,7 +12,7 @@
 from .._clock import now_s
 from ._admitted import RESUMPTION_WAIT_FRACTION, AdmittedRequest
 from ._entrystate import POLL_INTERVAL_S, EntryState
-from ._promptcheck import PromptCheck
+from ._quarantinecheck import QuarantineCheck
 from ._refusal import HttpRefusal
 from ._streamcontinuity import StreamContinuity
 from ._targetchoice import TargetChooser
@@ -42,12 +42,12 @@
         self,
         state: EntryState,
         admitted: AdmittedRequest,
-        prompt: PromptCheck,
+        quarantine: QuarantineCheck,
         continuity: StreamContinuity,
     ) -> None:
         self._state = state
         self._admitted = admitted
-        self._prompt = prompt
+        self._quarantine = quarantine
         self._continuity = continuity
         self._chooser = TargetChooser(state, admitted, continuity)
         self._tokens = TokenWait(state)
@@ -135,7 +135,7 @@
         now: float,
     ) -> HttpRefusal | None:
         """Return why the request is not to wait any longer."""
-        refusal = self._prompt.quarantine_refusal()
+        refusal = self._quarantine.quarantine_refusal()
         refusal = refusal or self._continuity.refusal_if_gone()
         if refusal:
             return refusal
