--- a/soak/_cluster.py
+++ b/soak/_cluster.py
@@ -81,17 +81,23 @@
 
     def start_process(self, vm: str) -> None:
         """Start a VM's process."""
-        role = 'control' if vm in CONTROL else 'entry'
+        program = ['lovagemast_platform', 'control']
+        if vm in ENTRIES:
+            program = ['soak.cutentry', str(self._cut_path(vm))]
         path = self.folder / f'{vm}.toml'
         path.write_text(self._settings(vm), encoding='utf-8')
         with (self.folder / f'{vm}.log').open('ab') as log:
             self.processes[vm] = subprocess.Popen(
-                [sys.executable, '-m', 'lovagemast_platform', role],
+                [sys.executable, '-m', *program],
                 env={**os.environ, 'LOVAGEMAST_SETTINGS': str(path)},
                 stdout=log,
                 stderr=log,
             )
 
+    def cut(self, vm: str, how: str) -> None:
+        """Cut an entry VM off from all targets, or no more if empty."""
+        self._cut_path(vm).write_text(how, encoding='utf-8')
+
     def send(self, vm: str, number: signal.Signals) -> None:
         """Send a signal to a VM's process if it is running."""
         process = self.processes[vm]
@@ -156,6 +162,9 @@
             cause = f'{task.get_name()}: {task.exception()!r}'
             self.failures.append(f'stand-in ended: {cause}')
 
+    def _cut_path(self, vm: str) -> Path:
+        return self.folder / f'{vm}.cut'
+
     def _data_folder(self, vm: str) -> Path:
         return self.folder / f'data-{vm}'
 
@@ -207,6 +216,7 @@
             _route('/lm/', 's-lm', resumable=True),
             _route('/once/', 's-lm', resumable=False),
             _route('/plain/', 's-plain', resumable=False),
+            {**_route('/list/', 's-plain', resumable=False), 'kind': 'safe'},
         ],
         'services': [{'name': 's-lm', 'engine': engine}, {'name': 's-plain'}],
         'tenants': [{'name': ACCOUNT, 'apiKeys': list(keys)}],
