Send requests over another entry VM when no target of a pool is in reach

Requests over silent connections waited 2.5 s or to their deadline, the rest got 503 after a wait. Cause: reachability was kept as a property of the target, where it belongs to the pair. The VM had one way to a target, its own, and didn't know that it alone had lost all. Change: failed connects, and requests without a byte for 0.5 s, start probes of the pool (bare connections, all targets or 16 drawn at random). If none answers the pool is out of reach from here: requests in progress there are given up, and all go to a peer, one hop, which lets at most one target run each. Peers are offered over relays and the leader on demand, those of the zone first. The key stays at the first VM, tokens are charged there; quarantine, cold starts and limits are the sender's. A VM no longer reports targets of such a pool as unreachable for all, nor their lost connections as crashes. Two targets that take a connection end the state. Ruled out: reports of not ready (a refused channel is a failed attempt, a whole zone may be affected); forwarding through control VMs (few).

--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -15,6 +15,7 @@
 from ..quarantine import JudgeCrash, LastHeartbeat, QuarantineController
 from ..quota import ISSUE_LEASE_S, QuotaBounds, TokenIssuer
 from ..streams import SetSoftware, SoftwareTracker, TargetSoftware, retention_s
+from ..syncrelay import PeerOffers
 from ..targetlimits import SendBounds, TargetLimits
 from ..targets import (
     RegisteredTarget,
@@ -85,6 +86,7 @@
         self._published = PublishedState()
         self.quarantine = QuarantineController()
         self._software = SoftwareTracker()
+        self._peers = PeerOffers()  # of all relays
 
     @property
     def term(self) -> int:
@@ -160,6 +162,7 @@
         The reply holds tokens only while the leader's lease is valid.
         """
         self._relays[ask.vm] = _RelayStatus(now, ask.zone, ask.entries)
+        self._peers.add(ask.peers, now)
         self.planner.record_wishes(ask.wishes, now)
         if ask.has_uses:
             self.planner.record_uses(ask.vm, ask.uses, now)
@@ -226,6 +229,7 @@
             quarantine=self.quarantine.newer_than(ask.quarantine),
             limits=self.limits.changed_since(limit_stamp, now),
             limit_stamp=self.limits.stamp,
+            peers=self._peers.newest() if ask.wants_peers else (),
         )
 
     def expire(self, now: float) -> list[TargetName]:
--- a/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
@@ -3,10 +3,19 @@
 from ._batch import BatchLimit
 from ._drain import DrainWindow
 from ._eventstream import EventStreamBuffer
+from ._forwarding import (
+    ForwardEvent,
+    ForwardHead,
+    ForwardRefusal,
+    ForwardRequest,
+    HeaderField,
+)
 from ._health import TargetHealth
 from ._leadersearch import LeaderSearch
 from ._limits import ColdStartLimiter, EntryShare, RetryBudget
 from ._loadestimate import LoadEstimate
+from ._paths import SAMPLE_TARGETS, PathMonitor
+from ._peers import PeerDirectory
 from ._prefill import PrefillLimit
 from ._selection import (
     Candidate,
@@ -22,6 +31,7 @@
 from ._waitqueue import WaitQueue
 
 __all__ = [
+    'SAMPLE_TARGETS',
     'BatchLimit',
     'Candidate',
     'Choice',
@@ -30,10 +40,17 @@
     'EntryShare',
     'EventStreamBuffer',
     'FleetView',
+    'ForwardEvent',
+    'ForwardHead',
+    'ForwardRefusal',
+    'ForwardRequest',
+    'HeaderField',
     'KnownTarget',
     'LeaderSearch',
     'LoadEstimate',
     'NoReadyTarget',
+    'PathMonitor',
+    'PeerDirectory',
     'PrefillLimit',
     'RetryBudget',
     'SelectionCriteria',
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_health.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_health.py
@@ -61,6 +61,13 @@
         stats.backoff_step = min(stats.backoff_step + 1, 6)
         stats.unreachable_until = now + min(backoff, MAX_BACKOFF_S)
 
+    def record_reachable(self, target: TargetName) -> None:
+        """Record that a connection could be opened after all."""
+        stats = self._stats.get(target)
+        if stats:
+            stats.backoff_step = 0
+            stats.unreachable_until = 0.0
+
     def record_rejection(
         self,
         target: TargetName,
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_entries.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_entries.py
@@ -6,7 +6,13 @@
 
 from .._types import TargetName, VmName
 from ..streams import FoundStream
-from ..targets import AdapterUse, AdapterWish, SyncAsk, TokenLot
+from ..targets import (
+    AdapterUse,
+    AdapterWish,
+    EntryPeer,
+    SyncAsk,
+    TokenLot,
+)
 
 ENTRY_TIMEOUT_S: Final = 2.0  # without a request, until one is dropped
 
@@ -163,6 +169,20 @@
             for name in sorted(running)
         )
 
+    def peers(self) -> tuple[EntryPeer, ...]:
+        """Return the entry VMs that may send requests for others."""
+        return tuple(
+            EntryPeer(vm, link.ask.zone, link.ask.host)
+            for vm, link in sorted(self.links.items())
+            if link.ask.host
+            and not link.ask.wants_peers
+            and not link.ask.draining
+        )
+
+    def want_peers(self) -> bool:
+        """Return whether an entry VM reaches no target of some pool."""
+        return any(link.ask.wants_peers for link in self.links.values())
+
     def unreachable(self) -> tuple[TargetName, ...]:
         """Return the targets that an entry VM cannot reach."""
         return tuple(
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
@@ -7,6 +7,7 @@
 request was sent to the age of the relay's information.
 """
 
+from itertools import chain
 from typing import Final
 
 from .._types import VmName, ZoneName
@@ -15,9 +16,10 @@
 from ..quarantine import QuarantineReports, TrialWish
 from ..streams import StreamDirectory
 from ..targetlimits import LimitExchange
-from ..targets import LimitReport, SyncAsk, SyncReply
+from ..targets import EntryPeer, LimitReport, SyncAsk, SyncReply
 from ._entries import ConnectedEntries, EntryLink
 from ._loads import RelayedLoads
+from ._peeroffers import PeerOffers, peers_for, rotate
 from ._records import RelayedRecords
 from ._tokens import TokenSplitter
 
@@ -50,6 +52,7 @@
         self._limits = LimitExchange()
         self._reports = QuarantineReports()
         self._trials: dict[TrialWish, None] = {}
+        self._peers = PeerOffers()  # of other relays
         self._uses_sent_at = float('-inf')
 
     def build_ask(self, number: int, now: float) -> SyncAsk:
@@ -79,6 +82,8 @@
             limits=self._limits.reports(number, now),
             limit_stamp=self._limits.server_stamp,
             sends=self._sends.total_wishes(now),
+            wants_peers=self._entries.want_peers(),
+            peers=rotate(self._entries.peers(), number),
         )
 
     def on_reply(self, reply: SyncReply, asked_at: float, now: float) -> None:
@@ -88,6 +93,7 @@
         self._limits.on_reply(reply, now)
         self._note_adapters(self._records.update(self.view.targets))
         self._loads.update(reply.loads)
+        self._peers.add(reply.peers, now)
         if reply.removed or reply.is_complete:
             self._loads.remove(set(self.view.targets))
             self._limits.known.retain(self.view.targets, now)
@@ -131,7 +137,7 @@
             return True
         if ask.crashes or ask.answered or ask.trials:
             return True
-        if self._limits.has_reports():
+        if self._limits.has_reports() or ask.wants_peers:
             return True
         return self._tokens.needs_tokens() or self._sends.needs_tokens()
 
@@ -201,6 +207,7 @@
             limit_stamp=self._limits.known.stamp,
             send_lots=tuple(link.send_lots),
             found=tuple(link.found),
+            peers=self._peers_for(link),
         )
         self._tokens.record_grant(vm, link.lots, link.replies, now)
         self._sends.record_grant(vm, link.send_lots, link.replies, now)
@@ -216,6 +223,12 @@
         link.quarantine.record_sent(quarantine.version, link.replies)
         return reply
 
+    def _peers_for(self, link: EntryLink) -> tuple[EntryPeer, ...]:
+        if not link.ask.wants_peers:
+            return ()
+        known = chain(self._entries.peers(), self._peers.newest())
+        return peers_for(link.ask.vm, link.ask.zone, known)
+
     def _take_trials(self) -> tuple[TrialWish, ...]:
         trials = tuple(self._trials)
         self._trials.clear()
--- a/packages/lovagemast-core/src/lovagemast_core/targets/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/__init__.py
@@ -6,6 +6,7 @@
 from ._sync import (
     AdapterUse,
     AdapterWish,
+    EntryPeer,
     LimitReport,
     RelayInfo,
     ResidentAdapter,
@@ -20,6 +21,7 @@
 __all__ = [
     'AdapterUse',
     'AdapterWish',
+    'EntryPeer',
     'LimitReport',
     'RegisteredTarget',
     'RelayInfo',
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
@@ -32,6 +32,14 @@
     ahead: float = 0.0
 
 
+class EntryPeer(NamedTuple):
+    """An entry VM that sends requests to targets for others."""
+
+    vm: VmName
+    zone: ZoneName
+    host: str  # IP address
+
+
 class AdapterWish(NamedTuple):
     """Demand for an adapter at an entry VM.
 
@@ -107,6 +115,9 @@
     sends: tuple[TokenWish, ...] = ()
     streams: tuple[StreamStart, ...] = ()  # begun, until a reply came
     lookups: tuple[StreamKey, ...] = ()  # streams that clients resume
+    host: str = ''  # IP address of an entry VM that may be a peer of others
+    wants_peers: bool = False  # the sender reaches no target of some pool
+    peers: tuple[EntryPeer, ...] = ()  # offered by a relay
 
 
 class RelayInfo(NamedTuple):
@@ -194,3 +205,4 @@
     limit_stamp: int = 0
     send_lots: tuple[TokenLot, ...] = ()
     found: tuple[FoundStream, ...] = ()  # answers to lookups
+    peers: tuple[EntryPeer, ...] = ()  # if the receiver wants some
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_admission.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_admission.py
@@ -12,11 +12,10 @@
     DeploymentIndex,
     RouteSpec,
 )
-from lovagemast_core.quarantine import RequestIdentity, Subject
 
 from .._clock import now_s
 from ..http import HttpRequest, header_value
-from ._admitted import AdmittedRequest
+from ._admitted import AdmittedRequest, subjects_of
 from ._codec import RequestMetadata
 from ._entrystate import POLL_INTERVAL_S, EntryState
 from ._quarantinecheck import QuarantineCheck
@@ -63,11 +62,6 @@
             return HttpRefusal(
                 503, 'the route has no pool', CONFIG_RETRY_AFTER_S
             )
-        subjects = _subjects(req, host, account, metadata)
-        check = QuarantineCheck(self._state, subjects, metadata.request_id)
-        refusal = check.quarantine_refusal()
-        if refusal:
-            return refusal
         admitted = AdmittedRequest(
             req,
             metadata,
@@ -77,8 +71,14 @@
             arrived_at,
             arrived_at + _timeout_s(route, metadata),
             _cost(account, metadata),
-            subjects,
+            subjects_of(req, host, account, metadata),
         )
+        check = QuarantineCheck(
+            self._state, admitted.subjects, metadata.request_id
+        )
+        refusal = check.quarantine_refusal()
+        if refusal:
+            return refusal
         return await QuotaCharge(self._state, admitted).charge() or admitted
 
     def _check_key(
@@ -128,23 +128,6 @@
     return min(route.timeout_s, metadata.deadline_s)
 
 
-def _subjects(
-    req: HttpRequest,
-    host: str,
-    account: AccountSpec | None,
-    metadata: RequestMetadata,
-) -> tuple[Subject, ...]:
-    """Return what may be quarantined of a request, the whole of it last."""
-    identity = RequestIdentity(
-        req.method,
-        host,
-        req.request_target,
-        account.name if account else None,
-        req.body,
-    )
-    return (*metadata.parts, identity.subject)
-
-
 def _cost(account: AccountSpec | None, metadata: RequestMetadata) -> float:
     if account is None:
         return 0.0
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_admitted.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_admitted.py
@@ -3,7 +3,7 @@
 from typing import Final, NamedTuple
 
 from lovagemast_core.deployment import AccountSpec, PoolSpec, RouteSpec
-from lovagemast_core.quarantine import Subject
+from lovagemast_core.quarantine import RequestIdentity, Subject
 
 from ..http import HttpRequest
 from ._codec import RequestMetadata
@@ -51,3 +51,17 @@
         if self.account and self.account.priority is not None:
             return self.account.priority
         return self.route.priority
+
+
+def subjects_of(
+    req: HttpRequest,
+    host: str,
+    account: AccountSpec | None,
+    metadata: RequestMetadata,
+) -> tuple[Subject, ...]:
+    """Return what may be quarantined of a request, the whole of it last."""
+    name = account.name if account else None
+    identity = RequestIdentity(
+        req.method, host, req.request_target, name, req.body
+    )
+    return (*metadata.parts, identity.subject)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -1,5 +1,6 @@
 """Sends a request to one target and relays its response."""
 
+import asyncio
 from enum import Enum
 from typing import Final, NamedTuple
 
@@ -14,6 +15,7 @@
     ConnectFailed,
     ResponseData,
     ResponseEnd,
+    ResponseEvent,
     ResponseFailed,
     ResponseHead,
     TargetConnection,
@@ -23,12 +25,16 @@
 from ._codec import TargetRequestMetadata, TargetResponseMetadata
 from ._entrystate import EntryState
 from ._quarantinecheck import QuarantineCheck
+from ._refusal import HttpRefusal
 from ._relay import ResponseRelay
 from ._streamcontinuity import StreamContinuity
 from ._targetlimits import record_limit, send_terms
 from ._targetstate import record_state
 
 TARGET_CONNECT_TIMEOUT_S: Final = 0.2
+# Without a byte for so long, the path to the target is probed.
+SILENCE_S: Final = 0.5
+PATH_LOST: Final = 'no target of the pool is in reach'
 FULL_BACKOFF_S: Final = 0.03  # before a full target is tried again
 # Before a target is tried again whose address another target has taken.
 WRONG_TARGET_BACKOFF_S: Final = 0.5
@@ -56,6 +62,7 @@
 
     outcome: AttemptOutcome
     detail: str
+    refusal: HttpRefusal | None = None  # the final answer, if it is known
 
 
 class Attempt:
@@ -77,6 +84,7 @@
         self._quarantine = quarantine
         self._continuity = continuity
         self._target = candidate.known.record.target
+        self._pool = candidate.known.record.pool
         self._prefill_tokens = 0.0  # counted against the target's limit
         self.may_have_run = False
         self._has_answer = False  # has begun to answer
@@ -120,6 +128,7 @@
         )
         if isinstance(conn, ConnectFailed):
             state.health.record_unreachable(self._target, now_s())
+            state.prober.on_connect_failed(self._candidate.known)
             return AttemptResult(AttemptOutcome.NOT_SENT, conn.detail)
         return await self._run_over(conn, is_last_attempt=is_last_attempt)
 
@@ -158,7 +167,7 @@
             self._admitted.metadata.request_id.encode('latin-1'),
             state.codec.id_header,
         )
-        event = await conn.next_event()
+        event = await self._next_event(conn)
         if not isinstance(event, ResponseHead):
             return await self._on_incomplete(event)
         response = state.codec.decode_response_head(event)
@@ -178,6 +187,16 @@
             return obstacle
         return await self._relay_response(conn, event)
 
+    async def _next_event(self, conn: TargetConnection) -> ResponseEvent:
+        """Wait for the next event, or until the path to it is known as lost."""
+        while True:
+            try:
+                async with asyncio.timeout(SILENCE_S):
+                    return await conn.next_event()
+            except TimeoutError:
+                if await self._state.prober.is_lost(self._candidate.known):
+                    return ResponseFailed(PATH_LOST)
+
     def _check_response(
         self, response: TargetResponseMetadata, *, is_last_attempt: bool
     ) -> AttemptResult | None:
@@ -264,7 +283,7 @@
 
     async def _report_lost(self) -> None:
         """Report a connection that ended before the answer began."""
-        if self._has_answer:
+        if self._has_answer or self._state.paths.is_lost(self._pool):
             return
         record = self._candidate.known.record
         await self._quarantine.record_lost(
@@ -332,7 +351,7 @@
     ) -> ResponseFailed | None:
         body = bytearray()
         while True:
-            event = await conn.next_event()
+            event = await self._next_event(conn)
             if isinstance(event, ResponseData):
                 body += event.chunk
                 if len(body) > MAX_BODY_BYTES:
@@ -349,9 +368,9 @@
         conn: TargetConnection,
         head: ResponseHead,
     ) -> ResponseFailed | None:
-        self._relay.begin_stream()
+        self._relay.begin_stream(self._candidate.known.record.software)
         while True:
-            event = await conn.next_event()
+            event = await self._next_event(conn)
             if isinstance(event, ResponseData):
                 await self._relay_chunk(head, event.chunk)
                 if self._relay.partial_bytes > MAX_EVENT_BYTES:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_codec.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_codec.py
@@ -73,6 +73,9 @@
     ) -> list[tuple[bytes, bytes]]:
         """Return the headers of the request that is sent to a target."""
 
+    def peer_request_headers(self, headers: Headers) -> Headers:
+        """Return the headers for another entry VM, without the key."""
+
     def decode_response_head(
         self, head: ResponseHead
     ) -> TargetResponseMetadata:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -21,9 +21,11 @@
 )
 from ._codec import EntryCodec
 from ._entrystate import EntryState
+from ._forwardservice import ForwardService
 from ._jsonlog import JsonLog
 from ._limitlog import log_limits
 from ._metrics import MetricsPage
+from ._peers import serve_peers
 from ._requesthandler import RequestHandler
 from ._settings import EntrySettings
 from ._sync import SyncClient
@@ -70,6 +72,7 @@
             ServerLimits(),
             self._on_handler_error,
         )
+        self._forwards = ForwardService(self._state)
         self._running = 0
         self._draining = asyncio.Event()
 
@@ -84,10 +87,18 @@
         await self._front.listen(*split_address(self._cfg.front))
         page = MetricsPage(self._state.metrics.registry, self._log)
         await page.listen(self._cfg.metrics)
-        sync = asyncio.create_task(self._sync.run())
+        host = split_address(self._cfg.front)[0]
+        peers = await serve_peers((self._forwards,), host, self._cfg.peer_port)
+        tasks = [
+            asyncio.create_task(self._sync.run()),
+            asyncio.create_task(self._state.prober.run()),
+        ]
         await self._draining.wait()
         await self._drain()
-        sync.cancel()
+        for task in tasks:
+            task.cancel()
+        peers.close()
+        self._state.peers.close()
         self._log.write('entry', 'stop', running=self._running)
 
     async def _drain(self) -> None:
@@ -95,7 +106,8 @@
         max_drain_s = self._cfg.drain_grace_s - EXIT_MARGIN_S
         while now_s() - started_at < max_drain_s:
             waited_s = now_s() - started_at
-            idle = not self._running and not self._front.connections
+            is_serving = self._running or self._forwards.running
+            idle = not is_serving and not self._front.connections
             if idle and waited_s > MIN_DRAIN_S:
                 return
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
@@ -160,7 +172,7 @@
             state.load.take_uses(),
             self._draining.is_set(),
             state.load.take_missing(),
-            state.health.unreachable_targets(now_s()),
+            self._unreachable_targets(),
             seen=self._sync.seen,
             quarantine=state.guard.version,
             crashes=state.guard.reports.crashes(ask),
@@ -171,8 +183,21 @@
             sends=state.sends.wishes(now_s()),
             streams=self._begun_streams(ask),
             lookups=state.lookups.pending(),
+            host=split_address(self._cfg.front)[0],
+            wants_peers=bool(state.paths.lost_pools()),
         )
 
+    def _unreachable_targets(self) -> tuple[str, ...]:
+        """Return the targets that no VM reaches, as far as this one knows."""
+        state = self._state
+        lost = frozenset(
+            known.record.target
+            for pool in state.paths.lost_pools()
+            for known in state.view.find_targets(pool, '', '')
+        )
+        unreachable = state.health.unreachable_targets(now_s())
+        return tuple(name for name in unreachable if name not in lost)
+
     def _begun_streams(self, ask: int) -> tuple[StreamStart, ...]:
         streams = self._state.streams
         if not self._sync.seen:  # nothing came on this stream yet
@@ -189,13 +214,12 @@
         state.guard.reports.on_reply(reply.ask)
         state.streams.on_reply(reply.ask)
         state.lookups.add(reply.found)
+        state.peers.directory.add(reply.peers, now)
         if reply.quarantine:
             self._apply_quarantine(now)
         if newer:
             self._apply_config()
-        for lot in reply.lots:
-            state.tokens.add(lot, now)
-        self._apply_limits(reply, now)
+        self._apply_tokens(reply, now)
         state.load.fleet_reported(reply.loads)
         if reply.removed or reply.is_complete:
             present = set(state.view.targets)
@@ -203,11 +227,7 @@
             state.batch.retain(present)
             state.prefill.retain(present)
             state.sends.retain(present, now)
-        # A reply that only confirms the state wakes no waiting requests.
-        has_news = newer or bool(reply.quarantine)
-        has_news = has_news or bool(reply.limits or reply.send_lots)
-        has_news = has_news or bool(reply.found)
-        if has_news or reply.targets or reply.removed or reply.lots:
+        if newer or _has_news(reply):
             state.notify_update()
 
     def _log_behind(self) -> None:
@@ -219,7 +239,9 @@
             revision=view.published.revision,
         )
 
-    def _apply_limits(self, reply: SyncReply, now: float) -> None:
+    def _apply_tokens(self, reply: SyncReply, now: float) -> None:
+        for lot in reply.lots:
+            self._state.tokens.add(lot, now)
         sends = self._state.sends
         changes = sends.exchange.on_reply(reply, now)
         log_limits(self._log, changes, 'sync')
@@ -250,3 +272,15 @@
             revision=published.revision,
             version=published.version,
         )
+
+
+def _has_news(reply: SyncReply) -> bool:
+    """Return whether requests may wait for what a reply brings.
+
+    One that only confirms the state wakes none.
+    """
+    tokens = reply.lots or reply.send_lots
+    targets = reply.targets or reply.removed or reply.limits
+    return bool(
+        tokens or targets or reply.quarantine or reply.found or reply.peers
+    )
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
@@ -12,6 +12,8 @@
     ColdStartLimiter,
     DrainWindow,
     FleetView,
+    PathMonitor,
+    PeerDirectory,
     PrefillLimit,
     RetryBudget,
     SendLimiter,
@@ -28,6 +30,8 @@
 from ._jsonlog import JsonLog
 from ._loadtracker import LoadTracker
 from ._metrics import EntryMetrics
+from ._pathprober import PathProber
+from ._peerchannels import PeerChannels
 from ._settings import EntrySettings
 
 # Between the checks of requests that wait, if nothing wakes them.
@@ -50,6 +54,11 @@
         self.request_sync = request_sync
         self.view = FleetView()
         self.health = TargetHealth()
+        self.paths = PathMonitor()
+        self.prober = PathProber(self)
+        self.peers = PeerChannels(
+            PeerDirectory(cfg.vm, cfg.zone), cfg.peer_port
+        )
         self.tokens = LocalTokens(cfg.quota)
         self.load = LoadTracker()
         self.pool = TargetPool()
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
@@ -4,19 +4,26 @@
 
 from lovagemast_core.entry import Candidate
 from lovagemast_core.quarantine import SendStatus
+from lovagemast_core.targets import EntryPeer
 
 from .._clock import now_s
 from ._admitted import AdmittedRequest
 from ._attempt import Attempt, AttemptOutcome, AttemptResult
 from ._entrystate import POLL_INTERVAL_S, EntryState
+from ._peerattempt import PeerAttempt
 from ._quarantinecheck import QuarantineCheck
 from ._refusal import HttpRefusal
 from ._relay import ResponseRelay
 from ._streamcontinuity import StreamContinuity
-from ._targetwait import NOT_RUN_RETRY_AFTER_S, TargetWait
+from ._targetwait import NOT_RUN_RETRY_AFTER_S, PathsLost, TargetWait
 
 # Sends beyond the route's attempts, after targets proved not to have run it.
 MAX_EXTRA_SENDS: Final = 3
+MAX_PEERS: Final = 3  # that are asked to send one request
+PEER_WAIT_S: Final = 0.5  # for the first offers, after the paths were lost
+UNREACHABLE_RETRY_AFTER_S: Final = 0.5
+# First word of the refusal's reason, which callers may rely on.
+UNREACHABLE_CODE: Final = 'targets-out-of-reach'
 
 
 class RequestForwarder:
@@ -32,6 +39,8 @@
         admitted: AdmittedRequest,
         relay: ResponseRelay,
         continuity: StreamContinuity,
+        *,
+        is_for_peer: bool = False,
     ) -> None:
         self._state = state
         self._admitted = admitted
@@ -42,7 +51,10 @@
         self._continuity = continuity
         self._wait = TargetWait(state, admitted, self._quarantine, continuity)
         self._tried: set[str] = set()
+        self._tried_peers: set[str] = set()
         self._possible_runs = 0
+        self._is_for_peer = is_for_peer
+        self.has_lost_paths = False  # on the last search for a target
         self.sends = 0
         self.target = ''  # of the last attempt
 
@@ -53,24 +65,54 @@
 
     async def run(self) -> HttpRefusal | None:
         """Relay a response, or return why there is none."""
-        self._state.retries.record_request(now_s())
-        self._wait.record_request()
+        if not self._is_for_peer:  # which has counted it
+            self._state.retries.record_request(now_s())
+            self._wait.record_request()
         while True:
             refusal = await self._wait_for_trial()
             if refusal:
                 return refusal
-            candidate = await self._find_target()
-            if isinstance(candidate, HttpRefusal):
-                return candidate
-            result = await self._attempt(candidate)
+            way = await self._find_way()
+            if isinstance(way, HttpRefusal):
+                return way
+            result = await self._attempt_over(way)
             if result.outcome is AttemptOutcome.DONE:
                 return None
-            if result.outcome is AttemptOutcome.NOT_SENT:
-                continue
-            refusal = self._check_retry(result)
+            refusal = self._refusal_after(result)
             if refusal:
                 return refusal
 
+    async def _attempt_over(self, way: Candidate | EntryPeer) -> AttemptResult:
+        if isinstance(way, EntryPeer):
+            return await self._attempt_over_peer(way)
+        return await self._attempt(way)
+
+    async def _attempt_over_peer(self, peer: EntryPeer) -> AttemptResult:
+        attempt = PeerAttempt(
+            self._state, self._admitted, peer, self._relay, self._continuity
+        )
+        self.target = peer.vm
+        self._possible_runs += 1
+        chosen_at = now_s()
+        result = await attempt.run(is_last_attempt=not self._may_retry())
+        if not attempt.may_have_run:
+            self._possible_runs -= 1
+        if result.outcome is not AttemptOutcome.NOT_SENT:
+            self.sends += 1
+        if result.outcome is not AttemptOutcome.DONE:
+            self._tried_peers.add(peer.vm)
+        self._state.metrics.record_forward(result.outcome.name)
+        self._state.log.write(
+            'forward',
+            result.outcome.value,
+            id=self._admitted.metadata.request_id,
+            peer=peer.vm,
+            account=self._admitted.account_name,
+            detail=result.detail,
+            **self._timings(chosen_at),
+        )
+        return result
+
     async def _attempt(self, candidate: Candidate) -> AttemptResult:
         attempt = Attempt(
             self._state,
@@ -163,6 +205,8 @@
 
     async def _wait_for_trial(self) -> HttpRefusal | None:
         """Wait until no suspicion holds the request back."""
+        if self._state.paths.is_lost(self._admitted.pool.name):
+            return self._check_quarantine()  # the peer that sends it waits
         give_up_at = self._wait_deadline()
         try:
             while True:
@@ -189,14 +233,44 @@
             return HttpRefusal(502, refusal.reason)
         return refusal
 
-    async def _find_target(self) -> Candidate | HttpRefusal:
+    async def _find_way(self) -> Candidate | EntryPeer | HttpRefusal:
+        """Wait for a target, or for a peer if no target is in reach."""
+        found: Candidate | EntryPeer | HttpRefusal | PathsLost
         found = await self._wait.find(
             frozenset(self._tried), self._wait_deadline()
         )
+        self.has_lost_paths = isinstance(found, PathsLost)
+        if isinstance(found, PathsLost):
+            found = await self._find_peer()
         if isinstance(found, HttpRefusal):
             return self._as_possible_run(found)
         return found
 
+    async def _find_peer(self) -> EntryPeer | HttpRefusal:
+        """Wait for a peer, for a moment after the paths were lost."""
+        state = self._state
+        lost_at = state.paths.lost_at(self._admitted.pool.name) or 0.0
+        give_up_at = min(lost_at + PEER_WAIT_S, self._wait_deadline())
+        while not self._is_for_peer and len(self._tried_peers) < MAX_PEERS:
+            now = now_s()
+            peer = state.peers.directory.choose(self._tried_peers, now)
+            if peer:
+                return peer
+            if now >= give_up_at or self._tried_peers:
+                break
+            state.request_sync()
+            await state.wait_for_update(POLL_INTERVAL_S)
+        reason = f'{UNREACHABLE_CODE}: {self._admitted.pool.name}'
+        return HttpRefusal(503, reason, UNREACHABLE_RETRY_AFTER_S)
+
+    def _refusal_after(self, result: AttemptResult) -> HttpRefusal | None:
+        """Return why there is no further attempt, ``None`` if there is."""
+        if result.outcome is AttemptOutcome.NOT_SENT:
+            return None
+        if result.refusal:
+            return self._as_possible_run(result.refusal)
+        return self._check_retry(result)
+
     def _wait_deadline(self) -> float:
         """Return until when to wait; a stream that has begun goes on."""
         if self._relay.started:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
@@ -82,6 +82,17 @@
             'Requests refused for the limits of their targets',
             registry=self.registry,
         )
+        self._lost_pools = Gauge(
+            'lovagemast_lost_pools',
+            'Pools of which this VM reaches no target',
+            registry=self.registry,
+        )
+        self._forwards = Counter(
+            'lovagemast_forwards',
+            'Requests sent over another entry VM, by how they ended',
+            ('end',),
+            registry=self.registry,
+        )
         self._stream_lookups = Counter(
             'lovagemast_stream_lookups',
             'Streams that clients resume, by what is known of their origin',
@@ -126,6 +137,14 @@
         """Set the number of targets that name a limit."""
         self._limited_targets.set(count)
 
+    def set_lost_pools(self, count: int) -> None:
+        """Set the number of pools of which this VM reaches no target."""
+        self._lost_pools.set(count)
+
+    def record_forward(self, end: str) -> None:
+        """Count a request sent over another entry VM, by its outcome."""
+        self._forwards.labels(end).inc()
+
     def record_limited_send(self) -> None:
         """Count a request sent to a target that names a limit."""
         self._limited_sends.inc()
--- /dev/null
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_pathprober.py
@@ -0,0 +1,158 @@
+"""Finds out which pools this entry VM reaches, by opening connections."""
+
+import asyncio
+import random
+import secrets
+from typing import Final, Protocol
+
+from lovagemast_core.entry import (
+    SAMPLE_TARGETS,
+    FleetView,
+    KnownTarget,
+    PathMonitor,
+    TargetHealth,
+)
+
+from .._clock import now_s
+from ..http import ConnectFailed, TargetPool
+from ._jsonlog import JsonLog
+from ._metrics import EntryMetrics
+
+PROBE_TIMEOUT_S: Final = 0.4
+# Between two probes of one target, or of a pool that is in reach.
+PROBE_INTERVAL_S: Final = 0.5
+LOST_PROBE_INTERVAL_S: Final = 0.3  # of a pool that is out of reach
+LOST_PROBE_TARGETS: Final = 3  # probed at a time then
+
+
+# Of smaller pools, silent requests are not given up: a target that stands still
+# for a moment can't be told from a lost path.
+MIN_POOL_TARGETS: Final = 2
+
+
+class ProberState(Protocol):
+    """What the prober uses of an entry VM."""
+
+    view: FleetView
+    health: TargetHealth
+    paths: PathMonitor
+    pool: TargetPool
+    log: JsonLog
+    metrics: EntryMetrics
+
+    def request_sync(self) -> None:
+        """Send the next sync request soon."""
+
+    def notify_update(self) -> None:
+        """Wake all requests that wait for an update."""
+
+
+class PathProber:
+    """Probes pools after failures, and as long as they are out of reach.
+
+    A probe opens a connection and sends nothing: a slow target passes it.
+    """
+
+    def __init__(self, state: ProberState) -> None:
+        self._state = state
+        self._probed_at: dict[str, float] = {}  # targets and pools, in s
+        self._rounds: dict[str, asyncio.Task[None]] = {}
+        self._rng = random.Random(secrets.randbits(64))
+
+    async def run(self) -> None:
+        """Probe the pools that are out of reach until cancelled."""
+        while True:
+            await asyncio.sleep(LOST_PROBE_INTERVAL_S)
+            lost = self._state.paths.lost_pools()
+            await asyncio.gather(
+                *(self._probe_pool(pool, LOST_PROBE_TARGETS) for pool in lost)
+            )
+
+    def on_connect_failed(self, known: KnownTarget) -> None:
+        """Find out whether a failed attempt to connect is the only one."""
+        pool = known.record.pool
+        if not self._state.paths.is_lost(pool):
+            self._start_round(pool)
+
+    async def is_lost(self, known: KnownTarget) -> bool:
+        """Return whether the pool of a silent request's target is lost."""
+        pool = known.record.pool
+        paths = self._state.paths
+        if len(self._targets(pool)) < MIN_POOL_TARGETS:
+            return False
+        if paths.is_lost(pool):
+            return True
+        if not self._is_due(known.record.target) or await self._probe(known):
+            return False
+        await asyncio.shield(self._start_round(pool))
+        return paths.is_lost(pool)
+
+    def _start_round(self, pool: str) -> 'asyncio.Task[None]':
+        """Return the round in progress, or one that is started now."""
+        task = self._rounds.get(pool)
+        if task is None:
+            task = asyncio.create_task(self._run_round(pool))
+            self._rounds[pool] = task
+            task.add_done_callback(lambda _task: self._rounds.pop(pool))
+        return task
+
+    async def _run_round(self, pool: str) -> None:
+        if self._is_due(pool):
+            await self._probe_pool(pool, SAMPLE_TARGETS)
+
+    async def _probe_pool(self, pool: str, count: int) -> None:
+        """Probe some targets of a pool, all of a small one."""
+        state = self._state
+        targets = self._targets(pool)
+        sample = self._rng.sample(targets, min(count, len(targets)))
+        answers = await asyncio.gather(*map(self._probe, sample))
+        reached = [
+            known.record.target
+            for known, answered in zip(sample, answers, strict=True)
+            if answered
+        ]
+        size = len(self._targets(pool))
+        if state.paths.record_probes(pool, reached, size, now_s()):
+            self._on_change(pool)
+
+    async def _probe(self, known: KnownTarget) -> bool:
+        """Return whether a connection to a target could be opened."""
+        state = self._state
+        record = known.record
+        conn = await state.pool.acquire(
+            record.address, fresh=True, timeout_s=PROBE_TIMEOUT_S, now=now_s()
+        )
+        if isinstance(conn, ConnectFailed):
+            state.health.record_unreachable(record.target, now_s())
+            return False
+        state.pool.release(conn, now_s())
+        state.health.record_reachable(record.target)
+        return True
+
+    def _targets(self, pool: str) -> list[KnownTarget]:
+        return list(self._state.view.find_targets(pool, '', ''))
+
+    def _on_change(self, pool: str) -> None:
+        state = self._state
+        message = 'pool out of reach'
+        if not state.paths.is_lost(pool):
+            message = 'pool reached again'
+            for known in self._targets(pool):
+                state.health.record_reachable(known.record.target)
+        state.log.write('paths', message, pool=pool)
+        state.metrics.set_lost_pools(len(state.paths.lost_pools()))
+        state.request_sync()
+        state.notify_update()
+
+    def _is_due(self, name: str) -> bool:
+        """Return whether a target or a pool was not probed just now."""
+        now = now_s()
+        if now - self._probed_at.get(name, float('-inf')) < PROBE_INTERVAL_S:
+            return False
+        self._probed_at = {
+            one: at
+            for one, at in self._probed_at.items()
+            if now - at < PROBE_INTERVAL_S
+        }
+        self._probed_at[name] = now
+        return True
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_relay.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_relay.py
@@ -1,12 +1,36 @@
 """Relays a target's response to the caller."""
 
+from typing import Protocol
+
 from lovagemast_core.entry import EventStreamBuffer
 
 from .._clock import now_s
-from ..http import Responder, ResponseHead
+from ..http import Headers, ResponseHead
 from ._codec import EntryCodec
 
 
+class ResponseWriter(Protocol):
+    """Takes the parts of one response."""
+
+    @property
+    def started(self) -> bool:
+        """Return whether the head was written."""
+
+    async def send(
+        self, status: int, headers: Headers = (), body: bytes = b''
+    ) -> None:
+        """Write a complete response."""
+
+    def start(self, status: int, headers: Headers, length: int | None) -> None:
+        """Write the head."""
+
+    async def write(self, chunk: bytes) -> None:
+        """Write a part of the body."""
+
+    def end(self) -> None:
+        """Finish the response."""
+
+
 class ResponseRelay:
     """One response to a caller.
 
@@ -14,13 +38,14 @@
     may contribute to it in turn.
     """
 
-    def __init__(self, responder: Responder, codec: EntryCodec) -> None:
+    def __init__(self, responder: ResponseWriter, codec: EntryCodec) -> None:
         self._responder = responder
         self._codec = codec
         self._event_buffer = EventStreamBuffer()
         self.first_at: float | None = None  # when the stream began, in s
         self.longest_pause_s = 0.0  # between events of the whole stream
         self.target_pause_s = 0.0  # between events of the last target
+        self.software = ''  # of the target that streams
         self._is_resumed = False
         self._last_at = 0.0
 
@@ -44,12 +69,13 @@
         """Return whether a part of an incomplete event is buffered."""
         return self._event_buffer.is_inside_event
 
-    def begin_stream(self) -> None:
-        """Prepare for the events of a target.
+    def begin_stream(self, software: str = '') -> None:
+        """Prepare for the events of a target, of some software version.
 
         If the stream is resumed, the pause before the first event does not
         count as a pause of this target.
         """
+        self.software = software
         self._event_buffer.discard_partial()
         self._is_resumed = self.started
         self.target_pause_s = 0.0
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
@@ -1,13 +1,11 @@
 """Handles a caller's request from its arrival to the end of the response."""
 
-import asyncio
-from typing import Final
-
 from .._clock import now_s
 from ..http import HttpRequest, Responder
 from ._admission import Admission
 from ._admitted import AdmittedRequest
 from ._codec import RequestMetadata
+from ._delivery import SHUTDOWN_REASON, deliver
 from ._entrystate import EntryState
 from ._forwarder import RequestForwarder
 from ._refusal import HttpRefusal
@@ -15,8 +13,6 @@
 from ._streamcontinuity import StreamContinuity
 from ._targetwait import NOT_RUN_RETRY_AFTER_S
 
-SHUTDOWN_REASON: Final = 'the entry VM shuts down'
-
 
 class RequestHandler:
     """Handles one request from its arrival to the end of the response."""
@@ -65,7 +61,7 @@
         self._forwarder = RequestForwarder(
             self._state, admitted, relay, continuity
         )
-        return await self._deliver(self._forwarder, admitted)
+        return await deliver(self._state, self._forwarder, admitted)
 
     def _refund(self, admitted: AdmittedRequest) -> None:
         """Refund the cost of a request that no target has run."""
@@ -76,36 +72,6 @@
                 admitted.account, admitted.cost, admitted.arrived_at, now_s()
             )
 
-    async def _deliver(
-        self,
-        forwarder: RequestForwarder,
-        admitted: AdmittedRequest,
-    ) -> HttpRefusal | None:
-        drain = self._state.drain
-        deadline = admitted.deadline
-        if drain:
-            deadline = min(deadline, drain.ends_at)
-        limits = self._state.time_limits
-        limit = asyncio.timeout(deadline - now_s())
-        limits.add(limit)
-        try:
-            async with limit:
-                return await forwarder.run()
-        except TimeoutError:
-            return self._refuse_late(forwarder, admitted)
-        finally:
-            limits.discard(limit)
-
-    def _refuse_late(
-        self, forwarder: RequestForwarder, admitted: AdmittedRequest
-    ) -> HttpRefusal:
-        is_late = now_s() >= admitted.deadline
-        if forwarder.may_have_run:
-            reason = 'deadline passed' if is_late else SHUTDOWN_REASON
-            return HttpRefusal(504, reason)
-        reason = 'no target in time' if is_late else SHUTDOWN_REASON
-        return HttpRefusal(503, reason, NOT_RUN_RETRY_AFTER_S)
-
     async def _refuse(self, refusal: HttpRefusal) -> None:
         state = self._state
         request_id = self._metadata.request_id if self._metadata else ''
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_targetwait.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_targetwait.py
@@ -1,6 +1,6 @@
 """A request's wait for a target that can take it, and when to give it up."""
 
-from typing import Final
+from typing import Final, NamedTuple
 
 from lovagemast_core.entry import (
     Candidate,
@@ -31,6 +31,10 @@
 EXPECTED_ADAPTER_WAIT_S: Final = 0.4  # a load and the leader's round trip
 
 
+class PathsLost(NamedTuple):
+    """No target of the pool is in reach of this entry VM."""
+
+
 class TargetWait:
     """Waits until a target can take a request, or tells why it can't.
 
@@ -78,11 +82,16 @@
 
     async def find(
         self, tried: frozenset[str], give_up_at: float
-    ) -> Candidate | HttpRefusal:
-        """Wait until a target with the adapter can take the request."""
+    ) -> Candidate | HttpRefusal | PathsLost:
+        """Wait until a target with the adapter can take the request.
+
+        Return at once if this VM reaches no target of the pool.
+        """
         try:
             while True:
                 now = now_s()
+                if self._state.paths.is_lost(self._pool):
+                    return PathsLost()
                 choice = self._chooser.choose(tried, now)
                 if isinstance(choice, Choice):
                     self._state.queue.record_send(self._pool, now)
--- a/packages/lovagemast-wire/src/lovagemast_wire/__init__.py
+++ b/packages/lovagemast-wire/src/lovagemast_wire/__init__.py
@@ -7,6 +7,8 @@
 from .lovagemast_grpc import (
     EntriesBase,
     EntriesStub,
+    ForwardsBase,
+    ForwardsStub,
     PeersBase,
     PeersStub,
     RelaysBase,
@@ -19,6 +21,8 @@
     'EntriesBase',
     'EntriesStub',
     'Envelope',
+    'ForwardsBase',
+    'ForwardsStub',
     'LogRecord',
     'PeersBase',
     'PeersStub',
--- a/packages/lovagemast-wire/src/lovagemast_wire/lovagemast_grpc.py
+++ b/packages/lovagemast-wire/src/lovagemast_wire/lovagemast_grpc.py
@@ -94,3 +94,31 @@
             lovagemast_wire.lovagemast_pb2.SyncAsk,
             lovagemast_wire.lovagemast_pb2.SyncReply,
         )
+
+
+class ForwardsBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Forward(self, stream: 'grpclib.server.Stream[lovagemast_wire.lovagemast_pb2.ForwardRequest, lovagemast_wire.lovagemast_pb2.ForwardEvent]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/lovagemast.Forwards/Forward': grpclib.const.Handler(
+                self.Forward,
+                grpclib.const.Cardinality.UNARY_STREAM,
+                lovagemast_wire.lovagemast_pb2.ForwardRequest,
+                lovagemast_wire.lovagemast_pb2.ForwardEvent,
+            ),
+        }
+
+
+class ForwardsStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Forward = grpclib.client.UnaryStreamMethod(
+            channel,
+            '/lovagemast.Forwards/Forward',
+            lovagemast_wire.lovagemast_pb2.ForwardRequest,
+            lovagemast_wire.lovagemast_pb2.ForwardEvent,
+        )
