--- a/packages/lovagemast-core/src/lovagemast_core/entry/_peers.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_peers.py
@@ -7,7 +7,7 @@
 from .._types import VmName, ZoneName
 from ..targets import EntryPeer
 
-PEER_TTL_S: Final = 3.0  # without news of an offer
+PEER_TTL_S: Final = 3.0  # without newer offers
 BACKOFF_S: Final = 1.0  # after a peer could not be reached, or was full
 
 
@@ -21,16 +21,12 @@
         self._avoided_until: dict[VmName, float] = {}
         self._running: dict[VmName, int] = {}
 
-    def add(self, peers: Iterable[EntryPeer], now: float) -> None:
-        """Store offers, and forget those without recent news."""
-        for peer in peers:
-            if peer.vm != self._vm:
-                self._peers[peer.vm] = (peer, now)
-        self._peers = {
-            vm: known
-            for vm, known in self._peers.items()
-            if now - known[1] < PEER_TTL_S
+    def update(self, peers: Iterable[EntryPeer], now: float) -> None:
+        """Replace the offers by newer ones, unless there are none."""
+        offered = {
+            peer.vm: (peer, now) for peer in peers if peer.vm != self._vm
         }
+        self._peers = offered or self._peers
 
     def choose(self, tried: Collection[VmName], now: float) -> EntryPeer | None:
         """Return the peer for the next request, ``None`` if there is none.
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_peeroffers.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_peeroffers.py
@@ -10,7 +10,7 @@
 
 MAX_OFFERS: Final = 8  # to the leader with one request, or to an entry VM
 MAX_FORWARDED: Final = 32  # by the leader, with one reply
-OFFER_TTL_S: Final = 3.0
+OFFER_TTL_S: Final = 0.5
 
 
 class PeerOffers:
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
@@ -226,7 +226,9 @@
     def _peers_for(self, link: EntryLink) -> tuple[EntryPeer, ...]:
         if not link.ask.wants_peers:
             return ()
-        known = chain(self._entries.peers(), self._peers.newest())
+        own = self._entries.links
+        others = (one for one in self._peers.newest() if one.vm not in own)
+        known = chain(self._entries.peers(), others)
         return peers_for(link.ask.vm, link.ask.zone, known)
 
     def _take_trials(self) -> tuple[TrialWish, ...]:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -214,7 +214,7 @@
         state.guard.reports.on_reply(reply.ask)
         state.streams.on_reply(reply.ask)
         state.lookups.add(reply.found)
-        state.peers.directory.add(reply.peers, now)
+        state.peers.directory.update(reply.peers, now)
         if reply.quarantine:
             self._apply_quarantine(now)
         if newer:
--- a/soak/_cluster.py
+++ b/soak/_cluster.py
@@ -13,7 +13,7 @@
 
 from tests.platformworker import Worker, put
 
-from ._plan import Components
+from ._plan import Components, Cut
 from ._proxy import Proxy
 
 CONTROL: Final = ('127.0.0.11', '127.0.0.12', '127.0.0.13')
@@ -94,7 +94,7 @@
                 stderr=log,
             )
 
-    def cut(self, vm: str, how: str) -> None:
+    def cut(self, vm: str, how: Cut) -> None:
         """Cut an entry VM off from all targets, or no more if empty."""
         self._cut_path(vm).write_text(how, encoding='utf-8')
 
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -8,9 +8,22 @@
 DURATION_S: Final = (0.5, 4.0)
 LIMIT_DURATION_S: Final = (5.0, 15.0)
 LIMITS_PER_S: Final = (0.4, 1.0, 2.5)
+CUT_DURATION_S: Final = (0.5, 6.0)
 WIPE_RECOVERY_S: Final = 12.0  # a wiped replica is replaced within this time
 
 
+class Cut(StrEnum):
+    """How an entry VM's connections to targets are cut."""
+
+    NONE = ''
+    SILENT = 'silent'  # nothing arrives, in either direction
+    RESET = 'reset'  # open ones are reset, new ones are refused
+    REFUSED = 'refused'  # new ones are refused, open ones live on
+
+
+CUTS: Final = (Cut.SILENT, Cut.RESET, Cut.REFUSED)
+
+
 class FaultKind(StrEnum):
     """A fault of a process, a worker or the connection to a worker."""
 
@@ -80,6 +93,15 @@
     per_s: float
 
 
+class CutSpan(NamedTuple):
+    """A span, in s, in which an entry VM reaches no target."""
+
+    at: float
+    duration_s: float
+    component: str
+    how: Cut
+
+
 def draw_limits(
     seed: int, components: Components, seconds: float
 ) -> list[LimitSpan]:
@@ -95,6 +117,24 @@
     return spans
 
 
+def draw_cuts(
+    seed: int, components: Components, seconds: float
+) -> list[CutSpan]:
+    """Draw when entry VMs reach no target; never all at a time.
+
+    Cuts overlap with all other faults, also of the VM that is not cut off.
+    """
+    rng = random.Random(f'cuts {seed}')
+    spans = []
+    at = rng.uniform(*SPACING_S)
+    while at < seconds:
+        duration_s = rng.uniform(*CUT_DURATION_S)
+        vm = rng.choice(components.entries)
+        spans.append(CutSpan(at, duration_s, vm, rng.choice(CUTS)))
+        at += duration_s + rng.uniform(*SPACING_S)
+    return spans
+
+
 def draw_faults(
     seed: int, components: Components, seconds: float
 ) -> list[Fault]:
--- a/soak/_soak.py
+++ b/soak/_soak.py
@@ -21,7 +21,16 @@
     SoakHistory,
     find_violations,
 )
-from ._plan import Fault, FaultKind, LimitSpan, draw_faults, draw_limits
+from ._plan import (
+    Cut,
+    CutSpan,
+    Fault,
+    FaultKind,
+    LimitSpan,
+    draw_cuts,
+    draw_faults,
+    draw_limits,
+)
 from ._proxy import Mode
 
 START_TIMEOUT_S: Final = 20.0
@@ -76,6 +85,7 @@
         ]
         self._faults = draw_faults(seed, self._cluster.components, seconds)
         self._limits = draw_limits(seed, self._cluster.components, seconds)
+        self._cuts = draw_cuts(seed, self._cluster.components, seconds)
         self._named: list[NamedLimit] = []
         self._configs: list[ConfigObservation] = []
         self._version = 0
@@ -104,6 +114,7 @@
             await asyncio.gather(
                 *(self._inject(one) for one in self._faults),
                 *(self._name_limit(one) for one in self._limits),
+                *(self._cut_off(one) for one in self._cuts),
             )
             await asyncio.sleep(SETTLE_S)
         finally:
@@ -154,6 +165,13 @@
                 NamedLimit(worker.name, began_at, time.monotonic(), span.per_s)
             )
 
+    async def _cut_off(self, span: CutSpan) -> None:
+        """Let an entry VM reach no target for a while."""
+        await asyncio.sleep(span.at)
+        self._cluster.cut(span.component, span.how)
+        await asyncio.sleep(span.duration_s)
+        self._cluster.cut(span.component, Cut.NONE)
+
     async def _restart_process(self, fault: Fault) -> None:
         number = signal.SIGKILL
         if fault.kind is FaultKind.TERM:
@@ -235,7 +253,8 @@
         if served < MIN_SERVED_FRACTION * LAST_CALLS:
             violations.append(f'{served} of the last {LAST_CALLS} calls served')
         violations.extend(self._cluster.failures)
-        return Result(len(calls), len(self._faults), violations)
+        faults = len(self._faults) + len(self._cuts)
+        return Result(len(calls), faults, violations)
 
     def _executions(self) -> list[Execution]:
         return [
@@ -269,4 +288,8 @@
             for one in self._faults
             if one.kind not in NON_DISRUPTIVE
         ]
-        return [*spans, (self._ended_at, float('inf'))]
+        cuts = [
+            (began + one.at, began + one.at + one.duration_s + FAULT_MARGIN_S)
+            for one in self._cuts
+        ]
+        return [*spans, *cuts, (self._ended_at, float('inf'))]
--- a/soak/cutentry.py
+++ b/soak/cutentry.py
@@ -8,7 +8,6 @@
 import os
 import sys
 import weakref
-from enum import StrEnum
 from pathlib import Path
 from typing import Final
 
@@ -17,19 +16,12 @@
 from lovagemast_platform._entry import PlatformEntryCodec
 from lovagemast_platform._settings import SettingsFile
 
+from ._plan import Cut
+
 POLL_INTERVAL_S: Final = 0.02
 USER_TIMEOUT_S: Final = 2.5  # until the kernel gives up on unread bytes
 
 
-class Cut(StrEnum):
-    """How connections to targets are cut."""
-
-    NONE = ''
-    SILENT = 'silent'  # nothing arrives, in either direction
-    RESET = 'reset'  # open ones are reset, new ones are refused
-    REFUSED = 'refused'  # new ones are refused, open ones live on
-
-
 class CutSwitch:
     """The cut in force, and all open connections to targets."""
 
--- a/tests/relayfleet.py
+++ b/tests/relayfleet.py
@@ -16,7 +16,7 @@
     ModelSpec,
     PoolSpec,
 )
-from lovagemast_core.entry import FleetView, SendLimiter
+from lovagemast_core.entry import FleetView, PeerDirectory, SendLimiter
 from lovagemast_core.quota import LocalTokens, QuotaBounds
 from lovagemast_core.syncrelay import (
     ENTRY_SYNC,
@@ -72,6 +72,8 @@
         self.spent = 0.0
         self.wishes: tuple[AdapterWish, ...] = ()
         self.seen = 0
+        self.peers = PeerDirectory(vm, zone)
+        self.is_cut_off = False  # from all targets
 
     def build_ask(self, number: int, now: float) -> SyncAsk:
         """Return the next sync request."""
@@ -89,12 +91,15 @@
             limits=self.sends.exchange.reports(number, now),
             limit_stamp=self.sends.exchange.server_stamp,
             sends=self.sends.wishes(now),
+            host=f'{self.vm}.ip',
+            wants_peers=self.is_cut_off,
         )
 
     def on_reply(self, reply: SyncReply, asked_at: float, now: float) -> None:
         """Apply a relay's reply."""
         self.seen = reply.number
         self.view.apply(reply, asked_at, now)
+        self.peers.update(reply.peers, now)
         for lot in reply.lots:
             self.tokens.add(lot, now)
         self.sends.exchange.on_reply(reply, now)
--- a/tests/test_cutentry.py
+++ b/tests/test_cutentry.py
@@ -11,6 +11,7 @@
 
 from soak._callers import OK
 from soak._cluster import ENTRIES, HOST, MODEL, SoakCluster
+from soak._plan import CUTS, Cut
 
 CONTACT_S = 3.0  # by which the others have to serve the VM's callers
 START_TIMEOUT_S = 25.0
@@ -86,8 +87,8 @@
         return self.cluster.put_config('127.0.0.11', version, ('k1',)) == OK
 
 
-@pytest.mark.parametrize('cut', ['silent', 'reset', 'refused'])
-def test_callers_of_a_cut_entry_vm_are_served(tmp_path: Path, cut: str) -> None:
+@pytest.mark.parametrize('cut', CUTS)
+def test_callers_of_a_cut_entry_vm_are_served(tmp_path: Path, cut: Cut) -> None:
     """Its callers are served as often as those of others, on all routes."""
 
     async def play() -> tuple[dict[str, int], dict[str, int], list[str]]:
@@ -100,7 +101,7 @@
             during = {
                 route: await one.served(ENTRIES[0], route) for route in BODIES
             }
-            one.cluster.cut(ENTRIES[0], '')
+            one.cluster.cut(ENTRIES[0], Cut.NONE)
             await asyncio.sleep(CONTACT_S)
             after = {
                 route: await one.served(ENTRIES[0], route) for route in BODIES
--- a/tests/test_deadlyrequests.py
+++ b/tests/test_deadlyrequests.py
@@ -1,6 +1,7 @@
 """Tests of whole requests that crash targets, whatever their prompt holds."""
 
 import asyncio
+import contextlib
 from typing import NamedTuple
 
 import pytest
@@ -35,17 +36,17 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        try:
-            head = await reader.readuntil(b'\r\n\r\n')
-        except asyncio.IncompleteReadError:
-            return
-        self.requests += 1
-        if DEADLY_PATH in head and self._server:
-            self._server.close()
-        else:
+        with contextlib.closing(writer):
+            try:
+                head = await reader.readuntil(b'\r\n\r\n')
+            except asyncio.IncompleteReadError:
+                return
+            self.requests += 1
+            if DEADLY_PATH in head and self._server:
+                self._server.close()
+                return
             writer.write(self._answer)
             await writer.drain()
-        writer.close()
 
 
 class Case(NamedTuple):
