Keep rejections by brittle targets below what they bear

The exchange of limits now takes the news of one kind from a reply. The two kinds of attempts in the forwarder share their counting.

--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -72,6 +72,7 @@
         self.planner = AdapterPlanner()
         self.issuer = TokenIssuer(quota)
         self.limits = TargetLimits()
+        self.tolerances = TargetLimits()  # of rejections
         self._send_issuer = TokenIssuer(SendBounds())
         self._vm = vm
         self.holders = OrderHolders(takeover_s)
@@ -111,6 +112,7 @@
         self.planner.reset()
         self.issuer.reset()
         self.limits.clear()
+        self.tolerances.clear()
         self._send_issuer.reset()
         self.quarantine.start_term(now)
         self._software.start_term()
@@ -148,7 +150,7 @@
         """Remove a target that has deregistered and return its incarnation."""
         self.planner.remove_engine(target)
         incarnation = self.registry.remove(target, now)
-        self.limits.retain(self.registry.names(), now)
+        self._retain_limits(now)
         return incarnation
 
     def on_ask(
@@ -168,6 +170,7 @@
             self.planner.record_uses(ask.vm, ask.uses, now)
         self.planner.record_unreachable(ask.shut, now)
         self.limits.merge(ask.limits, now)
+        self.tolerances.merge(ask.tolerances, now)
         for text in ask.missing:
             target, _, label = text.partition(' ')
             self.planner.record_missing(
@@ -200,6 +203,7 @@
         is_current = ask.epoch == self._term
         known_stamp = ask.stamp if is_current else 0
         limit_stamp = ask.limit_stamp if is_current else 0
+        tolerance_stamp = ask.tolerance_stamp if is_current else 0
         removals = self.registry.removals
         is_complete = known_stamp == 0 or known_stamp < removals.horizon
         self._drop_silent_relays(now)
@@ -229,6 +233,8 @@
             quarantine=self.quarantine.newer_than(ask.quarantine),
             limits=self.limits.changed_since(limit_stamp, now),
             limit_stamp=self.limits.stamp,
+            tolerances=self.tolerances.changed_since(tolerance_stamp, now),
+            tolerance_stamp=self.tolerances.stamp,
             peers=self._peers.newest() if ask.wants_peers else (),
         )
 
@@ -238,7 +244,7 @@
         for target in expired:
             self.planner.remove_engine(target)
         if expired:
-            self.limits.retain(self.registry.names(), now)
+            self._retain_limits(now)
         return expired
 
     def judge_crashes(self, now: float) -> list[JudgeCrash]:
@@ -299,6 +305,11 @@
         incarnation = registered.heartbeat.incarnation
         return LastHeartbeat(incarnation, registered.received_at)
 
+    def _retain_limits(self, now: float) -> None:
+        present = self.registry.names()
+        self.limits.retain(present, now)
+        self.tolerances.retain(present, now)
+
     def _target_loads(self) -> tuple[TargetLoad, ...]:
         return tuple(
             TargetLoad(name, self.planner.requests_at(name))
--- a/packages/lovagemast-core/src/lovagemast_core/control/_node.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_node.py
@@ -224,11 +224,14 @@
             )
         self._handle_crash_reports(ask, now)
         limits = self.fleet.limits
-        stamp = limits.stamp
+        tolerances = self.fleet.tolerances
+        stamps = (limits.stamp, tolerances.stamp)
         reply = self.fleet.on_ask(ask, self.quorum_age(now), now)
-        if limits.stamp != stamp:
-            changes = limits.changed_since(stamp, now)
-            self._effects.extend((LimitsChanged(changes), PushUpdates()))
+        if limits.stamp != stamps[0]:
+            changes = limits.changed_since(stamps[0], now)
+            self._effects.append(LimitsChanged(changes))
+        if (limits.stamp, tolerances.stamp) != stamps:
+            self._effects.append(PushUpdates())
         self._schedule_plan(now)
         return reply
 
--- a/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
@@ -17,6 +17,7 @@
 from ._paths import SAMPLE_TARGETS, PathMonitor
 from ._peers import PeerDirectory
 from ._prefill import PrefillLimit
+from ._rejections import RejectionGuard, TargetUse
 from ._selection import (
     Candidate,
     Choice,
@@ -52,12 +53,14 @@
     'PathMonitor',
     'PeerDirectory',
     'PrefillLimit',
+    'RejectionGuard',
     'RetryBudget',
     'SelectionCriteria',
     'SendLimiter',
     'SendTerms',
     'TargetHealth',
     'TargetRequirements',
+    'TargetUse',
     'WaitQueue',
     'choose_target',
     'find_candidates',
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_selection.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_selection.py
@@ -144,11 +144,12 @@
     Entry VMs with the same information would all choose the same target.
     """
     cost = _cost(candidate, criteria, now)
-    return cost, _tie_breaker(criteria.vm, candidate.target)
+    return cost, tie_breaker(criteria.vm, candidate.target)
 
 
 @lru_cache(maxsize=4_096)
-def _tie_breaker(vm: VmName, target: TargetName) -> bytes:
+def tie_breaker(vm: VmName, target: TargetName) -> bytes:
+    """Return what orders equal targets, another one at each VM."""
     return hashlib.sha256(f'{vm}/{target}'.encode()).digest()
 
 
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_entries.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_entries.py
@@ -61,6 +61,7 @@
         self.published = SentVersion()
         self.quarantine = SentVersion()
         self.limit_stamp = 0  # of the targets' limits that it was sent
+        self.tolerance_stamp = 0  # the same, of rejections that they bear
         self.replies = 0
         self.found: list[FoundStream] = []  # answers not sent yet
         self.lots: list[TokenLot] = []  # granted and not sent yet
@@ -76,6 +77,9 @@
         self.stamp = max(self.stamp, holds) if holds else 0
         if ask.epoch == epoch:
             self.limit_stamp = max(self.limit_stamp, ask.limit_stamp)
+            self.tolerance_stamp = max(
+                self.tolerance_stamp, ask.tolerance_stamp
+            )
         self.published.record_held(ask.version, ask.seen)
         self.quarantine.record_held(ask.quarantine, ask.seen)
         self.ask = ask
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
@@ -15,7 +15,7 @@
 from ..entry import FleetView
 from ..quarantine import QuarantineReports, TrialWish
 from ..streams import StreamDirectory
-from ..targetlimits import LimitExchange
+from ..targetlimits import LimitExchange, LimitNews
 from ..targets import EntryPeer, LimitReport, SyncAsk, SyncReply
 from ._entries import ConnectedEntries, EntryLink
 from ._loads import RelayedLoads
@@ -50,6 +50,7 @@
         self._tokens = TokenSplitter()
         self._sends = TokenSplitter()  # for requests to limited targets
         self._limits = LimitExchange()
+        self._tolerances = LimitExchange()  # of rejections
         self._reports = QuarantineReports()
         self._trials: dict[TrialWish, None] = {}
         self._peers = PeerOffers()  # of other relays
@@ -81,6 +82,8 @@
             trials=self._take_trials(),
             limits=self._limits.reports(number, now),
             limit_stamp=self._limits.server_stamp,
+            tolerances=self._tolerances.reports(number, now),
+            tolerance_stamp=self._tolerances.server_stamp,
             sends=self._sends.total_wishes(now),
             wants_peers=self._entries.want_peers(),
             peers=rotate(self._entries.peers(), number),
@@ -90,13 +93,17 @@
         """Apply the leader's reply to the request sent at ``asked_at``."""
         self.view.apply(reply, asked_at, now)
         self._reports.on_reply(reply.ask)
-        self._limits.on_reply(reply, now)
+        news = LimitNews(reply.limits, reply.limit_stamp)
+        self._limits.on_reply(reply, news, now)
+        news = LimitNews(reply.tolerances, reply.tolerance_stamp)
+        self._tolerances.on_reply(reply, news, now)
         self._note_adapters(self._records.update(self.view.targets))
         self._loads.update(reply.loads)
         self._peers.add(reply.peers, now)
         if reply.removed or reply.is_complete:
             self._loads.remove(set(self.view.targets))
             self._limits.known.retain(self.view.targets, now)
+            self._tolerances.known.retain(self.view.targets, now)
         if reply.lots or reply.send_lots:
             self._tokens.add(reply.lots, now)
             self._sends.add(reply.send_lots, now)
@@ -116,6 +123,7 @@
         self._reports.add_answered(ask.answered)
         self._trials.update(dict.fromkeys(ask.trials))
         self._limits.known.merge(ask.limits, now)
+        self._tolerances.known.merge(ask.tolerances, now)
         link = self._entries.record_ask(session, ask, self._epoch, now)
         self.streams.add(ask.streams, now)
         link.found.extend(self.streams.look_up(ask.lookups, now))
@@ -137,7 +145,9 @@
             return True
         if ask.crashes or ask.answered or ask.trials:
             return True
-        if self._limits.has_reports() or ask.wants_peers:
+        if self._limits.has_reports() or self._tolerances.has_reports():
+            return True
+        if ask.wants_peers:
             return True
         return self._tokens.needs_tokens() or self._sends.needs_tokens()
 
@@ -205,6 +215,10 @@
             quarantine=quarantine if has_quarantine else None,
             limits=self._limits.known.changed_since(link.limit_stamp, now),
             limit_stamp=self._limits.known.stamp,
+            tolerances=self._tolerances.known.changed_since(
+                link.tolerance_stamp, now
+            ),
+            tolerance_stamp=self._tolerances.known.stamp,
             send_lots=tuple(link.send_lots),
             found=tuple(link.found),
             peers=self._peers_for(link),
@@ -215,6 +229,7 @@
         link.send_lots = []
         link.found = []
         link.limit_stamp = reply.limit_stamp
+        link.tolerance_stamp = reply.tolerance_stamp
         link.has_adapter = False
         link.replied_at = now
         link.stamp = records.stamp
@@ -273,6 +288,8 @@
             return True
         if link.limit_stamp < self._limits.known.stamp:
             return True
+        if link.tolerance_stamp < self._tolerances.known.stamp:
+            return True
         return bool(link.lots or link.send_lots) or link.has_adapter
 
     def _push_at(self, link: EntryLink) -> float:
--- a/packages/lovagemast-core/src/lovagemast_core/targetlimits/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targetlimits/__init__.py
@@ -1,7 +1,7 @@
 """Limits that targets name in their answers, known to the whole fleet."""
 
 from ._bounds import SendBounds
-from ._exchange import LimitExchange
+from ._exchange import LimitExchange, LimitNews
 from ._known import (
     MIN_LIMIT_PER_S,
     TargetLimits,
@@ -13,6 +13,7 @@
 __all__ = [
     'MIN_LIMIT_PER_S',
     'LimitExchange',
+    'LimitNews',
     'SendBounds',
     'TargetLimits',
     'account_of',
--- a/packages/lovagemast-core/src/lovagemast_core/targetlimits/_exchange.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targetlimits/_exchange.py
@@ -1,9 +1,18 @@
 """Exchange of limits with the relay or leader that a VM syncs with."""
 
+from typing import NamedTuple
+
 from ..targets import LimitReport, SyncReply
 from ._known import TargetLimits
 
 
+class LimitNews(NamedTuple):
+    """What a reply says of limits of one kind."""
+
+    reports: tuple[LimitReport, ...]
+    stamp: int
+
+
 class LimitExchange:
     """Reports what is learned until it has arrived, and takes over replies.
 
@@ -27,8 +36,10 @@
         """Return whether anything is to be reported."""
         return self._arrived_stamp < self.known.stamp
 
-    def on_reply(self, reply: SyncReply, now: float) -> list[LimitReport]:
-        """Apply a reply and return the changes that it brings."""
+    def on_reply(
+        self, reply: SyncReply, news: LimitNews, now: float
+    ) -> list[LimitReport]:
+        """Apply the news of a reply and return the changes that it brings."""
         if reply.epoch != self._epoch:
             self._epoch = reply.epoch
             self._arrived_stamp = 0
@@ -37,5 +48,5 @@
         for ask in arrived:
             stamp = self._sent.pop(ask)
             self._arrived_stamp = max(self._arrived_stamp, stamp)
-        self.server_stamp = reply.limit_stamp
-        return self.known.merge(reply.limits, now)
+        self.server_stamp = news.stamp
+        return self.known.merge(news.reports, now)
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
@@ -69,7 +69,7 @@
 
 
 class LimitReport(NamedTuple):
-    """What a target last said of the requests that it takes.
+    """What a target last said of the requests that it takes, or may reject.
 
     ``per_s`` is the limit, in requests/s from all entry VMs together. It is
     ``None`` if the target has answered without one after it had named one.
@@ -88,7 +88,8 @@
     until a reply has arrived. ``missing`` lists adapters that targets turned
     out to lack, each in the form ``target label``. A relay omits ``uses`` from
     most of its requests; the last ones stay valid then. ``sends`` are wishes
-    for requests to limited targets.
+    for requests to limited targets. ``tolerances`` are the rejections/s that
+    brittle targets bear.
     """
 
     ask: int  # increases with each request of a connection
@@ -118,6 +119,8 @@
     host: str = ''  # IP address of an entry VM that may be a peer of others
     wants_peers: bool = False  # the sender reaches no target of some pool
     peers: tuple[EntryPeer, ...] = ()  # offered by a relay
+    tolerances: tuple[LimitReport, ...] = ()  # like ``limits``
+    tolerance_stamp: int = 0
 
 
 class RelayInfo(NamedTuple):
@@ -206,3 +209,5 @@
     send_lots: tuple[TokenLot, ...] = ()
     found: tuple[FoundStream, ...] = ()  # answers to lookups
     peers: tuple[EntryPeer, ...] = ()  # if the receiver wants some
+    tolerances: tuple[LimitReport, ...] = ()  # like ``limits``
+    tolerance_stamp: int = 0
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -5,7 +5,7 @@
 from typing import Final, NamedTuple
 
 from lovagemast_core.deployment import CallKind
-from lovagemast_core.entry import Candidate
+from lovagemast_core.entry import Candidate, EntryShare
 from lovagemast_core.quarantine import SendStatus
 
 from .._clock import now_s
@@ -28,7 +28,7 @@
 from ._refusal import HttpRefusal
 from ._relay import ResponseRelay
 from ._streamcontinuity import StreamContinuity
-from ._targetlimits import record_limit, send_terms
+from ._targetlimits import record_limit, record_tolerance, send_terms
 from ._targetstate import record_state
 
 TARGET_CONNECT_TIMEOUT_S: Final = 0.2
@@ -171,6 +171,8 @@
         if not isinstance(event, ResponseHead):
             return await self._on_incomplete(event)
         response = state.codec.decode_response_head(event)
+        if not response.other_target:
+            record_tolerance(state, self._candidate.known, response, now)
         record_limit(state, self._candidate.known, response, now)
         if event.echoes_id and not response.other_target:
             record_state(state, self._candidate.known, response)
@@ -313,7 +315,10 @@
         self.may_have_run = False
         self._quarantine.record_not_run()
         if not response.other_target:
-            state.health.record_rejection(self._target, FULL_BACKOFF_S, now_s())
+            now = now_s()
+            state.health.record_rejection(self._target, FULL_BACKOFF_S, now)
+            share = EntryShare(state.view.rank, state.view.entries)
+            state.rejections.record_rejection(self._candidate.known, share, now)
         elif label and label.adapter:
             state.load.adapter_missing(self._target, label)
             self._candidate.known.adapters.pop(label, None)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_codec.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_codec.py
@@ -42,6 +42,8 @@
     limit: float | None = None  # requests/s that it takes; NaN if unreadable
     leaving: bool = False  # the target shuts down
     pause_s: float | None = None  # in which it wants no requests of this VM
+    # Rejections/s that a brittle target bears; NaN if unreadable.
+    tolerance: float | None = None
 
 
 class TargetRequestMetadata(NamedTuple):
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -8,6 +8,7 @@
 from lovagemast_core.entry import DrainWindow
 from lovagemast_core.streams import StreamStart, retention_s
 from lovagemast_core.syncrelay import ENTRY_SYNC, RelaySearch
+from lovagemast_core.targetlimits import LimitNews
 from lovagemast_core.targets import SyncAsk, SyncReply
 from lovagemast_wire import EntriesStub
 
@@ -23,7 +24,7 @@
 from ._entrystate import EntryState
 from ._forwardservice import ForwardService
 from ._jsonlog import JsonLog
-from ._limitlog import log_limits
+from ._limitlog import log_limits, log_tolerances
 from ._metrics import MetricsPage
 from ._peers import serve_peers
 from ._requesthandler import RequestHandler
@@ -185,6 +186,8 @@
             lookups=state.lookups.pending(),
             host=split_address(self._cfg.front)[0],
             wants_peers=bool(state.paths.lost_pools()),
+            tolerances=state.rejections.exchange.reports(ask, now_s()),
+            tolerance_stamp=state.rejections.exchange.server_stamp,
         )
 
     def _unreachable_targets(self) -> tuple[str, ...]:
@@ -213,8 +216,7 @@
             self._log_behind()
         state.guard.reports.on_reply(reply.ask)
         state.streams.on_reply(reply.ask)
-        state.lookups.add(reply.found)
-        state.peers.directory.update(reply.peers, now)
+        self._apply_answers(reply, now)
         if reply.quarantine:
             self._apply_quarantine(now)
         if newer:
@@ -227,6 +229,7 @@
             state.batch.retain(present)
             state.prefill.retain(present)
             state.sends.retain(present, now)
+            state.rejections.retain(present, now)
         if newer or _has_news(reply):
             state.notify_update()
 
@@ -239,14 +242,23 @@
             revision=view.published.revision,
         )
 
+    def _apply_answers(self, reply: SyncReply, now: float) -> None:
+        """Apply what this VM has asked for."""
+        self._state.lookups.add(reply.found)
+        self._state.peers.directory.update(reply.peers, now)
+
     def _apply_tokens(self, reply: SyncReply, now: float) -> None:
         for lot in reply.lots:
             self._state.tokens.add(lot, now)
         sends = self._state.sends
-        changes = sends.exchange.on_reply(reply, now)
+        news = LimitNews(reply.limits, reply.limit_stamp)
+        changes = sends.exchange.on_reply(reply, news, now)
         log_limits(self._log, changes, 'sync')
         for lot in reply.send_lots:
             sends.add(lot, now)
+        news = LimitNews(reply.tolerances, reply.tolerance_stamp)
+        changes = self._state.rejections.exchange.on_reply(reply, news, now)
+        log_tolerances(self._log, changes, 'sync')
         limited = sends.exchange.known.current()
         self._state.metrics.set_limited_targets(len(limited))
 
@@ -279,8 +291,16 @@
 
     One that only confirms the state wakes none.
     """
-    tokens = reply.lots or reply.send_lots
-    targets = reply.targets or reply.removed or reply.limits
-    return bool(
-        tokens or targets or reply.quarantine or reply.found or reply.peers
+    return any(
+        (
+            reply.lots,
+            reply.send_lots,
+            reply.targets,
+            reply.removed,
+            reply.limits,
+            reply.tolerances,
+            reply.quarantine,
+            reply.found,
+            reply.peers,
+        )
     )
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
@@ -15,6 +15,7 @@
     PathMonitor,
     PeerDirectory,
     PrefillLimit,
+    RejectionGuard,
     RetryBudget,
     SendLimiter,
     TargetHealth,
@@ -54,7 +55,6 @@
         self.request_sync = request_sync
         self.view = FleetView()
         self.health = TargetHealth()
-        self.paths = PathMonitor()
         self.prober = PathProber(self)
         self.peers = PeerChannels(
             PeerDirectory(cfg.vm, cfg.zone), cfg.peer_port
@@ -64,6 +64,7 @@
         self.pool = TargetPool()
         self.cold = ColdStartLimiter()
         self.sends = SendLimiter()
+        self.rejections = RejectionGuard()
         self.queue = WaitQueue()
         self.batch = BatchLimit()
         self.prefill = PrefillLimit()
@@ -81,6 +82,11 @@
         self._rng = random.Random(secrets.randbits(64))
         self._update: asyncio.Future[None] | None = None
 
+    @property
+    def paths(self) -> PathMonitor:
+        """Return which pools are in reach."""
+        return self.prober.paths
+
     def pick_pool(self, route: RouteSpec) -> str:
         """Pick a pool at random by the weights of the route's traffic split."""
         splits = [split for split in route.splits if split.weight > 0]
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
@@ -87,18 +87,25 @@
             return await self._attempt_over_peer(way)
         return await self._attempt(way)
 
-    async def _attempt_over_peer(self, peer: EntryPeer) -> AttemptResult:
-        attempt = PeerAttempt(
-            self._state, self._admitted, peer, self._relay, self._continuity
-        )
-        self.target = peer.vm
+    async def _run(
+        self, attempt: Attempt | PeerAttempt, target: str
+    ) -> AttemptResult:
+        """Run an attempt at a target or a peer, and count it."""
+        self.target = target
         self._possible_runs += 1
-        chosen_at = now_s()
         result = await attempt.run(is_last_attempt=not self._may_retry())
         if not attempt.may_have_run:
             self._possible_runs -= 1
         if result.outcome is not AttemptOutcome.NOT_SENT:
             self.sends += 1
+        return result
+
+    async def _attempt_over_peer(self, peer: EntryPeer) -> AttemptResult:
+        attempt = PeerAttempt(
+            self._state, self._admitted, peer, self._relay, self._continuity
+        )
+        chosen_at = now_s()
+        result = await self._run(attempt, peer.vm)
         if result.outcome is not AttemptOutcome.DONE:
             self._tried_peers.add(peer.vm)
         self._state.metrics.record_forward(result.outcome.name)
@@ -122,15 +129,9 @@
             self._quarantine,
             self._continuity,
         )
-        self.target = candidate.target
-        self._possible_runs += 1
-        chosen_at = now_s()
-        result = await attempt.run(is_last_attempt=not self._may_retry())
-        if not attempt.may_have_run:
-            self._possible_runs -= 1
-        if result.outcome is not AttemptOutcome.NOT_SENT:
-            self.sends += 1
         target = candidate.target
+        chosen_at = now_s()
+        result = await self._run(attempt, target)
         metrics = self._state.metrics
         metrics.record_attempt(
             result.outcome.name, chosen_at - self._admitted.arrived_at
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_limitlog.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_limitlog.py
@@ -14,6 +14,19 @@
 
     ``source`` says how the VM has learned of it.
     """
+    _write(log, 'limit', reports, source)
+
+
+def log_tolerances(
+    log: JsonLog, reports: Iterable[LimitReport], source: str
+) -> None:
+    """Write a line for each target that is brittle, or not any more."""
+    _write(log, 'brittle', reports, source)
+
+
+def _write(
+    log: JsonLog, component: str, reports: Iterable[LimitReport], source: str
+) -> None:
     for report in reports:
         message = 'ended' if report.per_s is None else 'in force'
-        log.write('limit', message, **report._asdict(), source=source)
+        log.write(component, message, **report._asdict(), source=source)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_pathprober.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_pathprober.py
@@ -35,7 +35,6 @@
 
     view: FleetView
     health: TargetHealth
-    paths: PathMonitor
     pool: TargetPool
     log: JsonLog
     metrics: EntryMetrics
@@ -54,6 +53,7 @@
     """
 
     def __init__(self, state: ProberState) -> None:
+        self.paths = PathMonitor()
         self._state = state
         self._probed_at: dict[str, float] = {}  # targets and pools, in s
         self._rounds: dict[str, asyncio.Task[None]] = {}
@@ -63,7 +63,7 @@
         """Probe the pools that are out of reach until cancelled."""
         while True:
             await asyncio.sleep(LOST_PROBE_INTERVAL_S)
-            lost = self._state.paths.lost_pools()
+            lost = self.paths.lost_pools()
             await asyncio.gather(
                 *(self._probe_pool(pool, LOST_PROBE_TARGETS) for pool in lost)
             )
@@ -71,21 +71,20 @@
     def on_connect_failed(self, known: KnownTarget) -> None:
         """Find out whether a failed attempt to connect is the only one."""
         pool = known.record.pool
-        if not self._state.paths.is_lost(pool):
+        if not self.paths.is_lost(pool):
             self._start_round(pool)
 
     async def is_lost(self, known: KnownTarget) -> bool:
         """Return whether the pool of a silent request's target is lost."""
         pool = known.record.pool
-        paths = self._state.paths
         if len(self._targets(pool)) < MIN_POOL_TARGETS:
             return False
-        if paths.is_lost(pool):
+        if self.paths.is_lost(pool):
             return True
         if not self._is_due(known.record.target) or await self._probe(known):
             return False
         await asyncio.shield(self._start_round(pool))
-        return paths.is_lost(pool)
+        return self.paths.is_lost(pool)
 
     def _start_round(self, pool: str) -> 'asyncio.Task[None]':
         """Return the round in progress, or one that is started now."""
@@ -102,7 +101,6 @@
 
     async def _probe_pool(self, pool: str, count: int) -> None:
         """Probe some targets of a pool, all of a small one."""
-        state = self._state
         targets = self._targets(pool)
         sample = self._rng.sample(targets, min(count, len(targets)))
         answers = await asyncio.gather(*map(self._probe, sample))
@@ -112,7 +110,7 @@
             if answered
         ]
         size = len(self._targets(pool))
-        if state.paths.record_probes(pool, reached, size, now_s()):
+        if self.paths.record_probes(pool, reached, size, now_s()):
             self._on_change(pool)
 
     async def _probe(self, known: KnownTarget) -> bool:
@@ -135,12 +133,12 @@
     def _on_change(self, pool: str) -> None:
         state = self._state
         message = 'pool out of reach'
-        if not state.paths.is_lost(pool):
+        if not self.paths.is_lost(pool):
             message = 'pool reached again'
             for known in self._targets(pool):
                 state.health.record_reachable(known.record.target)
         state.log.write('paths', message, pool=pool)
-        state.metrics.set_lost_pools(len(state.paths.lost_pools()))
+        state.metrics.set_lost_pools(len(self.paths.lost_pools()))
         state.request_sync()
         state.notify_update()
 
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_targetchoice.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_targetchoice.py
@@ -9,6 +9,7 @@
     NoReadyTarget,
     SelectionCriteria,
     TargetRequirements,
+    TargetUse,
     choose_target,
     find_candidates,
 )
@@ -99,6 +100,8 @@
             return False
         if self._exceeds_batch_limit(known, now):
             return False
+        if not self._is_brittle_room(known, now):
+            return False
         tokens = self._admitted.metadata.prompt_tokens
         if not state.prefill.may_send(target, tokens, entries):
             return False
@@ -108,6 +111,19 @@
         share = EntryShare(state.view.rank, entries)
         return state.cold.may_send(target, per_s, share, now)
 
+    def _is_brittle_room(self, known: KnownTarget, now: float) -> bool:
+        """Return whether a target will take it, if it may not reject many."""
+        state = self._state
+        if state.rejections.tolerance_of(known) is None:
+            return True
+        entries = state.view.entries
+        use = TargetUse(
+            state.load.running_at(known.record.target),
+            state.load.load_of(known, entries, state.view.age(now), now),
+        )
+        share = EntryShare(state.view.rank, entries)
+        return state.rejections.may_send(known, use, share, now)
+
     def _exceeds_batch_limit(self, known: KnownTarget, now: float) -> bool:
         if self._admitted.pool.engine is None:
             return False
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_targetlimits.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_targetlimits.py
@@ -9,7 +9,7 @@
 from .._clock import now_s
 from ._codec import TargetResponseMetadata
 from ._entrystate import EntryState
-from ._limitlog import log_limits
+from ._limitlog import log_limits, log_tolerances
 from ._refusal import HttpRefusal
 
 # Without news of the leader for this long, an entry VM uses its own share.
@@ -59,6 +59,35 @@
         state.notify_update()
 
 
+def record_tolerance(
+    state: EntryState,
+    known: KnownTarget,
+    response: TargetResponseMetadata,
+    sent_at: float,
+) -> None:
+    """Record whether a response says that its target is brittle.
+
+    All its responses do, rejections too; one that isn't its own says nothing.
+    """
+    tolerance = response.tolerance
+    if tolerance is None and not response.stamped:
+        return
+    if tolerance is not None and not is_readable(tolerance):
+        state.log.write('brittle', 'unreadable', target=known.record.target)
+        return
+    report = LimitReport(
+        known.record.target,
+        known.record.incarnation,
+        limit_from_number(tolerance),
+        0.0,
+    )
+    tolerances = state.rejections.exchange.known
+    if tolerances.record_answer(report, sent_at, now_s()):
+        log_tolerances(state.log, (report,), 'answer')
+        state.request_sync()
+        state.notify_update()
+
+
 class TokenWait:
     """A request's wait for one more request within a target's limit.
 
--- a/tests/relayfleet.py
+++ b/tests/relayfleet.py
@@ -16,7 +16,12 @@
     ModelSpec,
     PoolSpec,
 )
-from lovagemast_core.entry import FleetView, PeerDirectory, SendLimiter
+from lovagemast_core.entry import (
+    FleetView,
+    PeerDirectory,
+    RejectionGuard,
+    SendLimiter,
+)
 from lovagemast_core.quota import LocalTokens, QuotaBounds
 from lovagemast_core.syncrelay import (
     ENTRY_SYNC,
@@ -24,6 +29,7 @@
     RelaySearch,
     SyncRelay,
 )
+from lovagemast_core.targetlimits import LimitNews
 from lovagemast_core.targets import (
     AdapterWish,
     SyncAsk,
@@ -67,6 +73,7 @@
         self.view = FleetView()
         self.tokens = LocalTokens(QUOTA)
         self.sends = SendLimiter()
+        self.rejections = RejectionGuard()
         self.search = RelaySearch(vm, zone, seeds)
         self.waiting = 0.0  # tokens
         self.spent = 0.0
@@ -93,6 +100,8 @@
             sends=self.sends.wishes(now),
             host=f'{self.vm}.ip',
             wants_peers=self.is_cut_off,
+            tolerances=self.rejections.exchange.reports(number, now),
+            tolerance_stamp=self.rejections.exchange.server_stamp,
         )
 
     def on_reply(self, reply: SyncReply, asked_at: float, now: float) -> None:
@@ -102,7 +111,10 @@
         self.peers.update(reply.peers, now)
         for lot in reply.lots:
             self.tokens.add(lot, now)
-        self.sends.exchange.on_reply(reply, now)
+        news = LimitNews(reply.limits, reply.limit_stamp)
+        self.sends.exchange.on_reply(reply, news, now)
+        news = LimitNews(reply.tolerances, reply.tolerance_stamp)
+        self.rejections.exchange.on_reply(reply, news, now)
         for lot in reply.send_lots:
             self.sends.add(lot, now)
         if self.waiting and self.tokens.spend(ACCOUNT, self.waiting, now):
--- a/tests/test_targetlimits.py
+++ b/tests/test_targetlimits.py
@@ -13,6 +13,7 @@
 )
 from lovagemast_core.targetlimits import (
     LimitExchange,
+    LimitNews,
     TargetLimits,
     is_readable,
     limit_from_number,
@@ -31,6 +32,7 @@
 
 from tests.limitfleet import LimitFleet, allowed
 
+NONE = LimitNews((), 0)
 TARGET = 't0'
 NOW = 50.0
 
@@ -126,11 +128,11 @@
         exchange = LimitExchange()
         exchange.known.record_answer(report(2.0), NOW, NOW)
         assert exchange.reports(1, NOW)
-        exchange.on_reply(SyncReply(1, True, '', 1, 0.0, epoch=5), NOW)
+        exchange.on_reply(SyncReply(1, True, '', 1, 0.0, epoch=5), NONE, NOW)
         assert exchange.reports(2, NOW)
-        exchange.on_reply(SyncReply(2, True, '', 1, 0.0, epoch=5), NOW)
+        exchange.on_reply(SyncReply(2, True, '', 1, 0.0, epoch=5), NONE, NOW)
         assert not exchange.reports(3, NOW)
-        exchange.on_reply(SyncReply(3, True, '', 1, 0.0, epoch=6), NOW)
+        exchange.on_reply(SyncReply(3, True, '', 1, 0.0, epoch=6), NONE, NOW)
         assert exchange.reports(4, NOW)
 
 
