Probe paths once per pool and interval, and contain probes that fail

A probe of one silent target per pool and 0.5 s is enough to start a round, and a round per second: with long queues at targets each VM opened two connections a second to each. An error in one round no longer ends all later ones; a cancelled hop that has ended meanwhile raises nothing else.

--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_pathprober.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_pathprober.py
@@ -19,8 +19,8 @@
 from ._metrics import EntryMetrics
 
 PROBE_TIMEOUT_S: Final = 0.4
-# Between two probes of one target, or of a pool that is in reach.
-PROBE_INTERVAL_S: Final = 0.5
+SILENCE_PROBE_INTERVAL_S: Final = 0.5  # of one target of a pool in reach
+ROUND_INTERVAL_S: Final = 1.0  # of a sample of a pool in reach
 LOST_PROBE_INTERVAL_S: Final = 0.3  # of a pool that is out of reach
 LOST_PROBE_TARGETS: Final = 3  # probed at a time then
 
@@ -55,7 +55,9 @@
     def __init__(self, state: ProberState) -> None:
         self.paths = PathMonitor()
         self._state = state
-        self._probed_at: dict[str, float] = {}  # targets and pools, in s
+        # When each pool was probed last, in s.
+        self._silence_probed_at: dict[str, float] = {}
+        self._round_at: dict[str, float] = {}
         self._rounds: dict[str, asyncio.Task[None]] = {}
         self._rng = random.Random(secrets.randbits(64))
 
@@ -63,10 +65,10 @@
         """Probe the pools that are out of reach until cancelled."""
         while True:
             await asyncio.sleep(LOST_PROBE_INTERVAL_S)
-            lost = self.paths.lost_pools()
-            await asyncio.gather(
-                *(self._probe_pool(pool, LOST_PROBE_TARGETS) for pool in lost)
-            )
+            try:
+                await self._probe_lost()
+            except Exception as exc:  # later probes are needed all the same
+                self._state.log.write('paths', 'failed', cause=repr(exc))
 
     def on_connect_failed(self, known: KnownTarget) -> None:
         """Find out whether a failed attempt to connect is the only one."""
@@ -81,11 +83,19 @@
             return False
         if self.paths.is_lost(pool):
             return True
-        if not self._is_due(known.record.target) or await self._probe(known):
+        if not _is_due(self._silence_probed_at, pool, SILENCE_PROBE_INTERVAL_S):
+            return False
+        if await self._probe(known):
             return False
         await asyncio.shield(self._start_round(pool))
         return self.paths.is_lost(pool)
 
+    async def _probe_lost(self) -> None:
+        lost = self.paths.lost_pools()
+        await asyncio.gather(
+            *(self._probe_pool(pool, LOST_PROBE_TARGETS) for pool in lost)
+        )
+
     def _start_round(self, pool: str) -> 'asyncio.Task[None]':
         """Return the round in progress, or one that is started now."""
         task = self._rounds.get(pool)
@@ -96,7 +106,7 @@
         return task
 
     async def _run_round(self, pool: str) -> None:
-        if self._is_due(pool):
+        if _is_due(self._round_at, pool, ROUND_INTERVAL_S):
             await self._probe_pool(pool, SAMPLE_TARGETS)
 
     async def _probe_pool(self, pool: str, count: int) -> None:
@@ -142,15 +152,11 @@
         state.request_sync()
         state.notify_update()
 
-    def _is_due(self, name: str) -> bool:
-        """Return whether a target or a pool was not probed just now."""
-        now = now_s()
-        if now - self._probed_at.get(name, float('-inf')) < PROBE_INTERVAL_S:
-            return False
-        self._probed_at = {
-            one: at
-            for one, at in self._probed_at.items()
-            if now - at < PROBE_INTERVAL_S
-        }
-        self._probed_at[name] = now
-        return True
+
+def _is_due(last: dict[str, float], pool: str, interval_s: float) -> bool:
+    """Return whether to probe a pool now; if so, record that."""
+    now = now_s()
+    if now - last.get(pool, float('-inf')) < interval_s:
+        return False
+    last[pool] = now
+    return True
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_peerattempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_peerattempt.py
@@ -1,6 +1,7 @@
 """Sends a request over a peer, an entry VM that reaches the targets."""
 
 import asyncio
+import contextlib
 from typing import Final
 
 from grpclib.client import Stream as ClientStream
@@ -97,7 +98,8 @@
                 await stream.send_message(request, end=True)
                 return await self._relay_events(stream)
             except asyncio.CancelledError:
-                await stream.cancel()  # the peer cancels the request
+                with contextlib.suppress(*STREAM_ERRORS):
+                    await stream.cancel()  # the peer cancels the request
                 raise
 
     async def _relay_events(self, stream: ForwardStream) -> AttemptResult:
