Keep the channel to a peer when one request over it fails

Requests to a peer share one connection; an attempt that failed closed it, and broke off all others. The channel connects anew by itself where the connection is lost. A request that waits for a peer uses the pool's targets again if they are back meanwhile. Found on reading the diff; a test with a stream beside a request that fails.

--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
@@ -72,20 +72,20 @@
             refusal = await self._wait_for_trial()
             if refusal:
                 return refusal
-            way = await self._find_way()
-            if isinstance(way, HttpRefusal):
-                return way
-            result = await self._attempt_over(way)
+            hop = await self._find_next_hop()
+            if isinstance(hop, HttpRefusal):
+                return hop
+            result = await self._attempt_at(hop)
             if result.outcome is AttemptOutcome.DONE:
                 return None
             refusal = self._refusal_after(result)
             if refusal:
                 return refusal
 
-    async def _attempt_over(self, way: Candidate | EntryPeer) -> AttemptResult:
-        if isinstance(way, EntryPeer):
-            return await self._attempt_over_peer(way)
-        return await self._attempt(way)
+    async def _attempt_at(self, hop: Candidate | EntryPeer) -> AttemptResult:
+        if isinstance(hop, EntryPeer):
+            return await self._attempt_over_peer(hop)
+        return await self._attempt(hop)
 
     async def _run(
         self, attempt: Attempt | PeerAttempt, target: str
@@ -234,7 +234,7 @@
             return HttpRefusal(502, refusal.reason)
         return refusal
 
-    async def _find_way(self) -> Candidate | EntryPeer | HttpRefusal:
+    async def _find_next_hop(self) -> Candidate | EntryPeer | HttpRefusal:
         """Wait for a target, or for a peer if no target is in reach."""
         found: Candidate | EntryPeer | HttpRefusal | PathsLost
         found = await self._wait.find(
@@ -247,7 +247,7 @@
             return self._as_possible_run(found)
         return found
 
-    async def _find_peer(self) -> EntryPeer | HttpRefusal:
+    async def _find_peer(self) -> Candidate | EntryPeer | HttpRefusal:
         """Wait for a peer, for a moment after the paths were lost."""
         state = self._state
         lost_at = state.paths.lost_at(self._admitted.pool.name) or 0.0
@@ -261,6 +261,8 @@
                 break
             state.request_sync()
             await state.wait_for_update(POLL_INTERVAL_S)
+            if not state.paths.is_lost(self._admitted.pool.name):
+                return await self._find_next_hop()
         reason = f'{UNREACHABLE_CODE}: {self._admitted.pool.name}'
         return HttpRefusal(503, reason, UNREACHABLE_RETRY_AFTER_S)
 
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_peerattempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_peerattempt.py
@@ -82,7 +82,6 @@
             return await self._exchange()
         except FORWARD_ERRORS as exc:
             state.peers.directory.avoid(self._peer.vm, now_s())
-            state.peers.drop(self._peer)
             return self._fail(f'peer {self._peer.vm}: {exc!r}')
         finally:
             state.peers.directory.add_running(self._peer.vm, -1)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_peerchannels.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_peerchannels.py
@@ -22,7 +22,7 @@
         self._channels: dict[str, Channel] = {}
 
     def get(self, peer: EntryPeer) -> Channel:
-        """Return the channel to a peer; it connects when it is used."""
+        """Return the channel to a peer; it connects anew when it has to."""
         channel = self._channels.pop(peer.host, None)
         if channel is None:
             config = Configuration(
@@ -37,12 +37,6 @@
             self._channels.pop(next(iter(self._channels))).close()
         return channel
 
-    def drop(self, peer: EntryPeer) -> None:
-        """Close the channel to a peer."""
-        channel = self._channels.pop(peer.host, None)
-        if channel:
-            channel.close()
-
     def close(self) -> None:
         """Close all channels."""
         for channel in self._channels.values():
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -318,6 +318,24 @@
     assert asyncio.run(play()) == (status, runs)
 
 
+def test_failed_request_breaks_no_other_at_the_peer() -> None:
+    """They share a connection, which one that fails does not close."""
+
+    async def play() -> tuple[int, bytes]:
+        async with start(CallKind.STREAM, stream_slowly) as one:
+            reader, writer = await one.origin.request()
+            await reader.readuntil(b'data: a')
+            one.targets[0]._script = answers(b'')
+            status = await one.status()
+            rest = await reader.readuntil(b'data: b')
+            writer.close()
+            return status, rest
+
+    status, rest = asyncio.run(play())
+    assert status == 502
+    assert rest.endswith(b'data: b')
+
+
 def test_client_that_leaves_cancels_at_the_target() -> None:
     """The connection to the target closes soon after the client's."""
 
