--- /dev/null
+++ b/tests/crashingtarget.py
@@ -0,0 +1,54 @@
+"""A target that crashes on some requests."""
+
+import asyncio
+import contextlib
+from typing import Final
+
+HOST: Final = '127.0.0.1'
+STREAM: Final = (
+    b'HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n'
+    b'Content-Type: text/event-stream\r\n\r\n'
+    b'id: 1\ndata: x\n\n'
+)
+DEADLY_PART: Final = b',d:1'
+
+
+class CrashingTarget:
+    """A target that crashes on requests whose head holds ``deadly``.
+
+    It answers all others with ``answer``. With ``resets`` it only closes the
+    connections of deadly ones.
+    """
+
+    def __init__(
+        self,
+        *,
+        deadly: bytes = DEADLY_PART,
+        answer: bytes = STREAM,
+        resets: bool = False,
+    ) -> None:
+        self.requests = 0
+        self._deadly = deadly
+        self._answer = answer
+        self._resets = resets
+        self._server: asyncio.Server | None = None
+
+    async def serve(self) -> int:
+        """Listen and return the port."""
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        return int(self._server.sockets[0].getsockname()[1])
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.closing(writer):
+            try:
+                head = await reader.readuntil(b'\r\n\r\n')
+            except asyncio.IncompleteReadError:
+                return
+            self.requests += 1
+            if self._deadly not in head.lower():
+                writer.write(self._answer)
+                await writer.drain()
+            elif self._server and not self._resets:
+                self._server.close()
--- a/tests/test_deadlyrequests.py
+++ b/tests/test_deadlyrequests.py
@@ -1,7 +1,6 @@
 """Tests of whole requests that crash targets, whatever their prompt holds."""
 
 import asyncio
-import contextlib
 from typing import NamedTuple
 
 import pytest
@@ -9,8 +8,9 @@
 from lovagemast_core.quarantine import QuarantineState, TargetCrash
 from lovagemast_core.quarantine._state import record_crash
 
-from tests.test_calls import HOST, make_index
-from tests.test_promptcheck import STREAM, EntryVm
+from tests.crashingtarget import STREAM, CrashingTarget
+from tests.test_calls import make_index
+from tests.test_promptcheck import EntryVm
 
 DEADLY_PATH = b'/x/deadly'
 BODY_ANSWER = (
@@ -20,33 +20,9 @@
 FAILED = 502
 
 
-class DeadlyTarget:
-    """A target that crashes on requests for one path."""
-
-    def __init__(self, answer: bytes = BODY_ANSWER) -> None:
-        self.requests = 0
-        self._answer = answer
-        self._server: asyncio.Server | None = None
-
-    async def serve(self) -> int:
-        """Listen and return the port."""
-        self._server = await asyncio.start_server(self._serve, HOST, 0)
-        return int(self._server.sockets[0].getsockname()[1])
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        with contextlib.closing(writer):
-            try:
-                head = await reader.readuntil(b'\r\n\r\n')
-            except asyncio.IncompleteReadError:
-                return
-            self.requests += 1
-            if DEADLY_PATH in head and self._server:
-                self._server.close()
-                return
-            writer.write(self._answer)
-            await writer.drain()
+def make_target(answer: bytes = BODY_ANSWER) -> CrashingTarget:
+    """Return a target that crashes on requests for one path."""
+    return CrashingTarget(deadly=DEADLY_PATH, answer=answer)
 
 
 class Case(NamedTuple):
@@ -85,7 +61,7 @@
     )
 
 
-async def start_vm(case: Case, *targets: DeadlyTarget) -> EntryVm:
+async def start_vm(case: Case, *targets: CrashingTarget) -> EntryVm:
     """Return an entry VM with a route of the case's kind."""
     vm = EntryVm()
     await vm.serve(*targets)
@@ -101,7 +77,7 @@
     case: Case, request_id: bytes = b'r1', key: bytes = b'k1'
 ) -> tuple[TargetCrash, ...]:
     """Return what one deadly request implicates at its first crash."""
-    vm = await start_vm(case, DeadlyTarget())
+    vm = await start_vm(case, make_target())
     await vm.send(encode(case, DEADLY_PATH, request_id, key))
     return vm.implicated()
 
@@ -140,7 +116,7 @@
 ) -> None:
     """After the first crash, no second target gets it before a trial."""
     case = CASES[name]
-    targets = [DeadlyTarget() for _number in range(4)]
+    targets = [make_target() for _number in range(4)]
 
     async def play() -> list[int]:
         vm = await start_vm(case, *targets)
@@ -162,7 +138,7 @@
     answer = STREAM if case.kind is CallKind.STREAM else BODY_ANSWER
 
     async def play() -> int:
-        vm = await start_vm(case, DeadlyTarget(answer), DeadlyTarget(answer))
+        vm = await start_vm(case, make_target(answer), make_target(answer))
         await vm.send(encode(case, DEADLY_PATH, b'r1', b'k1'))
         return await vm.send(encode(case, b'/x/sound', b'r2', b'k1'))
 
--- a/tests/test_promptcheck.py
+++ b/tests/test_promptcheck.py
@@ -27,47 +27,9 @@
 )
 from lovagemast_platform._entry import PlatformEntryCodec
 
+from tests.crashingtarget import CrashingTarget
 from tests.test_calls import CFG, HOST, ScriptedTarget, make_index
 
-STREAM = (
-    b'HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n'
-    b'Content-Type: text/event-stream\r\n\r\n'
-    b'id: 1\ndata: x\n\n'
-)
-
-
-class CrashingTarget:
-    """A target that crashes on requests with the part ``d``.
-
-    With ``resets`` it only closes their connections.
-    """
-
-    def __init__(self, *, resets: bool = False) -> None:
-        self.requests = 0
-        self._resets = resets
-        self._server: asyncio.Server | None = None
-
-    async def serve(self) -> int:
-        """Listen and return the port."""
-        self._server = await asyncio.start_server(self._serve, HOST, 0)
-        return int(self._server.sockets[0].getsockname()[1])
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            head = await reader.readuntil(b'\r\n\r\n')
-        except asyncio.IncompleteReadError:
-            return
-        self.requests += 1
-        if b',d:1' in head.lower():
-            if self._server and not self._resets:
-                self._server.close()
-        else:
-            writer.write(STREAM)
-            await writer.drain()
-        writer.close()
-
 
 class Answer(NamedTuple):
     """What a caller gets."""
