--- a/packages/lovagemast-core/src/lovagemast_core/_types.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_types.py
@@ -9,7 +9,7 @@
 TargetName = str
 RequestId = str
 AttemptId = str
-Subject = str  # of a quarantine: the id of a part that prompts share
+Subject = str  # of a quarantine: a prompt part, or a whole request
 SoftwareVersion = str  # of a target's program; versions have no order
 
 
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_peers.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_peers.py
@@ -45,7 +45,7 @@
         return min(near or usable, key=self._rank, default=None)
 
     def avoid(self, vm: VmName, now: float) -> None:
-        """Use a peer for a while only if there is no other."""
+        """Leave a peer out for ``BACKOFF_S``."""
         self._avoided_until[vm] = now + BACKOFF_S
 
     def add_running(self, vm: VmName, change: int) -> None:
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_rejections.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_rejections.py
@@ -29,14 +29,14 @@
 
 
 class RejectionGuard:
-    """Decides whether a brittle target may be sent one more request."""
+    """Decides whether a target may be sent one more request."""
 
     def __init__(self) -> None:
         self.exchange = LimitExchange()
         self._paused_until: dict[TargetName, float] = {}  # s
 
     def tolerance_of(self, known: KnownTarget) -> float | None:
-        """Return the rejections/s that a target bears, ``None`` if any."""
+        """Return the rejections/s that a target bears, ``None`` if sound."""
         record = known.record
         return self.exchange.known.limit_of(record.target, record.incarnation)
 
--- a/packages/lovagemast-core/src/lovagemast_core/quarantine/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quarantine/__init__.py
@@ -15,6 +15,7 @@
 from .._types import Subject
 from ._answered import AnsweredSubjects
 from ._controller import QuarantineController
+from ._failuredetector import LastHeartbeat
 from ._guard import QuarantineGuard, QuarantineVerdict, SendStatus
 from ._reports import QuarantineReports
 from ._state import (
@@ -28,7 +29,6 @@
     TrialWish,
 )
 from ._subjects import RequestIdentity, is_request
-from ._witness import LastHeartbeat
 
 __all__ = [
     'MAX_QUARANTINE_TRIALS',
--- a/packages/lovagemast-core/src/lovagemast_core/quarantine/_controller.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quarantine/_controller.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from .._types import Subject, TargetName
+from ._failuredetector import LastHeartbeat, ReportedCrash, has_crashed
 from ._records import KnownRecords
 from ._state import (
     ClearSubjects,
@@ -16,7 +17,6 @@
     record_crash,
 )
 from ._timing import retention_s, trial_delay_s
-from ._witness import LastHeartbeat, ReportedCrash, has_crashed
 
 PROPOSAL_TIMEOUT_S: Final = 0.5  # after which a command is proposed again
 
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
@@ -109,7 +109,7 @@
     has_uses: bool = True
     quarantine: int = 0  # version of the quarantine state that it holds
     crashes: tuple[TargetCrash, ...] = ()
-    answered: tuple[Subject, ...] = ()  # suspected parts
+    answered: tuple[Subject, ...] = ()  # that are suspected
     trials: tuple[TrialWish, ...] = ()
     limits: tuple[LimitReport, ...] = ()  # learned since the last reply
     limit_stamp: int = 0  # of the newest limits that it holds
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -221,7 +221,7 @@
             self._apply_quarantine(now)
         if newer:
             self._apply_config()
-        self._apply_tokens(reply, now)
+        self._apply_tokens_and_limits(reply, now)
         state.load.fleet_reported(reply.loads)
         if reply.removed or reply.is_complete:
             present = set(state.view.targets)
@@ -247,7 +247,7 @@
         self._state.lookups.add(reply.found)
         self._state.peers.directory.update(reply.peers, now)
 
-    def _apply_tokens(self, reply: SyncReply, now: float) -> None:
+    def _apply_tokens_and_limits(self, reply: SyncReply, now: float) -> None:
         for lot in reply.lots:
             self._state.tokens.add(lot, now)
         sends = self._state.sends
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_pathprober.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_pathprober.py
@@ -23,8 +23,6 @@
 ROUND_INTERVAL_S: Final = 1.0  # of a sample of a pool in reach
 LOST_PROBE_INTERVAL_S: Final = 0.3  # of a pool that is out of reach
 LOST_PROBE_TARGETS: Final = 3  # probed at a time then
-
-
 # Of smaller pools, silent requests are not given up: a target that stands still
 # for a moment can't be told from a lost path.
 MIN_POOL_TARGETS: Final = 2
@@ -83,7 +81,8 @@
             return False
         if self.paths.is_lost(pool):
             return True
-        if not _is_due(self._silence_probed_at, pool, SILENCE_PROBE_INTERVAL_S):
+        probed_at = self._silence_probed_at
+        if not _is_due(probed_at, pool, SILENCE_PROBE_INTERVAL_S, now_s()):
             return False
         if await self._probe(known):
             return False
@@ -106,7 +105,7 @@
         return task
 
     async def _run_round(self, pool: str) -> None:
-        if _is_due(self._round_at, pool, ROUND_INTERVAL_S):
+        if _is_due(self._round_at, pool, ROUND_INTERVAL_S, now_s()):
             await self._probe_pool(pool, SAMPLE_TARGETS)
 
     async def _probe_pool(self, pool: str, count: int) -> None:
@@ -153,9 +152,10 @@
         state.notify_update()
 
 
-def _is_due(last: dict[str, float], pool: str, interval_s: float) -> bool:
+def _is_due(
+    last: dict[str, float], pool: str, interval_s: float, now: float
+) -> bool:
     """Return whether to probe a pool now; if so, record that."""
-    now = now_s()
     if now - last.get(pool, float('-inf')) < interval_s:
         return False
     last[pool] = now
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -17,13 +17,16 @@
     _state,
     _timing,
 )
+from lovagemast_core.quarantine._failuredetector import (
+    ReportedCrash,
+    has_crashed,
+)
 from lovagemast_core.quarantine._state import (
     clear_subjects,
     judge_crash,
     record_crash,
     start_trial,
 )
-from lovagemast_core.quarantine._witness import ReportedCrash, has_crashed
 
 NOW = 100.0
 EMPTY = QuarantineState()
