--- a/review/harness/cluster.py
+++ b/review/harness/cluster.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -15,6 +16,7 @@
 CONTROL: Final = ('127.0.0.11', '127.0.0.12', '127.0.0.13')
 ENTRIES: Final = ('127.0.0.21', '127.0.0.22')
 ZONES: Final = ('zone-a', 'zone-b', 'zone-c')
+PORT_RANGE: Final = range(20_000, 32_000)
 # The bounds of the sheets in SYSTEM.md.
 BOUNDS: Final = {
     'seedLagS': 3,
@@ -54,9 +56,10 @@
 
 
 class Cluster:
-    """Three control machines and two entry machines in three zones."""
+    """Three control machines and some entry machines in three zones."""
 
-    def __init__(self) -> None:
+    def __init__(self, entries: tuple[str, ...] = ENTRIES) -> None:
+        self.entries = entries
         self.folder = Path(tempfile.mkdtemp(prefix='lovagemast-review-'))
         self.ports = Ports(*(free_port() for _port in Ports._fields))
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
@@ -64,13 +67,13 @@
 
     def start(self) -> None:
         """Start all programs, for the first time."""
-        for vm in (*CONTROL, *ENTRIES):
+        for vm in (*CONTROL, *self.entries):
             self.start_process(vm)
         self._bootstrap = False
 
     def start_process(self, vm: str) -> None:
         """Start the program of one machine."""
-        role = 'entry' if vm in ENTRIES else 'control'
+        role = 'entry' if vm in self.entries else 'control'
         path = self.folder / f'{vm}.toml'
         path.write_text(self._settings(vm, role), encoding='utf-8')
         environment = {
@@ -110,17 +113,17 @@
 
     def front_addresses(self) -> list[str]:
         """Return the addresses that clients connect to."""
-        return [f'{vm}:{self.ports.front}' for vm in ENTRIES]
+        return [f'{vm}:{self.ports.front}' for vm in self.entries]
 
     def ready_addresses(self) -> list[str]:
         """Return the addresses that tell whether a machine is ready."""
-        return [f'{vm}:{self.ports.ready}' for vm in ENTRIES]
+        return [f'{vm}:{self.ports.ready}' for vm in self.entries]
 
     def _settings(self, vm: str, role: str) -> str:
         ports = self.ports
         data = self.folder / f'data-{vm}'
         data.mkdir(exist_ok=True)
-        group = ENTRIES if role == 'entry' else CONTROL
+        group = self.entries if role == 'entry' else CONTROL
         is_entry = role == 'entry'
         listen = [f'control = "{vm}:{ports.control}"']
         if is_entry:
@@ -134,7 +137,7 @@
             f'machineClass = "{"front" if is_entry else "core"}"',
             f'serves = ["{"front" if is_entry else "control"}"]',
             f'ip = "{vm}"',
-            f'zone = "{ZONES[group.index(vm)]}"',
+            f'zone = "{ZONES[group.index(vm) % len(ZONES)]}"',
             'region = "region"',
             f'internalPorts = [{ports.peer}, {ports.peer}]',
             f'seeds = {json.dumps(self.control_addresses())}',
@@ -161,7 +164,15 @@
 
 
 def free_port() -> int:
-    """Return an unused port on loopback."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return int(probe.getsockname()[1])
+    """Return an unused port on loopback.
+
+    It is below the ports that the system gives to outgoing connections.
+    """
+    while True:
+        port = random.choice(PORT_RANGE)
+        with socket.socket() as probe:
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+            return port
--- a/review/harness/http1.py
+++ b/review/harness/http1.py
@@ -1,7 +1,8 @@
 """A small HTTP/1.1 client and message reader for the stand-ins."""
 
 import asyncio
-from typing import Final, NamedTuple
+import json
+from typing import Any, Final, NamedTuple
 
 MAX_REDIRECTS: Final = 2
 REDIRECT: Final = 307
@@ -57,6 +58,12 @@
     return ('\r\n'.join(lines) + '\r\n\r\n').encode('latin-1') + body
 
 
+def encode_json(document: dict[str, Any]) -> bytes:
+    """Return a JSON document as a response."""
+    headers = {'Content-Type': 'application/json'}
+    return encode('HTTP/1.1 200 OK', headers, json.dumps(document).encode())
+
+
 async def call(
     address: str,
     method: str,
@@ -73,7 +80,7 @@
     try:
         async with asyncio.timeout(timeout_s):
             return await _call(address, method, path, headers or {}, body)
-    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+    except (OSError, TimeoutError, ValueError, asyncio.IncompleteReadError):
         return None
 
 
--- a/review/harness/runner.py
+++ b/review/harness/runner.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import os
+import signal
+import sys
 from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 from typing import Any, Final
 
-from .cluster import DEPS, Cluster
+from .cluster import DEPS, ENTRIES, Cluster
 from .deployment import wait_ready
 from .operator import Operator
 from .record import Record
@@ -21,10 +23,12 @@
 class Stage:
     """What a case works with."""
 
-    def __init__(self, record: Record, *, trouble: bool) -> None:
+    def __init__(
+        self, record: Record, entries: tuple[str, ...], *, trouble: bool
+    ) -> None:
         self.record = record
         self.trouble = trouble
-        self.cluster = Cluster()
+        self.cluster = Cluster(entries)
         self.operator = Operator(self.cluster.control_addresses(), record)
 
 
@@ -46,13 +50,15 @@
     return is_ready
 
 
-def main(case: Path, play: Play) -> int:
+def main(case: Path, play: Play, entries: tuple[str, ...] = ENTRIES) -> int:
     """Run a case; return the exit status of its script."""
+    signal.signal(signal.SIGTERM, lambda *_args: sys.exit(NOT_RUN))
     record = Record(case.with_name('record.txt'))
     if not (DEPS / 'lovagemast_platform').is_dir():
         record.write('the build of the deploy file is missing')
         return NOT_RUN
-    stage = Stage(record, trouble=os.environ.get('TROUBLE', '1') != '0')
+    trouble = os.environ.get('TROUBLE', '1') != '0'
+    stage = Stage(record, entries, trouble=trouble)
     try:
         return asyncio.run(_play(stage, play))
     except (OSError, TimeoutError) as exc:
--- a/review/harness/worker.py
+++ b/review/harness/worker.py
@@ -32,6 +32,7 @@
         self.name = name
         self.arrivals: list[Arrival] = []
         self.work_s = WORK_S
+        self.has_ended = False
         self.is_cut_from_control = False  # sends no heartbeats then
         self._service = service
         self._zone = zone
@@ -52,13 +53,18 @@
 
     async def stop(self) -> None:
         """Stop listening and sending heartbeats."""
+        self.end()
+        await asyncio.sleep(0)
+
+    def end(self) -> None:
+        """End at once, as a process does that is killed."""
+        self.has_ended = True
         for task in self._tasks:
             task.cancel()
         if self._server:
             self._server.close()
         for writer in self._writers:
-            writer.close()
-        await asyncio.sleep(0)
+            writer.transport.abort()
 
     async def _send_beats(self, controls: list[str]) -> None:
         while True:
@@ -72,7 +78,7 @@
     def next_beat(self) -> bytes:
         """Return the body of the next heartbeat."""
         self._beats += 1
-        return json.dumps(self._description()).encode()
+        return json.dumps(self.describe()).encode()
 
     async def call_control(
         self, method: str, controls: list[str], body: bytes = b''
@@ -90,7 +96,8 @@
                 return self.record.now()
         return None
 
-    def _description(self) -> dict[str, Any]:
+    def describe(self) -> dict[str, Any]:
+        """Return what the target says of itself."""
         return {
             'service': self._service,
             'address': f'127.0.0.1:{self._port}',
@@ -107,20 +114,35 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
+        await self.serve_connection(reader, writer)
+        writer.close()
+        self._writers.discard(writer)
+
+    async def serve_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer the requests of one connection."""
         with contextlib.suppress(*ERRORS):
             while True:
                 request = await http1.read_message(reader, is_response=False)
                 writer.write(await self._answer(request))
                 await writer.drain()
-        writer.close()
-        self._writers.discard(writer)
+
+    def refuse_other(self, request: http1.Message) -> bytes | None:
+        """Return the refusal of a request that expects another target."""
+        expected = request.headers.get('x-expect-instance', self.name)
+        if expected == self.name:
+            return None
+        request_id = request.headers.get('x-request-id', '')
+        headers = {'X-Request-Id': request_id, 'X-Instance-Id': self.name}
+        return http1.encode('HTTP/1.1 421 Misdirected', headers)
 
     async def _answer(self, request: http1.Message) -> bytes:
-        headers = request.headers
-        request_id = headers.get('x-request-id', '')
+        refusal = self.refuse_other(request)
+        if refusal:
+            return refusal
+        request_id = request.headers.get('x-request-id', '')
         echoed = {'X-Request-Id': request_id, 'X-Instance-Id': self.name}
-        if headers.get('x-expect-instance', self.name) != self.name:
-            return http1.encode('HTTP/1.1 421 Misdirected', echoed)
         if request.start.startswith('GET /health '):
             return http1.encode('HTTP/1.1 200 OK', echoed)
         self.arrivals.append(Arrival(self.record.now(), request_id))
