Review: a part that crashes engines after an event is never found (BUDGET)

Rule BUDGET: more than three requests with a part that crashes workers reach workers later than contactMs after the fifth crash.

Seen: engines that crash after the first event of their stream count as sound, and the event as proof that the part is harmless. Each request with the part crashes two engines, for as long as such requests come.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,206 +7,33 @@
 """
 
 import asyncio
-import itertools
-import os
-import random
 import sys
 from pathlib import Path
-from typing import Any, Final
+from typing import Final
 
-from harness import http1
-from harness.callers import HOST, KEY
-from harness.cluster import ZONES, free_port
-from harness.deployment import config
-from harness.engine import MODEL, Engine
-from harness.runner import BROKEN, HELD, NOT_RUN, Stage, main, start
+from harness.deadly import ENTRY_VMS, Fleet, Requests, play, seeded
+from harness.runner import Stage, main
 
-ENTRY_VMS: Final = tuple(f'127.0.0.{number}' for number in range(21, 27))
-ENGINES: Final = 6
-DEADLY_PART: Final = 'deadbeef'
-SETTLE_S: Final = 4.0
 GREY_S: Final = 4.0
 GREY_SHARE: Final = 0.45  # of the requests of each engine
-RESTART_S: Final = 3.0
-OBSERVED_S: Final = 45.0
-SOUND_INTERVAL_S: Final = 0.05
-DEADLY_INTERVAL_S: Final = 0.6
-TIMEOUT_S: Final = 12.0
-CONTACT_S: Final = 3.0  # contactMs
-CRASHES: Final = 5
-ALLOWED: Final = 3
+OBSERVED_S: Final = 30.0
 
 
-class Fleet:
-    """The engines, which come back some seconds after a crash."""
-
-    def __init__(self, stage: Stage, rng: random.Random) -> None:
-        self.crashes: list[float] = []  # s since the start of the run
-        self.is_grey = False
-        self.engines: list[Engine] = []
-        self._stage = stage
-        self._rng = rng
-        self._numbers = itertools.count(1)
-        self._tasks: set[asyncio.Task[None]] = set()
-        for number in range(ENGINES):
-            self._add(ZONES[number % len(ZONES)], free_port())
-
-    def _add(self, zone: str, port: int) -> Engine:
-        name = f'engine-{next(self._numbers)}'
-        engine = Engine(name, zone, port, self._stage.record, self._on_crash)
-        engine.deadly_part = DEADLY_PART
-        engine.fails = self._fails
-        self.engines.append(engine)
-        return engine
-
-    def _fails(self) -> bool:
-        return self.is_grey and self._rng.random() < GREY_SHARE
-
-    def _on_crash(self, engine: Engine, request_id: str) -> None:
-        record = self._stage.record
-        record.write(f'{engine.name} crashes at {request_id}')
-        self.crashes.append(record.now())
-        engine.end()
-        task = asyncio.create_task(self._replace(engine))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _replace(self, crashed: Engine) -> None:
-        await asyncio.sleep(RESTART_S)
-        engine = self._add(crashed.zone, crashed.port)
-        await engine.start(self._stage.cluster.control_addresses())
-
-    async def stop(self) -> None:
-        """Stop all engines."""
-        for task in self._tasks:
-            task.cancel()
-        for engine in self.engines:
-            await engine.stop()
-
-
-class Requests:
-    """Sends sound requests and those with the deadly part."""
-
-    def __init__(self, stage: Stage, rng: random.Random) -> None:
-        self.statuses: dict[str, int] = {}
-        self._stage = stage
-        self._rng = rng
-        self._numbers = itertools.count(1)
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    async def run(self, kind: str, interval_s: float, ends_at: float) -> None:
-        """Send requests of a kind at a steady pace."""
-        while self._stage.record.now() < ends_at:
-            task = asyncio.create_task(self._send(kind))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-            await asyncio.sleep(interval_s)
-        await asyncio.gather(*self._tasks)
-
-    async def _send(self, kind: str) -> None:
-        number = next(self._numbers)
-        request_id = f'{kind}-{number:04}'
-        middle = DEADLY_PART if kind == 'deadly' else 'bb'
-        headers = {
-            'Host': HOST,
-            'X-Request-Id': request_id,
-            'X-Deadline-Ms': str(int(TIMEOUT_S * 1000)),
-            'Authorization': f'Bearer {KEY}',
-            'X-Model': MODEL,
-            'X-Token-Count': '100,20',
-            'X-Prompt-Prefix': f'aa:50,{middle}:30,{number:x}:20',
-        }
-        front = self._rng.choice(self._stage.cluster.front_addresses())
-        body = f'prompt {number}'.encode()
-        response = await http1.call(
-            front, 'POST', '/app/ask', headers, body, timeout_s=TIMEOUT_S
-        )
-        status = response.status if response else 0
-        self.statuses[request_id] = status
-        self._stage.record.write(f'{front} answers {status} to {request_id}')
-
-
-def deployment() -> dict[str, Any]:
-    """Return a configuration with a resumable stream to engines."""
-    document = config()
-    route = {
-        **document['routes'][0],
-        'kind': 'streaming',
-        'service': 'engines',
-        'timeoutMs': int(TIMEOUT_S * 1000),
-        'targetLatencyMs': 600,
-        'gapTargetMs': 300,
-        'sticky': True,
-        'resumable': True,
-    }
-    model = {'name': MODEL, 'weightsMb': 100, 'loadS': 1.0, 'adapters': 0}
-    engine = {
-        'slots': 64,
-        'kvCapacity': 135227,
-        'weightsMb': 200,
-        'adapterSlots': 4,
-        'loadsPerS': 3.9,
-        'models': [{**model, 'adapterMb': 66}],
-    }
-    service = {**document['services'][0], 'name': 'engines', 'engine': engine}
-    return {**document, 'routes': [route], 'services': [service]}
-
-
-async def play(stage: Stage) -> int:
+async def run(stage: Stage) -> int:
     """Run the case; return the exit status."""
-    record = stage.record
-    seed = int(os.environ.get('SEED', random.randrange(10_000)))
-    record.write(f'seed {seed}')
-    rng = random.Random(seed)
-    fleet = Fleet(stage, rng)
-    if not await start(stage, deployment(), list(fleet.engines)):
-        return NOT_RUN
-    requests = Requests(stage, rng)
-    ends_at = record.now() + SETTLE_S + GREY_S + OBSERVED_S
-    sound = asyncio.create_task(
-        requests.run('sound', SOUND_INTERVAL_S, ends_at)
-    )
-    await asyncio.sleep(SETTLE_S)
-    deadly = asyncio.create_task(
-        requests.run('deadly', DEADLY_INTERVAL_S, ends_at)
-    )
-    fleet.is_grey = stage.trouble
-    if stage.trouble:
-        record.write(f'all engines fail {GREY_SHARE:.0%} for {GREY_S} s')
-    await asyncio.sleep(GREY_S)
-    fleet.is_grey = False
-    record.write('the engines fail no more')
-    await sound
-    await deadly
-    await fleet.stop()
-    return _judge(stage, fleet, requests)
+    rng = seeded(stage)
 
+    async def disrupt(fleet: Fleet) -> float:
+        if stage.trouble:
+            stage.record.write(f'all engines fail {GREY_SHARE:.0%}')
+            fleet.error_share = GREY_SHARE
+        await asyncio.sleep(GREY_S)
+        fleet.error_share = 0.0
+        stage.record.write('the engines fail no more')
+        return OBSERVED_S
 
-def _judge(stage: Stage, fleet: Fleet, requests: Requests) -> int:
-    record = stage.record
-    sound = [
-        status
-        for name, status in requests.statuses.items()
-        if name.startswith('sound')
-    ]
-    served = sum(status == 200 for status in sound)
-    record.write(f'{served} of {len(sound)} sound requests were served')
-    record.write(f'{len(fleet.crashes)} crashes')
-    if len(fleet.crashes) < CRASHES:
-        return HELD if served > len(sound) / 2 else NOT_RUN
-    begins_at = fleet.crashes[CRASHES - 1] + CONTACT_S
-    late = [
-        arrival
-        for engine in fleet.engines
-        for arrival in engine.arrivals
-        if arrival.at > begins_at and arrival.request_id.startswith('deadly')
-    ]
-    record.write(
-        f'{len(late)} requests with the part reached engines later than '
-        f'{CONTACT_S} s after the fifth crash, at {begins_at:.3f} s'
-    )
-    return BROKEN if len(late) > ALLOWED else HELD
+    return await play(stage, Fleet(stage, rng), Requests(stage, rng), disrupt)
 
 
 if __name__ == '__main__':
-    sys.exit(main(Path(__file__), play, ENTRY_VMS))
+    sys.exit(main(Path(__file__), run, ENTRY_VMS))
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,97 +1,92 @@
-"""An order to take a zone back is carried out after a newer evacuation.
+"""A target that has deregistered is used again because of a late heartbeat.
 
-A control machine is frozen while the operator takes an evacuated zone back.
-Another machine acknowledges that, and then the evacuation that the operator
-orders next. The frozen machine, once it goes on, carries out the first order.
+A target is cut off from the control machines until its registration expires.
+Then it leaves: it deregisters, which is acknowledged. A heartbeat that it
+sent during the cut arrives afterwards, and registers it anew.
 """
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 from typing import Final
 
 from harness.callers import Callers
-from harness.cluster import CONTROL, ZONES, free_port
+from harness.cluster import ZONES, free_port
 from harness.deployment import PATH, SERVICE, config
 from harness.runner import BROKEN, HELD, NOT_RUN, Stage, main, start
 from harness.worker import Worker
 
-ZONE: Final = ZONES[1]
-FROZEN: Final = 2  # position of the machine that is frozen
-FREEZE_S: Final = 4.0
-SETTLE_S: Final = 4.0
-CALL_INTERVAL_S: Final = 0.1
-PAUSE_S: Final = 1.0  # between the two orders of the operator
-# evacuateMs, and maxStretchMs because the core was not stable.
-BOUND_S: Final = 5.0 + 5.0
-OBSERVED_S: Final = 6.0  # after the bound
+CUT_S: Final = 5.0
+SETTLE_S: Final = 5.0
+LATE_S: Final = 1.0  # by which the heartbeat arrives after the departure
+DRAIN_S: Final = 2.0  # drainMs
+SERVING_S: Final = 8.0  # for which the target goes on after its departure
+WORK_S: Final = 0.3
+CALL_INTERVAL_S: Final = 0.02
 
 
 async def play(stage: Stage) -> int:
     """Run the case; return the exit status."""
     record = stage.record
-    workers = [
-        Worker(f'w-{zone}', SERVICE, zone, free_port(), record)
-        for zone in ZONES
+    leaving = Worker('w-leaving', SERVICE, ZONES[0], free_port(), record)
+    others = [
+        Worker(f'w-{number}', SERVICE, zone, free_port(), record)
+        for number, zone in enumerate(ZONES)
     ]
-    if not await start(stage, config(), workers):
+    for worker in (leaving, *others):
+        worker.work_s = WORK_S
+    if not await start(stage, config(), [leaving, *others]):
         return NOT_RUN
     callers = Callers(
         stage.cluster.front_addresses(), PATH, CALL_INTERVAL_S, record
     )
-    duration_s = 3 * SETTLE_S + FREEZE_S + BOUND_S + OBSERVED_S
-    calls = asyncio.create_task(callers.run(duration_s))
+    calls = asyncio.create_task(callers.run(SETTLE_S + CUT_S + SERVING_S))
     await asyncio.sleep(SETTLE_S)
-    begins_at = await _give_orders(stage) + BOUND_S
-    await asyncio.sleep(begins_at + OBSERVED_S - record.now())
-    span = (begins_at, record.now())
+    left_at = await _leave(stage, leaving)
     await calls
-    for worker in workers:
+    for worker in (leaving, *others):
         await worker.stop()
-    return _judge(stage, workers[1], callers, span)
-
-
-async def _give_orders(stage: Stage) -> float:
-    """Evacuate the zone, take it back, evacuate it again.
-
-    Return when the last order was acknowledged.
-    """
-    path = f'/evacuations/{ZONE}'
-    await stage.operator.order('POST', path)
-    await asyncio.sleep(SETTLE_S)
-    freeze = asyncio.create_task(_freeze(stage))
-    await asyncio.sleep(0)
-    await stage.operator.order('DELETE', path, first=FROZEN)
-    await asyncio.sleep(PAUSE_S)
-    evacuated_at = await stage.operator.order('POST', path)
-    await freeze
-    return evacuated_at
+    if left_at is None:
+        record.write('the case could not run: nobody took the departure')
+        return NOT_RUN
+    return _judge(stage, leaving, callers, left_at)
 
 
-async def _freeze(stage: Stage) -> None:
-    if not stage.trouble:
-        return
-    stage.record.write(f'{CONTROL[FROZEN]} is frozen for {FREEZE_S} s')
-    stage.cluster.send_signal(CONTROL[FROZEN], signal.SIGSTOP)
-    await asyncio.sleep(FREEZE_S)
-    stage.cluster.send_signal(CONTROL[FROZEN], signal.SIGCONT)
-    stage.record.write(f'{CONTROL[FROZEN]} goes on')
+async def _leave(stage: Stage, worker: Worker) -> float | None:
+    """Have the target leave; return when that was acknowledged."""
+    record = stage.record
+    controls = stage.cluster.control_addresses()
+    worker.is_cut_from_control = stage.trouble
+    if stage.trouble:
+        record.write(f'{worker.name} is cut off from control for {CUT_S} s')
+    await asyncio.sleep(CUT_S / 2)
+    late_beat = worker.next_beat()
+    record.write(f'{worker.name} sends a heartbeat that is held up')
+    await asyncio.sleep(CUT_S / 2)
+    worker.is_cut_from_control = True  # sends no more heartbeats
+    record.write(f'{worker.name} deregisters')
+    left_at = await worker.call_control('DELETE', controls)
+    record.write(f'its departure is acknowledged: {left_at}')
+    await asyncio.sleep(LATE_S)
+    taken_at = await worker.call_control('PUT', controls, late_beat)
+    record.write(f'the late heartbeat arrives: {taken_at}')
+    return left_at
 
 
 def _judge(
-    stage: Stage, worker: Worker, callers: Callers, span: tuple[float, float]
+    stage: Stage, worker: Worker, callers: Callers, left_at: float
 ) -> int:
-    begins_at, ends_at = span
-    late = [one for one in worker.arrivals if begins_at < one.at < ends_at]
+    record = stage.record
     served = sum(status == 200 for status in callers.statuses.values())
-    stage.record.write(f'{served} of {len(callers.statuses)} were served')
-    if served < len(callers.statuses) / 2:
-        stage.record.write('the case could not run: too few were served')
+    record.write(f'{served} of {len(callers.statuses)} were served')
+    before = [one for one in worker.arrivals if one.at < left_at - CUT_S]
+    if not before:
+        record.write('the case could not run: the target got no request')
         return NOT_RUN
-    stage.record.write(
-        f'{len(late)} requests reached {ZONE} from {begins_at:.3f} s to '
-        f'{ends_at:.3f} s, while its evacuation was in force'
+    late = [one for one in worker.arrivals if one.at > left_at + DRAIN_S]
+    record.write(
+        f'{len(late)} requests reached {worker.name} later than {DRAIN_S} s '
+        'after its departure was acknowledged'
     )
     return BROKEN if late else HELD
 
--- a/review/harness/cluster.py
+++ b/review/harness/cluster.py
@@ -96,6 +96,14 @@
         if process.poll() is None:
             process.send_signal(number)
 
+    def ended(self) -> list[str]:
+        """Return the machines whose processes have ended."""
+        return [
+            vm
+            for vm, process in self.processes.items()
+            if process.poll() is not None
+        ]
+
     def stop(self) -> None:
         """End all processes that were started here."""
         for process in self.processes.values():
--- a/review/harness/engine.py
+++ b/review/harness/engine.py
@@ -23,7 +23,8 @@
     """A target that holds the base model and answers with a stream.
 
     ``fails`` decides whether a request is answered with 500, as an engine in
-    trouble does. ``on_crash`` is called when a request has crashed it.
+    trouble does, and ``is_deadly`` whether one crashes the engine, by the
+    parts of its prompt. ``on_crash`` is called when it has.
     """
 
     def __init__(
@@ -38,7 +39,8 @@
         self.zone = zone
         self.port = port
         self.fails: Callable[[], bool] = lambda: False
-        self.deadly_part = ''
+        self.is_deadly: Callable[[str], bool] = lambda _prefix: False
+        self.crashes_after_event = False
         self._on_crash = on_crash
 
     def describe(self) -> dict[str, Any]:
@@ -67,7 +69,7 @@
             return
         request_id = request.headers.get('x-request-id', '')
         prefix = request.headers.get('x-prompt-prefix', '')
-        is_deadly = bool(self.deadly_part) and self.deadly_part in prefix
+        is_deadly = self.is_deadly(prefix)
         note = 'with the deadly part' if is_deadly else ''
         self.arrivals.append(Arrival(self.record.now(), request_id))
         self.record.write(f'{self.name} gets {request_id} {note}')
@@ -83,10 +85,14 @@
             start = 'HTTP/1.1 500 Internal Server Error'
             writer.write(http1.encode(start, headers))
         elif is_deadly:
-            self._on_crash(self, request_id)
+            if self.crashes_after_event:
+                await _stream(headers, writer, _first_event(request), 1)
+            if not self.has_ended:
+                self._on_crash(self, request_id)
             raise CrashedError
         else:
-            await _stream(headers, writer)
+            await _stream(headers, writer, _first_event(request), EVENTS)
+            writer.write(b'0\r\n\r\n')
 
     def _report(self) -> bytes:
         return http1.encode_json(
@@ -100,17 +106,22 @@
         )
 
 
+def _first_event(request: http1.Message) -> int:
+    return int(request.headers.get('last-event-id') or 0) + 1
+
+
 async def _stream(
-    headers: dict[str, str], writer: asyncio.StreamWriter
+    headers: dict[str, str],
+    writer: asyncio.StreamWriter,
+    first: int,
+    last: int,
 ) -> None:
     lines = ['HTTP/1.1 200 OK', 'Content-Type: text/event-stream']
     lines.append('Transfer-Encoding: chunked')
     lines.extend(f'{name}: {text}' for name, text in headers.items())
     writer.write(('\r\n'.join(lines) + '\r\n\r\n').encode('latin-1'))
-    for number in range(1, EVENTS + 1):
+    for number in range(first, max(first, last) + 1):
         event = f'id: {number}\ndata: event {number}\n\n'.encode()
         writer.write(b'%x\r\n%b\r\n' % (len(event), event))
         await writer.drain()
         await asyncio.sleep(EVENT_S)
-    writer.write(b'0\r\n\r\n')
-    await writer.drain()
--- a/review/harness/runner.py
+++ b/review/harness/runner.py
@@ -18,6 +18,7 @@
 BROKEN: Final = 1
 NOT_RUN: Final = 2
 START_S: Final = 2.0  # until the control machines have a leader
+MAX_RUN_S: Final = 110.0
 
 
 class Stage:
@@ -41,6 +42,10 @@
     """Start the system and its targets; return whether it serves."""
     stage.cluster.start()
     await asyncio.sleep(START_S)
+    ended = stage.cluster.ended()
+    if ended:
+        stage.record.write(f'ended by themselves at the start: {ended}')
+        return False
     await stage.operator.put_config(config)
     for worker in workers:
         await worker.start(stage.cluster.control_addresses())
@@ -70,4 +75,5 @@
 
 
 async def _play(stage: Stage, play: Play) -> int:
-    return await play(stage)
+    async with asyncio.timeout(MAX_RUN_S):
+        return await play(stage)
