--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_codec.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_codec.py
@@ -44,6 +44,9 @@
     pause_s: float | None = None  # in which it wants no requests of this VM
     # Rejections/s that a brittle target bears; NaN if unreadable.
     tolerance: float | None = None
+    # How long work takes there at present as a multiple of the usual time,
+    # if the target says so; NaN if unreadable.
+    pace: float | None = None
 
 
 class TargetRequestMetadata(NamedTuple):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,6 +1,7 @@
 """Tests of the codecs and settings of the platform package."""
 
 import json
+import math
 from typing import Any
 
 import pytest
@@ -366,6 +367,69 @@
             PlatformEntryCodec().decode_response_head(head).running == running
         )
 
+    @pytest.mark.parametrize(
+        ('text', 'pace'),
+        [
+            (b'3,1,8', None),
+            (b'3,1,8,100', 1.0),
+            (b' 3 , 1 , 8 , 250 ', 2.5),
+            (b'3,1,8,58.8', 0.588),
+            (b'3,1,8,10000', 100.0),
+        ],
+    )
+    def test_pace(self, text: bytes, pace: float | None) -> None:
+        """The fourth figure, if there is one, does not hide the others."""
+        head = ResponseHead(200, ((b'X-Server-Load', text),), 0)
+        decoded = PlatformEntryCodec().decode_response_head(head)
+        assert (decoded.running, decoded.waiting) == (3, 1)
+        assert decoded.pace == pace
+
+    @pytest.mark.parametrize(
+        'extra',
+        [
+            b'',
+            b' ',
+            b'0',
+            b'0.0',
+            b'-100',
+            b'+100',
+            b'100,',
+            b'100,100',
+            b'10001',
+            b'9' * 5_000,
+            b'1e2',
+            b'1_0',
+            b'nan',
+            b'inf',
+            b'fast',
+            b'0x10',
+            b'.5',
+            '²'.encode(),
+            '१००'.encode(),
+        ],
+    )
+    def test_odd_pace_is_unknown(self, extra: bytes) -> None:
+        """An odd fourth figure is none, and the other figures are used.
+
+        Taken as a low number, it would draw all requests to the target.
+        """
+        head = ResponseHead(200, ((b'X-Server-Load', b'3,1,8,' + extra),), 0)
+        decoded = PlatformEntryCodec().decode_response_head(head)
+        assert (decoded.running, decoded.waiting) == (3, 1)
+        assert decoded.pace is not None
+        assert math.isnan(decoded.pace)
+
+    @pytest.mark.parametrize(
+        'text',
+        [b'x,1,8,50', b',1,8,50', b'3,-1,8,50', b'3,1,,50', b'9' * 12],
+    )
+    def test_pace_beside_odd_counts(self, text: bytes) -> None:
+        """With unreadable counts, the whole header tells nothing."""
+        head = ResponseHead(200, ((b'X-Server-Load', text),), 0)
+        decoded = PlatformEntryCodec().decode_response_head(head)
+        assert (decoded.running, decoded.waiting) == (None, None)
+        assert decoded.pace is None or math.isnan(decoded.pace)
+
 
 SETTINGS: dict[str, Any] = {
     'node': 'core-1',
