Entry: requests are spread by load and pace where targets report one

Entry VMs chose the target with the lowest load by figures that are some tenths of a second old, all the same one at a time, and knew nothing of how fast a target is. Where a target of a pool has reported its pace, a request is now drawn at random, with shares that make the expected work ahead equal once the requests that others send meanwhile have arrived. Work ahead is load times pace; a hop to another availability zone counts as 2 ms.

The pace is the last report, which fades within 2 s towards what reports and the times of answers (against the pool's median) say in the long run.

Pools without a reported pace keep their cost.

--- a/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
@@ -13,7 +13,9 @@
 from ._health import TargetHealth
 from ._leadersearch import LeaderSearch
 from ._limits import ColdStartLimiter, EntryShare
-from ._loadestimate import LoadEstimate
+from ._loadestimate import FLEET_LAG_S, LoadEstimate
+from ._loadspread import MeanStay
+from ._pace import TargetPaces, WorkKind, WorkTime
 from ._paths import SAMPLE_TARGETS, PathMonitor
 from ._peers import PeerDirectory
 from ._prefill import PrefillLimit
@@ -24,6 +26,7 @@
     Choice,
     NoReadyTarget,
     SelectionCriteria,
+    SpreadTerms,
     TargetRequirements,
     choose_target,
     find_candidates,
@@ -33,6 +36,7 @@
 from ._waitqueue import WaitQueue
 
 __all__ = [
+    'FLEET_LAG_S',
     'LONG_AGO_S',
     'SAMPLE_TARGETS',
     'BatchLimit',
@@ -51,6 +55,7 @@
     'KnownTarget',
     'LeaderSearch',
     'LoadEstimate',
+    'MeanStay',
     'NoReadyTarget',
     'PathMonitor',
     'PeerDirectory',
@@ -60,10 +65,14 @@
     'SelectionCriteria',
     'SendLimiter',
     'SendTerms',
+    'SpreadTerms',
     'TargetHealth',
+    'TargetPaces',
     'TargetRequirements',
     'TargetUse',
     'WaitQueue',
+    'WorkKind',
+    'WorkTime',
     'choose_target',
     'find_candidates',
 ]
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_selection.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_selection.py
@@ -8,6 +8,14 @@
 from .._types import SoftwareVersion, TargetName, VmName, ZoneName
 from ..adapters import AdapterLabel
 from ._health import TargetHealth
+from ._loadspread import (
+    CROSS_ZONE_S,
+    OWN_WORK,
+    PacedTarget,
+    arrivals_meanwhile,
+    draw_target,
+    request_shares,
+)
 from ._view import FleetView, KnownTarget
 
 # Costs are fractions of a target's capacity, and are added to its load.
@@ -58,11 +66,25 @@
     paused_until: float | None = None
 
 
+class SpreadTerms(NamedTuple):
+    """What a choice by expected finish time is based on.
+
+    ``stay_s`` is how long a request stays at a target of the pool on average,
+    ``draw`` a random number from 0 to 1.
+    """
+
+    pace_of: Callable[[KnownTarget], float]  # 1.0 as usual
+    stay_s: float
+    info_age_s: float  # of the load that other entry VMs cause
+    draw: float
+
+
 class SelectionCriteria(NamedTuple):
     """What decides between candidates.
 
     Targets in ``tried`` were already sent the request; they are used only if
-    no other target is ready.
+    no other target is ready. With ``spread``, requests are spread by expected
+    finish time; without, the target with the lowest cost is chosen.
     """
 
     health: TargetHealth
@@ -71,6 +93,7 @@
     tried: frozenset[TargetName]
     zone: ZoneName
     vm: VmName = ''  # that chooses
+    spread: SpreadTerms | None = None
 
 
 def find_candidates(
@@ -98,7 +121,7 @@
     criteria: SelectionCriteria,
     now: float,
 ) -> Choice | NoReadyTarget:
-    """Return the ready candidate with the lowest cost.
+    """Return a ready candidate, the one with the lowest cost or one drawn.
 
     Recent failures add to a target's cost instead of excluding it, so a
     failing target gets fewer requests but is not left out.
@@ -115,6 +138,8 @@
         and criteria.health.is_available(candidate.target, now)
         and criteria.may_send(candidate.known)
     ]
+    if ready and criteria.spread:
+        return Choice(_draw(ready, criteria, criteria.spread, now))
     if ready:
         return Choice(min(ready, key=lambda one: _rank(one, criteria, now)))
     pending = [one.ready_at for one in reachable if one.ready_at > now]
@@ -153,17 +178,59 @@
     return hashlib.sha256(f'{vm}/{target}'.encode()).digest()
 
 
+def _draw(
+    ready: list[Candidate],
+    criteria: SelectionCriteria,
+    terms: SpreadTerms,
+    now: float,
+) -> Candidate:
+    """Draw a candidate by when the request would finish there."""
+    if len(ready) == 1:
+        return ready[0]
+    requests = sum(
+        criteria.load_of(one.known) * max(1, one.known.record.slots)
+        for one in ready
+    )
+    arrivals = arrivals_meanwhile(requests, terms.stay_s, terms.info_age_s)
+    targets = [_to_paced(one, criteria, terms, now) for one in ready]
+    shares = request_shares(targets, 1 + arrivals)
+    return ready[draw_target(shares, terms.draw)]
+
+
+def _to_paced(
+    candidate: Candidate,
+    criteria: SelectionCriteria,
+    terms: SpreadTerms,
+    now: float,
+) -> PacedTarget:
+    pace = terms.pace_of(candidate.known)
+    cost = (_work_cost(candidate, criteria, now) + OWN_WORK) * pace
+    if candidate.known.record.zone != criteria.zone:
+        cost += CROSS_ZONE_S / terms.stay_s
+    return PacedTarget(cost, max(1, candidate.known.record.slots) / pace)
+
+
 def _cost(
     candidate: Candidate,
     criteria: SelectionCriteria,
     now: float,
 ) -> float:
+    cost = _work_cost(candidate, criteria, now)
+    if candidate.known.record.zone != criteria.zone:
+        cost += CROSS_ZONE_COST
+    return cost
+
+
+def _work_cost(
+    candidate: Candidate,
+    criteria: SelectionCriteria,
+    now: float,
+) -> float:
+    """Return a target's load and what is held against it, in either zone."""
     cost = criteria.load_of(candidate.known)
     cost += FAILURE_COST * criteria.health.failure_rate(candidate.target, now)
     if candidate.target in criteria.tried:
         cost += TRIED_COST
-    if candidate.known.record.zone != criteria.zone:
-        cost += CROSS_ZONE_COST
     return cost
 
 
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -19,16 +19,17 @@
     ResponseFailed,
     ResponseHead,
     TargetConnection,
-    encode_head,
 )
 from ._admitted import AdmittedRequest
+from ._answertimes import AnswerTimes
 from ._attemptresult import AttemptOutcome, AttemptResult
-from ._codec import TargetRequestMetadata, TargetResponseMetadata
+from ._codec import TargetResponseMetadata
 from ._entrystate import EntryState
 from ._quarantinecheck import QuarantineCheck
 from ._relay import ResponseRelay
 from ._streamcontinuity import StreamContinuity
 from ._targetlimits import record_limit, record_tolerance, send_terms
+from ._targetrequest import encode_request_head
 from ._targetstate import record_state
 
 TARGET_CONNECT_TIMEOUT_S: Final = 0.2
@@ -40,7 +41,6 @@
 WRONG_TARGET_BACKOFF_S: Final = 0.5
 STATUS_SERVER_ERROR: Final = 500
 STATUS_REDIRECT: Final = 300
-BODY_METHODS: Final = frozenset(('POST', 'PUT', 'PATCH'))
 
 
 class Attempt:
@@ -64,6 +64,7 @@
         self._target = candidate.known.record.target
         self._pool = candidate.known.record.pool
         self._prefill_tokens = 0.0  # counted against the target's limit
+        self._times = AnswerTimes(admitted, self._pool, self._target)
         self.may_have_run = False
 
     async def run(self, *, is_last_attempt: bool) -> AttemptResult:
@@ -139,8 +140,11 @@
         self.may_have_run = True
         self._reserve_prefill()
         self._quarantine.begin()
+        self._times.begin(now)
         conn.send(
-            self._encode_head(now),
+            encode_request_head(
+                state, self._admitted, self._candidate, self._last_event_id, now
+            ),
             self._admitted.metadata.request_id.encode('latin-1'),
             state.codec.id_header,
             self._admitted.req.body,
@@ -157,6 +161,7 @@
         if response.running is not None:
             requests = response.running + (response.waiting or 0)
             state.load.target_reported(self._target, requests, now_s())
+        self._times.on_head(response)
         is_refusal = response.not_executed or response.other_target
         if is_refusal and not event.echoes_id:
             return self._fail('a refusal without the id of the request')
@@ -216,6 +221,11 @@
             return AttemptResult(AttemptOutcome.NOT_SENT, detail)
         return None
 
+    @property
+    def _last_event_id(self) -> str:
+        sent = self._relay.last_event_id
+        return sent or self._admitted.metadata.last_event_id
+
     def _reserve_prefill(self) -> None:
         if self._admitted.pool.engine:
             self._prefill_tokens = self._admitted.metadata.prompt_tokens
@@ -230,32 +240,6 @@
             self._prefill_tokens = 0.0
             self._state.notify_update()
 
-    def _encode_head(self, now: float) -> bytes:
-        admitted = self._admitted
-        label = self._candidate.label
-        version = 0
-        if label and label.adapter:
-            view = self._state.view
-            if view.newest_version(label.model, label.adapter):
-                version = label.version
-        target_metadata = TargetRequestMetadata(
-            admitted.metadata.request_id,
-            self._target,
-            admitted.account_name,
-            max(0.001, admitted.deadline - now),
-            version,
-            self._relay.last_event_id or admitted.metadata.last_event_id,
-            admitted.priority,
-        )
-        headers = self._state.codec.target_request_headers(
-            admitted.req.headers, target_metadata
-        )
-        if admitted.req.body or admitted.req.method in BODY_METHODS:
-            length = str(len(admitted.req.body)).encode()
-            headers.append((b'Content-Length', length))
-        line = f'{admitted.req.method} {admitted.req.request_target} HTTP/1.1'
-        return encode_head(line, headers)
-
     async def _on_incomplete(self, event: object) -> AttemptResult:
         detail = event.detail if isinstance(event, ResponseFailed) else 'ended'
         result = self._fail(detail)
@@ -315,6 +299,8 @@
             failure = await self._relay_body(conn, head)
         if failure:
             return await self._on_incomplete(failure)
+        if head.status < STATUS_REDIRECT:
+            self._times.record(self._state.load.paces, self._relay, now_s())
         if head.status < STATUS_SERVER_ERROR:
             self._state.health.record_success(self._target, now_s())
         if is_stream and self._admitted.route.gap_s:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -238,15 +238,21 @@
         self._apply_tokens_and_limits(reply, now)
         state.load.fleet_reported(reply.loads)
         if reply.removed or reply.is_complete:
-            present = set(state.view.targets)
-            state.health.retain(present, now)
-            state.batch.retain(present)
-            state.prefill.retain(present)
-            state.sends.retain(present, now)
-            state.rejections.retain(present, now)
+            self._drop_absent(now)
         if newer or _has_news(reply):
             state.notify_update()
 
+    def _drop_absent(self, now: float) -> None:
+        """Drop what is known of targets that are gone."""
+        state = self._state
+        present = set(state.view.targets)
+        state.health.retain(present, now)
+        state.batch.retain(present)
+        state.prefill.retain(present)
+        state.load.paces.known.retain(present)
+        state.sends.retain(present, now)
+        state.rejections.retain(present, now)
+
     def _log_behind(self) -> None:
         view = self._state.view
         self._log.write(
@@ -291,6 +297,7 @@
         index = DeploymentIndex(parsed)
         self._state.view.set_index(index)
         self._state.retries.retain(frozenset(index.pools))
+        self._state.load.paces.retain_pools(frozenset(index.pools))
         self._state.streams.retention_s = retention_s(index)
         self._front.limits = ServerLimits(*parsed.limits)
         self._state.metrics.set_revision(published.revision)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
@@ -35,6 +35,7 @@
 from ._pathprober import PathProber
 from ._peerchannels import PeerChannels
 from ._settings import EntrySettings
+from ._targetpaces import PaceTracker
 
 # Between the checks of requests that wait, if nothing wakes them.
 POLL_INTERVAL_S: Final = 0.05
@@ -65,7 +66,6 @@
             PeerDirectory(cfg.vm, cfg.zone), cfg.peer_port
         )
         self.tokens = LocalTokens(cfg.quota)
-        self.load = LoadTracker()
         self.pool = TargetPool()
         self.cold = ColdStartLimiter()
         self.sends = SendLimiter()
@@ -77,6 +77,7 @@
         self.streams = StreamReports()
         self.lookups = StreamLookups()
         self.metrics = EntryMetrics()
+        self.load = LoadTracker(PaceTracker(log, self.metrics))
         self.retries = RetryBudget(
             cfg.retry_ratio,
             cfg.retry_slack,
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_loadtracker.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_loadtracker.py
@@ -10,6 +10,8 @@
 )
 from lovagemast_core.targets import AdapterUse, AdapterWish, TargetLoad
 
+from ._targetpaces import PaceTracker
+
 _AdapterName = tuple[str, str, str, str]
 
 
@@ -17,9 +19,11 @@
     """Counts this VM's requests by target and by adapter.
 
     The leader learns of the counts by ``SyncAsk``; see the ``take_`` methods.
+    ``paces`` tells how much time the requests take at each target.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, paces: PaceTracker) -> None:
+        self.paces = paces
         self._loads: dict[str, LoadEstimate] = {}
         self._running: Counter[tuple[str, str]] = Counter()
         self._started: Counter[tuple[str, str]] = Counter()
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
@@ -32,6 +32,7 @@
     5.0,
     12.0,
 )
+PACE_BUCKETS: Final = (0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0)
 OK: Final = 200
 
 
@@ -99,6 +100,17 @@
             ('result',),
             registry=self.registry,
         )
+        self._paces = Histogram(
+            'lovagemast_target_pace',
+            'Paces that targets report with their answers, 1 as usual',
+            buckets=PACE_BUCKETS,
+            registry=self.registry,
+        )
+        self._unreadable_paces = Counter(
+            'lovagemast_unreadable_paces',
+            'Answers of targets whose pace could not be read',
+            registry=self.registry,
+        )
         self._placed_s = Histogram(
             'lovagemast_placed_seconds',
             'Time until a target was chosen',
@@ -125,6 +137,14 @@
         """Record the duration of a request whose response is complete."""
         self._answered_s.observe(took_s)
 
+    def record_pace(self, pace: float) -> None:
+        """Record a pace that a target reports."""
+        self._paces.observe(pace)
+
+    def record_unreadable_pace(self) -> None:
+        """Count an answer whose pace could not be read."""
+        self._unreadable_paces.inc()
+
     def record_quarantined(self) -> None:
         """Count a request refused for a quarantined prompt part."""
         self._quarantined.inc()
