--- a/packages/lovagemast-core/src/lovagemast_core/entry/_loadspread.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_loadspread.py
@@ -39,13 +39,18 @@
 
 
 class MeanStay:
-    """How long a request stays at a target, on average by pool."""
+    """How long a request runs at a target, on average by pool."""
 
     def __init__(self) -> None:
         self._stays: dict[str, float] = {}
 
-    def record(self, pool: str, stay_s: float) -> None:
-        """Store how long a request stayed that was answered."""
+    def record(self, pool: str, took_s: float, queue: float) -> None:
+        """Store how long an answer took.
+
+        ``queue`` is how many requests wait at its target, as a multiple of
+        the slots: this one has probably waited for about as many.
+        """
+        stay_s = took_s / (1 + queue)
         mean = self._stays.get(pool, stay_s)
         mean += STAY_WEIGHT * (stay_s - mean)
         self._stays[pool] = min(MAX_STAY_S, max(MIN_STAY_S, mean))
@@ -61,14 +66,14 @@
 
 
 def arrivals_meanwhile(
-    requests: float, stay_s: float, info_age_s: float
+    running: float, stay_s: float, info_age_s: float
 ) -> float:
     """Return how many requests others have added since figures were taken.
 
-    In a steady state, as many arrive as leave; of ``requests`` in progress,
-    all have left after ``stay_s``.
+    In a steady state, as many arrive as leave; of those ``running``, all have
+    left after ``stay_s``.
     """
-    return ARRIVED_PART * requests * info_age_s / stay_s
+    return ARRIVED_PART * running * info_age_s / stay_s
 
 
 def request_shares(
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_selection.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_selection.py
@@ -69,8 +69,8 @@
 class SpreadTerms(NamedTuple):
     """What a choice by expected finish time is based on.
 
-    ``stay_s`` is how long a request stays at a target of the pool on average,
-    ``draw`` a random number from 0 to 1.
+    ``stay_s`` is how long a request of the pool runs on average, ``draw`` a
+    random number from 0 to 1.
     """
 
     pace_of: Callable[[KnownTarget], float]  # 1.0 as usual
@@ -187,11 +187,11 @@
     """Draw a candidate by when the request would finish there."""
     if len(ready) == 1:
         return ready[0]
-    requests = sum(
-        criteria.load_of(one.known) * max(1, one.known.record.slots)
+    running = sum(
+        min(1.0, criteria.load_of(one.known)) * max(1, one.known.record.slots)
         for one in ready
     )
-    arrivals = arrivals_meanwhile(requests, terms.stay_s, terms.info_age_s)
+    arrivals = arrivals_meanwhile(running, terms.stay_s, terms.info_age_s)
     targets = [_to_paced(one, criteria, terms, now) for one in ready]
     shares = request_shares(targets, 1 + arrivals)
     return ready[draw_target(shares, terms.draw)]
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_answertimes.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_answertimes.py
@@ -7,6 +7,7 @@
 
 from lovagemast_core.deployment import CallKind
 from lovagemast_core.entry import WorkKind, WorkTime
+from lovagemast_core.targets import TargetRecord
 
 from ._admitted import AdmittedRequest
 from ._codec import TargetResponseMetadata
@@ -17,36 +18,36 @@
 class AnswerTimes:
     """The times of one answer, from when its request was sent."""
 
-    def __init__(
-        self, admitted: AdmittedRequest, pool: str, target: str
-    ) -> None:
+    def __init__(self, admitted: AdmittedRequest, record: TargetRecord) -> None:
         self._admitted = admitted
-        self._pool = pool
-        self._target = target
+        self._record = record
         self._sent_at = 0.0
-        self._has_queue = True
+        self._waiting: int | None = None
 
     def begin(self, now: float) -> None:
         """Begin with the request being sent."""
         self._sent_at = now
 
     def on_head(self, response: TargetResponseMetadata) -> None:
-        """Note whether requests wait at the target.
-
-        This one may have waited too then, and its time tells more of the
-        target's load than of its pace.
-        """
-        self._has_queue = response.waiting != 0
+        """Note how many requests wait at the target."""
+        self._waiting = response.waiting
 
     def record(
         self, paces: PaceTracker, relay: ResponseRelay, now: float
     ) -> None:
-        """Record the times of an answer that is complete."""
-        paces.stays.record(self._pool, now - self._sent_at)
-        if self._has_queue or not paces.known.reports_paces(self._pool):
+        """Record the times of an answer that is complete.
+
+        If requests wait at the target, this one may have waited too, and its
+        time tells more of the target's load than of its pace.
+        """
+        pool, target = self._record.pool, self._record.target
+        if not paces.known.reports_paces(pool):
             return
-        for work in self._measure(relay, now):
-            paces.known.record_answer(self._pool, self._target, work, now)
+        queue = (self._waiting or 0) / max(1, self._record.slots)
+        paces.stays.record(pool, now - self._sent_at, queue)
+        if self._waiting == 0:
+            for work in self._measure(relay, now):
+                paces.known.record_answer(pool, target, work, now)
 
     def _measure(self, relay: ResponseRelay, now: float) -> Iterator[WorkTime]:
         route = self._admitted.route
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -64,7 +64,7 @@
         self._target = candidate.known.record.target
         self._pool = candidate.known.record.pool
         self._prefill_tokens = 0.0  # counted against the target's limit
-        self._times = AnswerTimes(admitted, self._pool, self._target)
+        self._times = AnswerTimes(admitted, candidate.known.record)
         self.may_have_run = False
 
     async def run(self, *, is_last_attempt: bool) -> AttemptResult:
@@ -155,6 +155,7 @@
         response = state.codec.decode_response_head(event)
         if not response.other_target:
             record_tolerance(state, self._candidate.known, response, now)
+            state.load.paces.record_report(self._candidate.known, response.pace)
         record_limit(state, self._candidate.known, response, now)
         if event.echoes_id and not response.other_target:
             record_state(state, self._candidate.known, response)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_targetstate.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_targetstate.py
@@ -12,11 +12,10 @@
     known: KnownTarget,
     response: TargetResponseMetadata,
 ) -> None:
-    """Record a target's pace, and that it leaves or wants no requests.
+    """Record that a target leaves, or wants no requests for a time.
 
     One that leaves may not have reached a control VM to say so.
     """
-    state.load.paces.record_report(known, response.pace)
     if response.pause_s:
         state.health.record_pause(
             known.record.target, response.pause_s, now_s()
