Planner updates the holders of adapters from what changed

The leader plans up to 66 times per second, and each plan listed the holders of all adapters and summed their demand for all engines, though few change in between and most plans have nothing to order. The holders are now an index that compares each engine's adapters with those of the last plan, demand per holder is computed once for each adapter and run, and a run looks at engines only once there is something to load.

--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_copies.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_copies.py
@@ -3,7 +3,8 @@
 from typing import Final
 
 from ._demand import DemandMeter
-from ._enginetable import EngineTable, Name
+from ._enginetable import EngineTable
+from ._holderindex import Name
 
 MAX_COPIED_ADAPTERS: Final = 24  # most requested, that may have copies
 MIN_COPY_RATE: Final = 0.5  # requests/s per holder, including the copy
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_enginestate.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_enginestate.py
@@ -2,7 +2,6 @@
 
 from typing import Final
 
-from .._types import TargetName
 from ..deployment import EngineSpec
 from ..targets import ResidentAdapter, TargetHeartbeat
 from ._label import AdapterLabel
@@ -31,6 +30,7 @@
         spec: EngineSpec,
         host_cached: tuple[tuple[str, str], ...] = (),
     ) -> None:
+        self.target = heartbeat.target
         self.heartbeat = heartbeat
         self.spec = spec
         self.models = set(heartbeat.models)
@@ -51,11 +51,6 @@
         for name in host_cached:
             self._record_host_cached(name)
 
-    @property
-    def target(self) -> TargetName:
-        """Return the engine's target name."""
-        return self.heartbeat.target
-
     def holds(self, name: tuple[str, str]) -> bool:
         """Return whether any version of an adapter is loaded or loading."""
         return any(label.name == name for label in self.ready_at)
@@ -66,7 +61,8 @@
 
     def loads_in_flight(self, now: float) -> int:
         """Return how many adapters are loading."""
-        return sum(ready_at > now for ready_at in self.ready_at.values())
+        times = self.ready_at.values()
+        return len([ready_at for ready_at in times if ready_at > now])
 
     def slots_reserved(self, now: float) -> int:
         """Return the adapter slots in use, or reserved by unresolved orders."""
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_enginetable.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_enginetable.py
@@ -9,6 +9,7 @@
 from ..targets import AdapterUse, TargetHeartbeat
 from ._demand import DemandMeter
 from ._enginestate import MAX_LOADS_PER_ENGINE, EngineState
+from ._holderindex import HolderIndex, Name
 from ._hosthistory import HostHistory
 from ._label import AdapterLabel
 
@@ -25,8 +26,6 @@
 LOADING_COST: Final = 0.5  # requests/s, for each adapter that is loading
 OVER_LIMIT_COST: Final = 4.0  # for each request/s beyond an engine's limit
 
-Name = tuple[str, str]
-
 
 class EngineTable:
     """The engines that the leader sends orders to.
@@ -46,8 +45,9 @@
         self._demand = demand
         self._limits: dict[TargetName, float] = {}  # requests/s
         self._exhausted: frozenset[TargetName] = frozenset()
-        self._holders: dict[Name, list[EngineState]] = {}
-        self._adapter_demand: dict[TargetName, float] = {}
+        self._holders = HolderIndex()
+        # Of this planning run, since most are needed several times.
+        self._demand_per_holder: dict[Name, float] = {}
         self._now = 0.0  # s, when the state was last refreshed
 
     def __iter__(self) -> Iterator[EngineState]:
@@ -84,18 +84,10 @@
             self.by_target[heartbeat.target].received_at = received_at
 
     def refresh(self, now: float) -> None:
-        """Update the holders and their demand before planning."""
+        """Update the holders before planning."""
         self._now = now
-        self._holders = {}
-        for engine in self:
-            for label in engine.ready_at:
-                self._holders.setdefault(label.name, []).append(engine)
-        self._adapter_demand = {
-            engine.target: sum(
-                self.demand_per_holder(label, now) for label in engine.ready_at
-            )
-            for engine in self
-        }
+        self._demand_per_holder.clear()
+        self._holders.update(self)
 
     def set_limits(
         self,
@@ -105,6 +97,7 @@
         """Set the limits that engines name, and those that are used up."""
         self._limits = limits
         self._exhausted = exhausted
+        self._demand_per_holder.clear()
 
     def loads_in_flight(self, now: float) -> int:
         """Return how many adapters are loading over all engines."""
@@ -157,11 +150,11 @@
 
     def holders(self, name: Name) -> list[EngineState]:
         """Return the engines that hold any version of an adapter."""
-        return self._holders.get(name, [])
+        return self._holders.holders(name)
 
     def is_outdated(self, name: Name) -> bool:
         """Return whether an adapter has holders, but no current version."""
-        return bool(self.holders(name)) and not self.is_served(name)
+        return name in self._holders and not self.is_served(name)
 
     def holds_current(self, engine: EngineState, name: Name) -> bool:
         """Return whether an engine holds a current version of an adapter."""
@@ -189,11 +182,19 @@
     def demand_per_holder(self, label: AdapterLabel, now: float) -> float:
         """Return the requests per second for an adapter at each holder.
 
+        It is computed once for each planning run, whose time is ``now``.
         Holders that are sent all that their limits allow take no part.
         """
-        holders = self.holders(label.name)
-        copies = sum(not self.is_exhausted(engine) for engine in holders)
-        return self._demand.rate(label.name, now) / max(1, copies)
+        name = label.name
+        demand = self._demand_per_holder.get(name)
+        if demand is None:
+            exhausted = self._exhausted
+            copies = sum(
+                one.target not in exhausted for one in self.holders(name)
+            )
+            demand = self._demand.rate(name, now) / max(1, copies)
+            self._demand_per_holder[name] = demand
+        return demand
 
     def loadable_engines(self, now: float) -> list[EngineState]:
         """Return the engines that can be ordered to load an adapter."""
@@ -216,7 +217,9 @@
         """
         cost = LOADING_COST * engine.loads_in_flight(now)
         cost += RUNNING_COST * engine.running_total
-        demand = self._adapter_demand.get(engine.target, 0)
+        demand = sum(
+            self.demand_per_holder(label, now) for label in engine.ready_at
+        )
         limit = self._limits.get(engine.target, demand)
         return cost + demand + OVER_LIMIT_COST * max(0.0, demand - limit)
 
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_planner.py
@@ -18,7 +18,8 @@
 from ._copies import adapters_to_copy
 from ._demand import DemandMeter
 from ._enginestate import EngineState
-from ._enginetable import EngineTable, Name
+from ._enginetable import EngineTable
+from ._holderindex import Name
 from ._label import AdapterLabel
 from ._modelloads import ModelLoadLimiter
 from ._orders import Order, OrderOutcome, TargetReport
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_round.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_round.py
@@ -9,7 +9,8 @@
 
 from .._types import TargetName
 from ._enginestate import EngineState
-from ._enginetable import EngineTable, Name
+from ._enginetable import EngineTable
+from ._holderindex import Name
 from ._label import AdapterLabel
 from ._orders import Order
 
@@ -22,11 +23,13 @@
     """The engines that can still get an order in this run.
 
     An engine takes one order at a time, so it is out of the run once it has
-    one, and what is known of it holds until then.
+    one, and what is known of it holds until then. Engines are not looked at
+    before the first use: most runs have nothing to order.
     """
 
     def __init__(self, engines: EngineTable, now: float) -> None:
-        self.loads_in_flight = engines.loads_in_flight(now)
+        self._loads_in_flight = 0
+        self._is_prepared = False
         self._engines = engines
         self._now = now
         self._costs: dict[TargetName, float] = {}
@@ -34,12 +37,16 @@
         self._victims: dict[TargetName, AdapterLabel | None] = {}
         self._roomy: list[EngineState] = []
         self._room_of = -1  # number of engines that ``_roomy`` was found among
-        for engine in engines.loadable_engines(now):
-            self._loadable[engine.target] = engine
-            self._costs[engine.target] = engines.load_cost(engine, now)
+
+    @property
+    def loads_in_flight(self) -> int:
+        """Return how many adapters are loading, with those ordered now."""
+        self._prepare()
+        return self._loads_in_flight
 
     def has_engines(self) -> bool:
         """Return whether any engine can still get an order."""
+        self._prepare()
         return bool(self._loadable)
 
     def engines_for(self, name: Name) -> list[EngineState]:
@@ -83,7 +90,17 @@
         """Take an engine that was sent an order out of the run."""
         self._loadable.pop(order.target, None)
         if order.load:
-            self.loads_in_flight += 1
+            self._loads_in_flight += 1
+
+    def _prepare(self) -> None:
+        if self._is_prepared:
+            return
+        self._is_prepared = True
+        engines = self._engines
+        self._loads_in_flight = engines.loads_in_flight(self._now)
+        for engine in engines.loadable_engines(self._now):
+            self._loadable[engine.target] = engine
+            self._costs[engine.target] = engines.load_cost(engine, self._now)
 
     def _with_room(self) -> list[EngineState]:
         if self._room_of != len(self._loadable):
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_streamwishes.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_streamwishes.py
@@ -9,7 +9,8 @@
 from .._types import SoftwareVersion
 from ..targets import AdapterWish
 from ._enginestate import EngineState
-from ._enginetable import EngineTable, Name
+from ._enginetable import EngineTable
+from ._holderindex import Name
 from ._label import AdapterLabel
 from ._orders import Order
 from ._round import PlanningRound
