--- a/packages/lovagemast-core/src/lovagemast_core/entry/_selection.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_selection.py
@@ -187,24 +187,27 @@
     """Draw a candidate by when the request would finish there."""
     if len(ready) == 1:
         return ready[0]
-    running = sum(
-        min(1.0, criteria.load_of(one.known)) * max(1, one.known.record.slots)
-        for one in ready
-    )
+    running = 0.0
+    targets = []
+    for one in ready:
+        load = criteria.load_of(one.known)
+        running += min(1.0, load) * max(1, one.known.record.slots)
+        targets.append(_to_paced(one, load, criteria, terms, now))
     arrivals = arrivals_meanwhile(running, terms.stay_s, terms.info_age_s)
-    targets = [_to_paced(one, criteria, terms, now) for one in ready]
     shares = request_shares(targets, 1 + arrivals)
     return ready[draw_target(shares, terms.draw)]
 
 
 def _to_paced(
     candidate: Candidate,
+    load: float,
     criteria: SelectionCriteria,
     terms: SpreadTerms,
     now: float,
 ) -> PacedTarget:
+    """Return what decides over a candidate with some load."""
     pace = terms.pace_of(candidate.known)
-    cost = (_work_cost(candidate, criteria, now) + OWN_WORK) * pace
+    cost = (_work_cost(candidate, load, criteria, now) + OWN_WORK) * pace
     if candidate.known.record.zone != criteria.zone:
         cost += CROSS_ZONE_S / terms.stay_s
     return PacedTarget(cost, max(1, candidate.known.record.slots) / pace)
@@ -215,7 +218,8 @@
     criteria: SelectionCriteria,
     now: float,
 ) -> float:
-    cost = _work_cost(candidate, criteria, now)
+    load = criteria.load_of(candidate.known)
+    cost = _work_cost(candidate, load, criteria, now)
     if candidate.known.record.zone != criteria.zone:
         cost += CROSS_ZONE_COST
     return cost
@@ -223,11 +227,12 @@
 
 def _work_cost(
     candidate: Candidate,
+    load: float,
     criteria: SelectionCriteria,
     now: float,
 ) -> float:
-    """Return a target's load and what is held against it, in either zone."""
-    cost = criteria.load_of(candidate.known)
+    """Return a target's load and what failures and earlier attempts add."""
+    cost = load
     cost += FAILURE_COST * criteria.health.failure_rate(candidate.target, now)
     if candidate.target in criteria.tried:
         cost += TRIED_COST
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_targetchoice.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_targetchoice.py
@@ -67,7 +67,7 @@
             tried,
             state.cfg.zone,
             state.cfg.vm,
-            state.load.paces.terms(self._admitted.pool.name),
+            state.load.paces.terms(self._admitted.pool.name, now),
         )
         candidates = find_candidates(state.view, self.requirements, now)
         return choose_target(candidates, criteria, now)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_targetpaces.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_targetpaces.py
@@ -49,12 +49,12 @@
             self._logged_at = now
             self._write_lines(now)
 
-    def terms(self, pool: str) -> SpreadTerms | None:
+    def terms(self, pool: str, now: float) -> SpreadTerms | None:
         """Return the terms of a choice; ``None`` in pools without paces."""
         if not self.known.reports_paces(pool):
             return None
         return SpreadTerms(
-            lambda known: self.known.pace(known.record.target, now_s()),
+            lambda known: self.known.pace(known.record.target, now),
             self.stays.of(pool),
             FLEET_LAG_S,
             self._rng.random(),
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -16,6 +16,7 @@
 )
 from lovagemast_core.entry._pace import MAX_PACE, MIN_PACE
 from lovagemast_core.targets import TargetRecord
+from lovagemast_node._clock import now_s
 from lovagemast_node.fleet._entrystate import EntryState
 from lovagemast_node.fleet._jsonlog import JsonLog
 from lovagemast_node.fleet._metrics import EntryMetrics
@@ -186,7 +187,7 @@
         )
         assert asyncio.run(call) == 200
         paces = states[0].load.paces
-        assert paces.terms(POOL) is not None
+        assert paces.terms(POOL, now_s()) is not None
         assert paces.known.known_targets() == ('t0',)
         assert paces.stays.of(POOL) < 1.0
 
@@ -201,7 +202,7 @@
             CallKind.SAFE, [ScriptedTarget(script)], prepare=states.append
         )
         assert asyncio.run(call) == 200
-        assert states[0].load.paces.terms(POOL) is None
+        assert states[0].load.paces.terms(POOL, now_s()) is None
 
 
 class TestLog:
