--- a/bench/syncload.py
+++ b/bench/syncload.py
@@ -43,7 +43,9 @@
 from lovagemast_core.targets import SyncAsk, SyncReply, TargetHeartbeat
 from lovagemast_node.fleet._jsonlog import JsonLog
 from lovagemast_node.fleet._loadtracker import LoadTracker
+from lovagemast_node.fleet._metrics import EntryMetrics
 from lovagemast_node.fleet._syncservice import SyncReplyEncoder
+from lovagemast_node.fleet._targetpaces import PaceTracker
 from lovagemast_wire import from_wire, lovagemast_pb2, to_wire
 
 LATENCY_S: Final = 0.001  # one way, between VMs
@@ -201,7 +203,8 @@
         self.zone = zone
         self.view = FleetView()
         self.tokens = LocalTokens(QUOTA)
-        self.load = LoadTracker()
+        paces = PaceTracker(JsonLog('bench'), EntryMetrics())
+        self.load = LoadTracker(paces)
 
 
 class _Request(NamedTuple):
