Decide the order of waiting requests in pure code

Requests that wait for a target poll, and whichever runs first takes the slot: under overload the least urgent are served best and most slots go to requests that have missed their latency objective. WaitingOrder orders the requests of a pool by lateness, excess of the account over its share, priority, time left of the objective and size, and estimates the wait of one more request from the rate at which targets take work while others wait. Nothing uses it yet.

--- a/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
@@ -1,5 +1,6 @@
 """Decisions of an entry VM: target selection, retries and load limits."""
 
+from ._accountshares import account_weights
 from ._batch import BatchLimit
 from ._drain import DrainWindow
 from ._eventstream import EventStreamBuffer
@@ -19,6 +20,7 @@
 from ._prefill import PrefillLimit
 from ._rejections import RejectionGuard, TargetUse
 from ._retrybudget import LONG_AGO_S, RetryBudget
+from ._returns import ExpectedReturns
 from ._selection import (
     Candidate,
     Choice,
@@ -30,6 +32,7 @@
 )
 from ._sendlimiter import SendLimiter, SendTerms
 from ._view import FleetView, KnownTarget
+from ._waitingorder import WaitingOrder, WaitingRequest
 from ._waitqueue import WaitQueue
 
 __all__ = [
@@ -42,6 +45,7 @@
     'DrainWindow',
     'EntryShare',
     'EventStreamBuffer',
+    'ExpectedReturns',
     'FleetView',
     'ForwardEvent',
     'ForwardHead',
@@ -64,6 +68,9 @@
     'TargetRequirements',
     'TargetUse',
     'WaitQueue',
+    'WaitingOrder',
+    'WaitingRequest',
+    'account_weights',
     'choose_target',
     'find_candidates',
 ]
