Serve waiting requests in order where targets report their pace

Each request that waited for a target was a task that polled every 50 ms and was woken by each reply of the sync; whichever ran first took the slot, and a new request overtook all that waited. A pool whose targets report their pace now has a queue: a request that ends, a reply with loads or records and a timer of the pool start a pass over it, which wakes the first request that can be sent and those to be refused; the next pass starts when that one has been counted at its target. Requests whose expected wait exceeds the time they may wait get 503 at once, with Retry-After from the same figure and jitter. Other pools keep the polling tasks.

TargetWait is split: WaitConditions checks what a request waits for, OrderedWait waits in a pool's queue, and TargetWait polls as before.

--- a/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
@@ -4,6 +4,7 @@
 from ._batch import BatchLimit
 from ._drain import DrainWindow
 from ._eventstream import EventStreamBuffer
+from ._firstevents import FirstEventTimes
 from ._forwarding import (
     ForwardEvent,
     ForwardHead,
@@ -46,6 +47,7 @@
     'EntryShare',
     'EventStreamBuffer',
     'ExpectedReturns',
+    'FirstEventTimes',
     'FleetView',
     'ForwardEvent',
     'ForwardHead',
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_delivery.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_delivery.py
@@ -8,7 +8,7 @@
 from ._entrystate import EntryState
 from ._forwarder import RequestForwarder
 from ._refusal import HttpRefusal
-from ._targetwait import NOT_RUN_RETRY_AFTER_S
+from ._waitconditions import NOT_RUN_RETRY_AFTER_S
 
 SHUTDOWN_REASON: Final = 'the entry VM shuts down'
 
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -236,7 +236,7 @@
         if newer:
             self._apply_config()
         self._apply_tokens_and_limits(reply, now)
-        state.load.fleet_reported(reply.loads)
+        self._apply_loads(reply)
         if reply.removed or reply.is_complete:
             present = set(state.view.targets)
             state.health.retain(present, now)
@@ -247,6 +247,12 @@
         if newer or _has_news(reply):
             state.notify_update()
 
+    def _apply_loads(self, reply: SyncReply) -> None:
+        """Apply the fleet's sums; a slot may be free by them."""
+        if reply.loads:
+            self._state.load.fleet_reported(reply.loads)
+            self._state.queues.notify_all()
+
     def _log_behind(self) -> None:
         view = self._state.view
         self._log.write(
@@ -291,6 +297,7 @@
         index = DeploymentIndex(parsed)
         self._state.view.set_index(index)
         self._state.retries.retain(frozenset(index.pools))
+        self._state.queues.set_index(index)
         self._state.streams.retention_s = retention_s(index)
         self._front.limits = ServerLimits(*parsed.limits)
         self._state.metrics.set_revision(published.revision)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
@@ -20,7 +20,6 @@
     RetryBudget,
     SendLimiter,
     TargetHealth,
-    WaitQueue,
 )
 from lovagemast_core.quarantine import QuarantineGuard
 from lovagemast_core.quota import LocalTokens
@@ -34,6 +33,7 @@
 from ._metrics import EntryMetrics
 from ._pathprober import PathProber
 from ._peerchannels import PeerChannels
+from ._poolqueues import PoolQueues
 from ._settings import EntrySettings
 
 # Between the checks of requests that wait, if nothing wakes them.
@@ -70,13 +70,13 @@
         self.cold = ColdStartLimiter()
         self.sends = SendLimiter()
         self.rejections = RejectionGuard()
-        self.queue = WaitQueue()
         self.batch = BatchLimit()
         self.prefill = PrefillLimit()
         self.guard = QuarantineGuard(cfg.vm)
         self.streams = StreamReports()
         self.lookups = StreamLookups()
         self.metrics = EntryMetrics()
+        self.queues = PoolQueues(log, self.metrics)
         self.retries = RetryBudget(
             cfg.retry_ratio,
             cfg.retry_slack,
@@ -127,6 +127,11 @@
         await asyncio.wait((self._update,), timeout=timeout_s)
 
     def notify_update(self) -> None:
-        """Wake all requests that wait for an update."""
+        """Wake all requests that wait for an update.
+
+        Those that wait in order for a target are woken only if they can be
+        sent.
+        """
         if self._update and not self._update.done():
             self._update.set_result(None)
+        self.queues.notify_all()
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
@@ -11,12 +11,14 @@
 from ._attempt import Attempt
 from ._attemptresult import AttemptOutcome, AttemptResult
 from ._entrystate import POLL_INTERVAL_S, EntryState
+from ._orderedwait import PathsLost
 from ._peerattempt import PeerAttempt
 from ._quarantinecheck import QuarantineCheck
 from ._refusal import HttpRefusal
 from ._relay import ResponseRelay
 from ._streamcontinuity import StreamContinuity
-from ._targetwait import NOT_RUN_RETRY_AFTER_S, PathsLost, TargetWait
+from ._targetwait import TargetWait
+from ._waitconditions import NOT_RUN_RETRY_AFTER_S, SearchTerms
 
 # Sends beyond the route's attempts, after targets proved not to have run it.
 MAX_EXTRA_SENDS: Final = 3
@@ -95,7 +97,10 @@
         """Run an attempt at a target or a peer, and count it."""
         self.target = target
         self._possible_runs += 1
-        result = await attempt.run(is_last_attempt=not self._may_retry())
+        try:
+            result = await attempt.run(is_last_attempt=not self._may_retry())
+        finally:
+            self._state.queues.notify(self._admitted.pool.name)
         if not attempt.may_have_run:
             self._possible_runs -= 1
         if result.outcome is not AttemptOutcome.NOT_SENT:
@@ -140,6 +145,7 @@
         )
         if result.outcome is AttemptOutcome.DONE:
             metrics.record_response(now_s() - self._admitted.arrived_at)
+            self._record_first_event(chosen_at)
         self._state.log.write(
             'request',
             result.outcome.value,
@@ -160,11 +166,22 @@
             self._tried.add(target)
         return result
 
+    def _record_first_event(self, chosen_at: float) -> None:
+        """Record how long the target took until the caller had something."""
+        first_at = self._relay.first_at or now_s()
+        if first_at >= chosen_at:  # else an earlier attempt began the stream
+            route = self._admitted.route.name
+            first_events = self._state.queues.first_events
+            first_events.record(route, first_at - chosen_at)
+
     def _timings(self, chosen_at: float) -> dict[str, float | None]:
         """Return the duration of each phase of the request, in seconds."""
         arrived_at = self._admitted.arrived_at
         first_at = self._relay.first_at
+        waited_s = self._wait.waited_s
+        in_order = {} if waited_s is None else {'waited_s': round(waited_s, 4)}
         return {
+            **in_order,
             'chosen_s': round(chosen_at - arrived_at, 4),
             'first_s': round(first_at - arrived_at, 4) if first_at else None,
             'limited_s': round(self._wait.limited_s, 4),
@@ -243,7 +260,11 @@
         """Wait for a target, or for a peer if no target is in reach."""
         found: Candidate | EntryPeer | HttpRefusal | PathsLost
         found = await self._wait.find(
-            frozenset(self._tried), self._wait_deadline()
+            SearchTerms(
+                frozenset(self._tried),
+                self._wait_deadline(),
+                self._relay.started,
+            )
         )
         self.has_lost_paths = isinstance(found, PathsLost)
         if isinstance(found, PathsLost):
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
@@ -1,6 +1,6 @@
 """Prometheus metrics of entry and control VMs, and their endpoint."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Final
 
 from prometheus_client import (
@@ -99,6 +99,25 @@
             ('result',),
             registry=self.registry,
         )
+        self._waiting = Gauge(
+            'lovagemast_waiting_requests',
+            'Requests that wait in order for a target, by pool and priority',
+            ('pool', 'priority'),
+            registry=self.registry,
+        )
+        self._early_refusals = Counter(
+            'lovagemast_early_refusals',
+            'Requests refused at once, as their wait would be too long',
+            ('pool', 'priority'),
+            registry=self.registry,
+        )
+        self._waited_s = Histogram(
+            'lovagemast_waited_seconds',
+            'Time that requests waited in order for a target',
+            ('pool',),
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
         self._placed_s = Histogram(
             'lovagemast_placed_seconds',
             'Time until a target was chosen',
@@ -153,6 +172,22 @@
         """Count a request refused for the limits of its targets."""
         self._limit_refusals.inc()
 
+    def set_waiting(self, pool: str, counts: Mapping[int, int]) -> None:
+        """Set how many requests wait in order for a pool, by priority.
+
+        Priorities without an entry keep their number.
+        """
+        for priority, count in counts.items():
+            self._waiting.labels(pool, str(priority)).set(count)
+
+    def record_early_refusal(self, pool: str, priority: int) -> None:
+        """Count a request refused at once for its expected wait."""
+        self._early_refusals.labels(pool, str(priority)).inc()
+
+    def record_wait(self, pool: str, waited_s: float) -> None:
+        """Record a wait in order, whether or not the request was sent."""
+        self._waited_s.labels(pool).observe(waited_s)
+
     def record_stream_lookup(self, result: str) -> None:
         """Count a resumed stream: found, unknown, or its version gone."""
         self._stream_lookups.labels(result).inc()
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
@@ -11,7 +11,7 @@
 from ._refusal import HttpRefusal
 from ._relay import ResponseRelay
 from ._streamcontinuity import StreamContinuity
-from ._targetwait import NOT_RUN_RETRY_AFTER_S
+from ._waitconditions import NOT_RUN_RETRY_AFTER_S
 
 
 class RequestHandler:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_targetstate.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_targetstate.py
@@ -14,8 +14,10 @@
 ) -> None:
     """Record that a target leaves, or wants no requests for a time.
 
+    Its pool is served in order from its first report of its pace on.
     One that leaves may not have reached a control VM to say so.
     """
+    state.queues.record_response(known.record.pool, response)
     if response.pause_s:
         state.health.record_pause(
             known.record.target, response.pause_s, now_s()
