--- a/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
@@ -1,8 +1,10 @@
 """Decisions of an entry VM: target selection, retries and load limits."""
 
+from ._accountshares import account_weights
 from ._batch import BatchLimit
 from ._drain import DrainWindow
 from ._eventstream import EventStreamBuffer
+from ._firstevents import FirstEventTimes
 from ._forwarding import (
     ForwardEvent,
     ForwardHead,
@@ -21,6 +23,7 @@
 from ._prefill import PrefillLimit
 from ._rejections import RejectionGuard, TargetUse
 from ._retrybudget import LONG_AGO_S, RetryBudget
+from ._returns import ExpectedReturns
 from ._selection import (
     Candidate,
     Choice,
@@ -33,6 +36,7 @@
 )
 from ._sendlimiter import SendLimiter, SendTerms
 from ._view import FleetView, KnownTarget
+from ._waitingorder import WaitingOrder, WaitingRequest
 from ._waitqueue import WaitQueue
 
 __all__ = [
@@ -46,6 +50,8 @@
     'DrainWindow',
     'EntryShare',
     'EventStreamBuffer',
+    'ExpectedReturns',
+    'FirstEventTimes',
     'FleetView',
     'ForwardEvent',
     'ForwardHead',
@@ -71,8 +77,11 @@
     'TargetRequirements',
     'TargetUse',
     'WaitQueue',
+    'WaitingOrder',
+    'WaitingRequest',
     'WorkKind',
     'WorkTime',
+    'account_weights',
     'choose_target',
     'find_candidates',
 ]
