--- a/tests/test_loadspread.py
+++ b/tests/test_loadspread.py
@@ -172,12 +172,7 @@
         filled = own + shares[0] * part / SLOTS
         filled_other = other + shares[1] * part / SLOTS
         bound = (filled_other + OWN_WORK) / MIN_PACE - OWN_WORK
-        assert (
-            shares[0] == 0
-            or filled <= max(own, bound) + 1e-6
-            or (shares[1] == 0)
-        )
-        assert shares[1] > 0 or filled <= bound + 1e-6
+        assert shares[0] == 0 or filled <= bound + 1e-6
 
 
 class TestShares:
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -86,10 +86,10 @@
         assert pace is not None
         paces = TargetPaces()
         is_valid = paces.record_report(POOL, 't1', pace, NOW)
-        assert is_valid == figure.strip().replace(b'.', b'', 1).isdigit() or (
-            not is_valid
-        )
-        assert is_valid or paces.pace('t1', NOW) == 1.0
+        if is_valid:
+            assert figure.strip().replace(b'.', b'', 1).isdigit()
+        else:
+            assert paces.pace('t1', NOW) == 1.0
 
     @given(
         st.lists(st.floats(1e-3, 1e3), min_size=1, max_size=50),
