Core of the duties at the infrastructure, and their messages

Usage counts of entry VMs are merged at relays and at the leader, committed once per window, and handed to one holder at a time with the epoch of its choice as fencing token. New commands have format 2; messages grow only with a configuration.

--- a/packages/lovagemast-core/src/lovagemast_core/_commands.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_commands.py
@@ -3,6 +3,13 @@
 from typing import NamedTuple
 
 from .agreement._roster import Roster
+from .duties._state import (
+    CommitUsage,
+    ConfirmDesired,
+    ConfirmUsage,
+    SetDesired,
+    SetDutyHolder,
+)
 from .quarantine._state import (
     ClearSubjects,
     JudgeCrash,
@@ -134,6 +141,11 @@
     | JudgeCrash
     | StartTrial
     | SetSoftware
+    | CommitUsage
+    | ConfirmUsage
+    | SetDutyHolder
+    | SetDesired
+    | ConfirmDesired
     | SetVoters
     | NoOp
 )
--- a/packages/lovagemast-core/src/lovagemast_core/_messages.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_messages.py
@@ -11,6 +11,7 @@
 from ._types import AccountName, AttemptId, Priority, Reason, TargetName, VmName
 from .adapters._orders import Order, OrderOutcome
 from .agreement._roster import RosterEntry
+from .duties._records import CallDone, HandedCall
 from .streams._records import StreamAnswer, StreamCopies, StreamQuery
 
 
@@ -342,6 +343,7 @@
     """Tells the leader that a control VM can send orders on its behalf."""
 
     clock: float  # s, sender's clock; returned in each order
+    has_duties: bool = False  # it can call the infrastructure too
 
 
 class RelayOrder(NamedTuple):
@@ -393,4 +395,6 @@
     | StreamCopies
     | StreamQuery
     | StreamAnswer
+    | HandedCall
+    | CallDone
 )
--- a/packages/lovagemast-core/src/lovagemast_core/_state.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_state.py
@@ -27,6 +27,16 @@
     SetZoneOut,
 )
 from .agreement._roster import Roster, find_entry, without_vm
+from .duties._state import (
+    CommitUsage,
+    ConfirmDesired,
+    ConfirmUsage,
+    DutyCommand,
+    DutyState,
+    SetDesired,
+    SetDutyHolder,
+    apply_duty_command,
+)
 from .quarantine._state import (
     ClearSubjects,
     JudgeCrash,
@@ -124,6 +134,7 @@
     holders: HolderState = HolderState()
     departures: tuple[Departure, ...] = ()  # oldest first
     quarantine: QuarantineState = QuarantineState()
+    duties: DutyState | None = None  # if there are any
 
 
 class ReplicatedState:
@@ -134,6 +145,7 @@
         self.holders = HolderState()
         self.departures: tuple[Departure, ...] = ()  # oldest first
         self.quarantine = QuarantineState()
+        self.duties = DutyState()
         self._operations: dict[str, Operation] = {}
         self._claims = ClaimTable()
         self._suspicions: dict[str, Suspicion] = {}
@@ -154,6 +166,11 @@
             JudgeCrash: self._judge_crash,
             StartTrial: self._start_trial,
             SetSoftware: self._set_software,
+            CommitUsage: self._apply_to_duties,
+            ConfirmUsage: self._apply_to_duties,
+            SetDutyHolder: self._apply_to_duties,
+            SetDesired: self._apply_to_duties,
+            ConfirmDesired: self._apply_to_duties,
         }
 
     def apply(self, command: Command) -> Outcome:
@@ -173,6 +190,7 @@
             self.holders,
             self.departures,
             self.quarantine,
+            self.duties if self.duties != DutyState() else None,
         )
 
     def restore(self, snapshot: StateSnapshot) -> None:
@@ -181,6 +199,7 @@
         self.holders = snapshot.holders
         self.departures = snapshot.departures
         self.quarantine = snapshot.quarantine
+        self.duties = snapshot.duties or DutyState()
         self._operations = {
             operation.op_id: operation for operation in snapshot.operations
         }
@@ -321,6 +340,10 @@
         self._publish(software=set_software(self.published.software, command))
         return self._applied()
 
+    def _apply_to_duties(self, command: DutyCommand) -> Outcome:
+        self.duties = apply_duty_command(self.duties, command)
+        return self._applied()
+
     def _finish(self, command: FinishCall) -> Outcome:
         self._claims.finish(command)
         return self._applied()
--- a/packages/lovagemast-core/src/lovagemast_core/agreement/_formats.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_formats.py
@@ -9,6 +9,13 @@
 from typing import Final
 
 from .._commands import Command, RecordDeparture
+from ..duties._state import (
+    CommitUsage,
+    ConfirmDesired,
+    ConfirmUsage,
+    SetDesired,
+    SetDutyHolder,
+)
 from ..quarantine._state import (
     ClearSubjects,
     JudgeCrash,
@@ -19,7 +26,7 @@
 
 # The format that this build reads; replicas name theirs in their replies. It
 # increases with each new command, and with each whose meaning has changed.
-FORMAT: Final = 1
+FORMAT: Final = 2
 # Builds that name no format read the commands of format 0, and maybe others.
 COMMAND_FORMATS: Final[dict[type, int]] = {
     RecordDeparture: 1,
@@ -28,6 +35,11 @@
     StartTrial: 1,
     SetSoftware: 1,
     JudgeCrash: 1,
+    CommitUsage: 2,
+    ConfirmUsage: 2,
+    SetDutyHolder: 2,
+    SetDesired: 2,
+    ConfirmDesired: 2,
 }
 # The last command before builds named a format. One that reads it reads all of
 # them as this build does.
--- a/packages/lovagemast-core/src/lovagemast_core/agreement/_replica.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_replica.py
@@ -58,6 +58,7 @@
         self._control_vms = control_vms
         self._empty_peers: dict[VmName, str] = {}
         self._state = ReplicaState(stored, outbox, on_applied)
+        self.state_machine = self._state.state_machine  # as applied
         self._election = Election(
             self._state,
             outbox,
--- a/packages/lovagemast-core/src/lovagemast_core/control/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/__init__.py
@@ -4,8 +4,10 @@
 from ..agreement._formats import FORMAT
 from ._config import ControlConfig
 from ._effects import (
+    CallInfrastructure,
     CommandDone,
     ControlEffect,
+    DutiesChanged,
     FormatsNoticed,
     HoldersNoticed,
     LeaderChanged,
@@ -25,10 +27,12 @@
 __all__ = [
     'FORMAT',
     'LEADER_LEASE_S',
+    'CallInfrastructure',
     'CommandDone',
     'ControlConfig',
     'ControlEffect',
     'ControlNode',
+    'DutiesChanged',
     'FleetController',
     'FormatsNoticed',
     'HolderHealth',
--- a/packages/lovagemast-core/src/lovagemast_core/control/_config.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_config.py
@@ -4,6 +4,7 @@
 
 from .._types import VmName
 from ..agreement._replicastate import StoredLog
+from ..duties import DutyConfig
 from ..quota import QuotaBounds
 
 
@@ -24,3 +25,4 @@
     takeover_s: float
     quota: QuotaBounds
     started_at: float  # s
+    duties: DutyConfig | None = None  # at the infrastructure
--- a/packages/lovagemast-core/src/lovagemast_core/control/_effects.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_effects.py
@@ -7,6 +7,7 @@
 from .._state import PublishedState
 from .._types import TargetName, VmName
 from ..adapters import Order, OrderOutcome
+from ..duties import DutyState, HandedCall
 from ..quarantine import QuarantineState
 from ..streams import PoolSoftware
 from ..targets import LimitReport
@@ -95,6 +96,23 @@
     software: tuple[PoolSoftware, ...]
 
 
+class CallInfrastructure(NamedTuple):
+    """Send a call to the infrastructure and report its outcome.
+
+    It must not be sent after ``send_by``, in s.
+    """
+
+    handed: HandedCall
+    send_by: float
+
+
+class DutiesChanged(NamedTuple):
+    """The committed state of the duties at the infrastructure has changed."""
+
+    before: DutyState
+    after: DutyState
+
+
 ControlEffect = (
     SendPeer
     | PersistLog
@@ -110,4 +128,6 @@
     | QuarantineChanged
     | LimitsChanged
     | RelayFailed
+    | CallInfrastructure
+    | DutiesChanged
 )
--- a/packages/lovagemast-core/src/lovagemast_core/control/_node.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_node.py
@@ -23,9 +23,11 @@
 from ..agreement._proposals import ProposalController
 from ..agreement._replica import Replica
 from ..deployment import DeploymentIndex
+from ..duties import CallDone, HandedCall
 from ..targets import SyncAsk, SyncReply, TargetHeartbeat, TargetRecord
 from ._changes import CommittedChanges
 from ._config import ControlConfig
+from ._departures import DepartureRecorder
 from ._duties import LeaderDuties
 from ._effects import (
     CommandDone,
@@ -38,6 +40,7 @@
     SoftwareChanged,
 )
 from ._fleet import LEADER_LEASE_S, FleetController
+from ._infrastructure import InfrastructureDuties
 from ._orders import OrderDispatcher
 from ._reads import LinearizableReads
 from ._relays import RELAY_HELLO_INTERVAL_S
@@ -96,7 +99,13 @@
         self._changes = CommittedChanges(
             self.replica, self.fleet, self._effects.append
         )
+        self._departures = DepartureRecorder(
+            self.replica, self.fleet, self._effects.append
+        )
         self._duties = LeaderDuties(self.vm, self.replica, self.fleet)
+        self.infrastructure = InfrastructureDuties(
+            cfg, self.replica, self._outbox, self._effects.append
+        )
         self._proposals = ProposalController(
             self._outbox,
             self.replica,
@@ -193,16 +202,7 @@
         Return the command to commit before the heartbeat is acknowledged, if
         any: a new leader must know of an acknowledged departure.
         """
-        registry = self.fleet.registry
-        stamp = registry.stamp
-        self.fleet.on_heartbeat(heartbeat, now)
-        if registry.stamp != stamp:
-            self._effects.append(PushUpdates())
-        if not heartbeat.leaving or registry.has_departure(heartbeat):
-            return None
-        return self._if_readable(
-            RecordDeparture(heartbeat.target, heartbeat.incarnation), now
-        )
+        return self._departures.on_heartbeat(heartbeat, now)
 
     def on_departure(
         self, target: TargetName, wall_ms: int, now: float
@@ -212,9 +212,7 @@
         ``wall_ms`` is the present time in ms since the epoch. Return the
         command to commit before the call is acknowledged, if any.
         """
-        incarnation = self.fleet.on_departure(target, wall_ms, now)
-        self._effects.append(PushUpdates())
-        return self._if_readable(RecordDeparture(target, incarnation), now)
+        return self._departures.on_departure(target, wall_ms, now)
 
     def on_ask(self, ask: SyncAsk, now: float) -> SyncReply:
         """Return the reply to a relay's sync request.
@@ -241,7 +239,7 @@
         if (limits.stamp, tolerances.stamp) != stamps:
             self._effects.append(PushUpdates())
         self._schedule_plan(now)
-        return reply
+        return self.infrastructure.on_ask(ask, reply, now)
 
     def on_records(self, records: tuple[TargetRecord, ...]) -> None:
         """Learn from target records that the leader has sent to this VM."""
@@ -263,21 +261,17 @@
         self.fleet.on_report(report, now)
         self._schedule_plan(now)
 
+    def on_called(self, done: CallDone, now: float) -> None:
+        """Handle the outcome of a call to the infrastructure."""
+        self.infrastructure.on_called(done)
+        self._finish_step(now)
+
     def take_effects(self) -> list[ControlEffect]:
         """Return and clear the pending effects, in order."""
         effects = self._effects.copy()
         self._effects.clear()
         return effects
 
-    def _if_readable(
-        self, command: RecordDeparture, now: float
-    ) -> RecordDeparture | None:
-        """Return a command, ``None`` if an older build can't read it.
-
-        The departure then counts at this VM only, as it does there.
-        """
-        return command if self.replica.may_append(command, now) else None
-
     def _handle_outcome(self, outcome: OrderOutcome, now: float) -> None:
         self.fleet.on_order_answered(outcome, now)
         self._schedule_plan(now)
@@ -297,9 +291,10 @@
                     RequestReport(engine.target, engine.heartbeat.address),
                 )
             self._schedule_plan(now)
+            self.infrastructure.step(now, has_lease=self.has_lease(now))
         elif self.leader and now >= self._hello_at:
             self._hello_at = now + RELAY_HELLO_INTERVAL_S
-            self._outbox.send(self.leader, RelayHello(now))
+            self._outbox.send(self.leader, self.infrastructure.hello(now))
         self._outbox.call_at(now + STEP_INTERVAL_S, self._step)
 
     def _expire_relays(self, now: float) -> None:
@@ -339,13 +334,15 @@
             case RelayHello():
                 if self.is_ready_leader():
                     self._orders.on_hello(sender, message, now)
+                    self.infrastructure.on_hello(sender, message, now)
             case RelayOrder():
-                term = self.replica.term
-                self._orders.on_order(sender, message, term, now)
+                self._orders.on_order(sender, message, self.replica.term, now)
             case RelayDone():
                 outcome = self._orders.on_done(message)
                 if outcome:
                     self._handle_outcome(outcome, now)
+            case HandedCall() | CallDone():
+                self.infrastructure.receive(sender, message, now)
             case _:
                 self.replica.receive(sender, message, now)
 
@@ -364,6 +361,7 @@
         self._check_leader(now)
         self._changes.check_formats()
         self._changes.check_holders(now)
+        self.infrastructure.check_state(now)
         self._check_published(now)
         self._effects.extend(self._reads.pop_results(self.replica, now))
         self._effects.extend(
@@ -376,6 +374,7 @@
         if self.is_ready_leader() and self.fleet.term != self.replica.term:
             control = self.replica.voter_vms
             self.fleet.start_term(self.replica.term, control, now)
+            self.infrastructure.start_term(self.replica.term, now)
             self._proposals.clear_appended()
             self.fleet.apply_published(self.published, self.index)
         leader = (self.leader, self.replica.term)
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
@@ -12,6 +12,7 @@
 
 from .._types import VmName, ZoneName
 from ..adapters import AdapterLabel
+from ..duties import UsageExchange
 from ..entry import FleetView
 from ..quarantine import QuarantineReports, TrialWish
 from ..streams import StreamDirectory
@@ -54,10 +55,14 @@
         self._reports = QuarantineReports()
         self._trials: dict[TrialWish, None] = {}
         self._peers = PeerOffers()  # of other relays
+        self._usage = UsageExchange()  # of entry VMs
         self._uses_sent_at = float('-inf')
 
-    def build_ask(self, number: int, now: float) -> SyncAsk:
-        """Return the next sync request to the leader."""
+    def build_ask(self, number: int, now: float, utc_s: float = 0.0) -> SyncAsk:
+        """Return the next sync request to the leader.
+
+        ``utc_s`` is the VM's steady clock, 0 without duties.
+        """
         self._drop_silent(now)
         has_uses = now - self._uses_sent_at >= USES_INTERVAL_S
         if has_uses:
@@ -87,12 +92,15 @@
             sends=self._sends.total_wishes(now),
             wants_peers=self._entries.want_peers(),
             peers=rotate(self._entries.peers(), number),
+            usage=self._usage.reports(number, now),
+            utc_s=utc_s,
         )
 
     def on_reply(self, reply: SyncReply, asked_at: float, now: float) -> None:
         """Apply the leader's reply to the request sent at ``asked_at``."""
         self.view.apply(reply, asked_at, now)
         self._reports.on_reply(reply.ask)
+        self._usage.on_reply(reply, asked_at, now)
         news = LimitNews(reply.limits, reply.limit_stamp)
         self._limits.on_reply(reply, news, now)
         news = LimitNews(reply.tolerances, reply.tolerance_stamp)
@@ -119,11 +127,7 @@
             self._remove_wishes(ask.vm)
         for text in ask.missing:
             self._records.dispute(text.partition(' ')[0])
-        self._reports.add_crashes(ask.crashes)
-        self._reports.add_answered(ask.answered)
-        self._trials.update(dict.fromkeys(ask.trials))
-        self._limits.known.merge(ask.limits, now)
-        self._tolerances.known.merge(ask.tolerances, now)
+        self._merge_reports(ask, now)
         link = self._entries.record_ask(session, ask, self._epoch, now)
         self.streams.add(ask.streams, now)
         link.found.extend(self.streams.look_up(ask.lookups, now))
@@ -222,6 +226,8 @@
             send_lots=tuple(link.send_lots),
             found=tuple(link.found),
             peers=self._peers_for(link),
+            utc_s=self._usage.clock.utc(now) or 0.0,
+            usage_floor=self._usage.ledger.floor,
         )
         self._tokens.record_grant(vm, link.lots, link.replies, now)
         self._sends.record_grant(vm, link.send_lots, link.replies, now)
@@ -238,6 +244,14 @@
         link.quarantine.record_sent(quarantine.version, link.replies)
         return reply
 
+    def _merge_reports(self, ask: SyncAsk, now: float) -> None:
+        self._reports.add_crashes(ask.crashes)
+        self._reports.add_answered(ask.answered)
+        self._trials.update(dict.fromkeys(ask.trials))
+        self._limits.known.merge(ask.limits, now)
+        self._tolerances.known.merge(ask.tolerances, now)
+        self._usage.ledger.add(ask.usage)
+
     def _peers_for(self, link: EntryLink) -> tuple[EntryPeer, ...]:
         if not link.ask.wants_peers:
             return ()
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
@@ -16,6 +16,7 @@
     VmName,
     ZoneName,
 )
+from ..duties._records import VmUsage
 from ..quarantine._state import QuarantineState, TargetCrash, TrialWish
 from ..streams._records import FoundStream, StreamKey, StreamStart
 
@@ -121,6 +122,8 @@
     peers: tuple[EntryPeer, ...] = ()  # offered by a relay
     tolerances: tuple[LimitReport, ...] = ()  # like ``limits``
     tolerance_stamp: int = 0
+    usage: tuple[VmUsage, ...] = ()  # changed since the last reply
+    utc_s: float = 0.0  # a relay's steady clock, with duties
 
 
 class RelayInfo(NamedTuple):
@@ -211,3 +214,5 @@
     peers: tuple[EntryPeer, ...] = ()  # if the receiver wants some
     tolerances: tuple[LimitReport, ...] = ()  # like ``limits``
     tolerance_stamp: int = 0
+    utc_s: float = 0.0  # the fleet's time, with duties
+    usage_floor: int = 0  # windows of usage up to this one are committed
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,5 +1,6 @@
 """Tests of the encoding of peer messages and log records."""
 
+import types
 import typing
 
 import pytest
@@ -17,6 +18,15 @@
     SetVoters,
 )
 from lovagemast_core import _messages as messages
+from lovagemast_core.duties import (
+    AccountCount,
+    CommitUsage,
+    ConfirmDesired,
+    ConfirmUsage,
+    SetDesired,
+    SetDutyHolder,
+    UsageReport,
+)
 from lovagemast_wire import (
     Envelope,
     WireError,
@@ -40,14 +50,19 @@
                 ApplyConfig('o', 1, '{}'),
                 ClaimCall('c', 'f', 'h', 1.5),
                 SetVoters(('a', 'b')),
+                CommitUsage(UsageReport(7, (AccountCount('a', 3),))),
+                ConfirmUsage(7),
+                SetDutyHolder(2, 'c1', 1.5),
+                SetDesired('p', 'z', 4),
+                ConfirmDesired('p', 'z', 9),
             ),
         )
     if hint == messages.Outcome:
         return st.sampled_from((Applied(3), CrashNoted(('f',))))
     if hasattr(hint, '_fields'):
         return record_strategy(hint)
-    if hint == int | None:
-        return st.none() | strategy_for(int)
+    if typing.get_origin(hint) is types.UnionType:
+        return st.none() | strategy_for(typing.get_args(hint)[0])
     if hint is int:
         return st.integers(-(2**62), 2**62)
     return st.from_type(hint)
