Entry VMs count usage, control VMs call the infrastructure

With [cloud] in the settings, an entry VM counts each request once when a target has begun to run it and reports the counts with its sync.

--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
@@ -101,10 +101,7 @@
         self.view.apply(reply, asked_at, now)
         self._reports.on_reply(reply.ask)
         self._usage.on_reply(reply, asked_at, now)
-        news = LimitNews(reply.limits, reply.limit_stamp)
-        self._limits.on_reply(reply, news, now)
-        news = LimitNews(reply.tolerances, reply.tolerance_stamp)
-        self._tolerances.on_reply(reply, news, now)
+        self._apply_limits(reply, now)
         self._note_adapters(self._records.update(self.view.targets))
         self._loads.update(reply.loads)
         self._peers.add(reply.peers, now)
@@ -244,6 +241,12 @@
         link.quarantine.record_sent(quarantine.version, link.replies)
         return reply
 
+    def _apply_limits(self, reply: SyncReply, now: float) -> None:
+        news = LimitNews(reply.limits, reply.limit_stamp)
+        self._limits.on_reply(reply, news, now)
+        news = LimitNews(reply.tolerances, reply.tolerance_stamp)
+        self._tolerances.on_reply(reply, news, now)
+
     def _merge_reports(self, ask: SyncAsk, now: float) -> None:
         self._reports.add_crashes(ask.crashes)
         self._reports.add_answered(ask.answered)
--- a/packages/lovagemast-node/src/lovagemast_node/_clock.py
+++ b/packages/lovagemast-node/src/lovagemast_node/_clock.py
@@ -12,6 +12,11 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def wall_s() -> float:
+    """Return the seconds since the epoch; the clock may be set."""
+    return time.time()
+
+
 def wall_ms() -> int:
     """Return the milliseconds since the epoch; the clock may be set."""
     return round(time.time() * 1000)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/__init__.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/__init__.py
@@ -22,9 +22,10 @@
 )
 from ._control import ControlServer
 from ._entry import EntryServer
-from ._settings import ControlSettings, EntrySettings
+from ._settings import CloudSettings, ControlSettings, EntrySettings
 
 __all__ = [
+    'CloudSettings',
     'ControlCall',
     'ControlCodec',
     'ControlServer',
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -30,6 +30,7 @@
 from ._streamcontinuity import StreamContinuity
 from ._targetlimits import record_limit, record_tolerance, send_terms
 from ._targetstate import record_state
+from ._usage import RequestUsage
 
 TARGET_CONNECT_TIMEOUT_S: Final = 0.2
 # Without a byte for so long, the path to the target is probed.
@@ -54,6 +55,7 @@
         relay: ResponseRelay,
         quarantine: QuarantineCheck,
         continuity: StreamContinuity,
+        usage: RequestUsage,
     ) -> None:
         self._state = state
         self._admitted = admitted
@@ -61,6 +63,7 @@
         self._relay = relay
         self._quarantine = quarantine
         self._continuity = continuity
+        self._usage = usage
         self._target = candidate.known.record.target
         self._pool = candidate.known.record.pool
         self._prefill_tokens = 0.0  # counted against the target's limit
@@ -193,9 +196,7 @@
                 return AttemptResult(
                     AttemptOutcome.FAILED, str(response.status)
                 )
-        elif response.status < STATUS_REDIRECT and not _is_from_target(
-            response
-        ):
+        elif response.status < STATUS_REDIRECT and not response.is_from_target:
             return self._fail('not the answer of the target')
         return None
 
@@ -312,6 +313,7 @@
         if is_stream and head.status < STATUS_REDIRECT:
             failure = await self._relay_stream(conn, head)
         else:
+            self._usage.record_response(head.status)
             failure = await self._relay_body(conn, head)
         if failure:
             return await self._on_incomplete(failure)
@@ -386,10 +388,7 @@
         if await self._relay.relay_events(head, chunk):
             self._continuity.record_event(self._candidate.known.record.software)
             self._quarantine.record_event()
-
-
-def _is_from_target(response: TargetResponseMetadata) -> bool:
-    return response.stamped and not response.encoded
+            self._usage.record_event()
 
 
 def _check_size(body: bytearray, share: BodyShare) -> str:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_codec.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_codec.py
@@ -9,6 +9,7 @@
 
 from lovagemast_core.adapters import Order, OrderResult, TargetReport
 from lovagemast_core.deployment import Deployment
+from lovagemast_core.duties import CallResult, HandedCall
 from lovagemast_core.targets import TargetHeartbeat
 
 from ..http import Headers, HttpRequest, ResponseHead
@@ -45,6 +46,11 @@
     # Rejections/s that a brittle target bears; NaN if unreadable.
     tolerance: float | None = None
 
+    @property
+    def is_from_target(self) -> bool:
+        """Return whether a target wrote the response, and not a proxy."""
+        return self.stamped and not self.encoded
+
 
 class TargetRequestMetadata(NamedTuple):
     """Request properties that the entry VM sends to a target in headers."""
@@ -179,6 +185,14 @@
     def decode_report(self, target: str, body: bytes) -> TargetReport | None:
         """Decode an engine's report; return ``None`` if it is invalid."""
 
+    def encode_duty_call(
+        self, handed: HandedCall, holder: str, address: str
+    ) -> bytes:
+        """Return a call to the infrastructure as an HTTP request."""
+
+    def decode_duty_status(self, status: int) -> CallResult:
+        """Return the result of a call from the HTTP status."""
+
     def parse_deployment(self, document: str) -> Deployment | str:
         """Parse a configuration document; return an error text if invalid."""
 
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -16,10 +16,12 @@
 )
 from lovagemast_core.adapters import Order
 from lovagemast_core.control import (
+    CallInfrastructure,
     CommandDone,
     ControlConfig,
     ControlEffect,
     ControlNode,
+    DutiesChanged,
     FormatsNoticed,
     HoldersNoticed,
     LeaderChanged,
@@ -41,6 +43,8 @@
 from ..http import HttpServer, ServerLimits, split_address
 from ._codec import ControlCodec
 from ._controlapi import ControlApi
+from ._dutyhost import PATH as DUTIES_PATH
+from ._dutyhost import DutyHost
 from ._engines import EngineClient
 from ._jsonlog import JsonLog
 from ._leaderwatch import watch_leader
@@ -97,6 +101,7 @@
                 cfg.takeover_s,
                 cfg.quota,
                 now_s(),
+                cfg.cloud.duties if cfg.cloud else None,
             ),
             self._read_index,
             random.Random(secrets.randbits(64)),
@@ -112,9 +117,19 @@
             {
                 LIMITS_PATH: lambda: describe_limits(self._relay.limits()),
                 SOFTWARE_PATH: lambda: self._relay.describe_software(),
+                DUTIES_PATH: lambda: self._duties.describe(),
             },
             self._stalls,
         )
+        self._duties = DutyHost(
+            cfg,
+            codec,
+            self._node,
+            self._run_effects,
+            self._spawn,
+            self._log,
+            metrics,
+        )
         self._links = PeerLinks(cfg.vm, cfg.peer_port, self._log)
         self._sync = SyncHandler(self._on_ask, lambda _session: None, self._log)
         self._relay = RelayHost(
@@ -248,6 +263,8 @@
                 'agree', 'holder set changed', **effect._asdict()
             ),
             RelayFailed: self._log_relay_failed,
+            CallInfrastructure: self._duties.call,
+            DutiesChanged: self._duties.on_changed,
             QuarantineChanged: self._on_quarantine,
             LimitsChanged: lambda effect: log_limits(
                 self._log, effect.reports, 'relay'
--- /dev/null
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_dutyhost.py
@@ -0,0 +1,115 @@
+"""Runs the duties of a control VM: its calls, logs, metrics and page."""
+
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
+
+from lovagemast_core.control import (
+    CallInfrastructure,
+    ControlNode,
+    DutiesChanged,
+)
+from lovagemast_core.duties import DutyState
+
+from .._clock import now_s
+from ._codec import ControlCodec
+from ._infrastructure import InfrastructureClient
+from ._jsonlog import JsonLog
+from ._metrics import ControlMetrics
+from ._settings import ControlSettings
+
+PATH: Final = '/admin/duties'
+
+Spawn = Callable[[Coroutine[Any, Any, None]], None]
+
+
+class DutyHost:
+    """Performs the effects that concern the infrastructure."""
+
+    def __init__(
+        self,
+        cfg: ControlSettings,
+        codec: ControlCodec,
+        node: ControlNode,
+        run_effects: Callable[[], None],
+        spawn: Spawn,
+        log: JsonLog,
+        metrics: ControlMetrics,
+    ) -> None:
+        self._cfg = cfg
+        self._node = node
+        self._run_effects = run_effects
+        self._spawn = spawn
+        self._log = log
+        self._metrics = metrics
+        self._state = DutyState()
+        self._client: InfrastructureClient | None = None
+        if cfg.cloud:
+            self._client = InfrastructureClient(cfg.cloud, cfg.name, codec, log)
+
+    def call(self, effect: CallInfrastructure) -> None:
+        """Send a call; its outcome goes to the control node."""
+        if self._client:
+            self._spawn(self._call(self._client, effect))
+
+    def on_changed(self, effect: DutiesChanged) -> None:
+        """Log and count what was committed."""
+        before, after = effect
+        self._state = after
+        self._metrics.set_duties(after, holds=after.holder == self._cfg.vm)
+        if after.epoch != before.epoch:
+            self._log.write(
+                'duty',
+                'holder changed',
+                holder=after.holder,
+                former=before.holder,
+                token=after.epoch,
+            )
+        if after.last_window != before.last_window:
+            self._log_usage(after)
+        for known in after.desired:
+            if known not in before.desired:
+                self._log.write('duty', 'desired count', **known._asdict())
+
+    def describe(self) -> dict[str, Any]:
+        """Return the document that shows the duties to operators."""
+        state = self._state
+        duties = self._cfg.cloud.duties if self._cfg.cloud else None
+        return {
+            'metering': bool(duties and duties.has_metering),
+            'autoscale': bool(duties and duties.has_scaling),
+            'holder': state.holder,
+            'since': state.holder_at,
+            'fencing_token': state.epoch,
+            'settled': state.is_settled,
+            'last_window': state.last_window,
+            'confirmed_window': state.confirmed_window,
+            'unconfirmed': [one.window for one in state.unconfirmed],
+            'desired': [
+                {
+                    'pool': known.pool,
+                    'zone': known.zone,
+                    'desired': known.desired,
+                    'confirmed': known.is_confirmed,
+                }
+                for known in state.desired
+            ],
+        }
+
+    async def _call(
+        self, client: InfrastructureClient, effect: CallInfrastructure
+    ) -> None:
+        done = await client.send(effect.handed, effect.send_by)
+        self._metrics.record_duty_call(done.result.value)
+        self._node.on_called(done, now_s())
+        self._run_effects()
+
+    def _log_usage(self, after: DutyState) -> None:
+        counts = after.unconfirmed[-1].counts if after.unconfirmed else ()
+        self._log.write(
+            'duty',
+            'usage committed',
+            window=after.last_window,
+            accounts=len(counts),
+            requests=sum(one.requests for one in counts),
+            unconfirmed=len(after.unconfirmed),
+        )
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from lovagemast_core.deployment import CallerLimits, DeploymentIndex
+from lovagemast_core.duties import VmUsage
 from lovagemast_core.entry import DrainWindow
 from lovagemast_core.streams import StreamStart, retention_s
 from lovagemast_core.syncrelay import ENTRY_SYNC, RelaySearch
@@ -12,7 +13,7 @@
 from lovagemast_core.targets import SyncAsk, SyncReply
 from lovagemast_wire import EntriesStub
 
-from .._clock import now_s
+from .._clock import now_s, wall_s
 from ..http import (
     HttpRequest,
     HttpServer,
@@ -202,8 +203,13 @@
             wants_peers=bool(state.paths.lost_pools()),
             tolerances=state.rejections.exchange.reports(ask, now_s()),
             tolerance_stamp=state.rejections.exchange.server_stamp,
+            usage=self._usage_reports(ask),
         )
 
+    def _usage_reports(self, ask: int) -> tuple[VmUsage, ...]:
+        usage = self._state.usage
+        return usage.reports(ask, wall_s(), now_s()) if usage else ()
+
     def _unreachable_targets(self) -> tuple[str, ...]:
         """Return the targets that no VM reaches, as far as this one knows."""
         state = self._state
@@ -230,7 +236,7 @@
             self._log_behind()
         state.guard.reports.on_reply(reply.ask)
         state.streams.on_reply(reply.ask)
-        self._apply_answers(reply, now)
+        self._apply_answers(reply, asked_at, now)
         if reply.quarantine:
             self._apply_quarantine(now)
         if newer:
@@ -256,8 +262,12 @@
             revision=view.published.revision,
         )
 
-    def _apply_answers(self, reply: SyncReply, now: float) -> None:
-        """Apply what this VM has asked for."""
+    def _apply_answers(
+        self, reply: SyncReply, asked_at: float, now: float
+    ) -> None:
+        """Apply what this VM has asked for or reported."""
+        if self._state.usage:
+            self._state.usage.exchange.on_reply(reply, asked_at, now)
         self._state.lookups.add(reply.found)
         self._state.peers.directory.update(reply.peers, now)
 
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from lovagemast_core.deployment import RouteSpec
+from lovagemast_core.duties import SteadyClock, UsageCounter
 from lovagemast_core.entry import (
     LONG_AGO_S,
     BatchLimit,
@@ -26,7 +27,7 @@
 from lovagemast_core.quota import LocalTokens
 from lovagemast_core.streams import StreamLookups, StreamReports
 
-from .._clock import now_s
+from .._clock import now_s, wall_ms, wall_s
 from ..http import TargetPool
 from ._codec import EntryCodec
 from ._jsonlog import JsonLog
@@ -84,6 +85,7 @@
             started_at,
         )
         self.drain: DrainWindow | None = None  # once told to stop
+        self._usage = _make_usage_counter(cfg)
         self.time_limits: set[asyncio.Timeout] = set()  # of requests
         self._rng = random.Random(secrets.randbits(64))
         self._update: asyncio.Future[None] | None = None
@@ -93,6 +95,11 @@
         """Return which pools are in reach."""
         return self.prober.paths
 
+    @property
+    def usage(self) -> UsageCounter | None:
+        """Return the counter of usage, if usage is reported."""
+        return self._usage
+
     def pick_pool(self, route: RouteSpec) -> str:
         """Pick a pool at random by the weights of the route's traffic split."""
         splits = [split for split in route.splits if split.weight > 0]
@@ -130,3 +137,15 @@
         """Wake all requests that wait for an update."""
         if self._update and not self._update.done():
             self._update.set_result(None)
+
+
+def _make_usage_counter(cfg: EntrySettings) -> UsageCounter | None:
+    """Return a counter if usage is to be reported.
+
+    Its counts are those of an incarnation of the process, which is named by
+    its start.
+    """
+    if cfg.cloud is None or not cfg.cloud.duties.has_metering:
+        return None
+    clock = SteadyClock(wall_s(), now_s())
+    return UsageCounter(cfg.vm, wall_ms(), cfg.cloud.duties.windows, clock)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
@@ -17,6 +17,7 @@
 from ._relay import ResponseRelay
 from ._streamcontinuity import StreamContinuity
 from ._targetwait import NOT_RUN_RETRY_AFTER_S, PathsLost, TargetWait
+from ._usage import RequestUsage
 
 # Sends beyond the route's attempts, after targets proved not to have run it.
 MAX_EXTRA_SENDS: Final = 3
@@ -50,6 +51,9 @@
             state, admitted.subjects, admitted.metadata.request_id
         )
         self._continuity = continuity
+        self._usage = RequestUsage(
+            state.usage, admitted.account_name, state.metrics
+        )
         self._wait = TargetWait(state, admitted, self._quarantine, continuity)
         self._tried: set[str] = set()
         self._tried_peers: set[str] = set()
@@ -130,6 +134,7 @@
             self._relay,
             self._quarantine,
             self._continuity,
+            self._usage,
         )
         target = candidate.target
         chosen_at = now_s()
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from lovagemast_core.duties import DutyState
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -99,6 +100,11 @@
             ('result',),
             registry=self.registry,
         )
+        self._usage = Counter(
+            'lovagemast_usage_requests',
+            'Requests that targets began to run, counted for usage reports',
+            registry=self.registry,
+        )
         self._placed_s = Histogram(
             'lovagemast_placed_seconds',
             'Time until a target was chosen',
@@ -157,6 +163,10 @@
         """Count a resumed stream: found, unknown, or its version gone."""
         self._stream_lookups.labels(result).inc()
 
+    def record_usage(self) -> None:
+        """Count a request that a target has begun to run."""
+        self._usage.inc()
+
     def record_crash(self) -> None:
         """Count a request that ran, without an answer, at a crash."""
         self._crashes.inc()
@@ -204,6 +214,20 @@
             'Prompt parts that are quarantined',
             registry=self.registry,
         )
+        self._add_duties()
+
+    def record_duty_call(self, result: str) -> None:
+        """Count a call to the infrastructure by its result."""
+        self._duty_calls.labels(result).inc()
+
+    def set_duties(self, state: DutyState, *, holds: bool) -> None:
+        """Set what is committed; ``holds`` tells if this VM is the holder."""
+        self._duty_holder.set(holds)
+        self._usage_window.labels('committed').set(state.last_window)
+        self._usage_window.labels('confirmed').set(state.confirmed_window)
+        self._unconfirmed.labels('usage').set(len(state.unconfirmed))
+        desired = sum(not known.is_confirmed for known in state.desired)
+        self._unconfirmed.labels('scaling').set(desired)
 
     def record_order(self, result: str) -> None:
         """Count an order by its result."""
@@ -230,6 +254,31 @@
         """Count a leader change that this VM observed."""
         self._leaders.inc()
 
+    def _add_duties(self) -> None:
+        self._duty_calls = Counter(
+            'lovagemast_duty_calls',
+            'Calls of this VM to the infrastructure, by result',
+            ('result',),
+            registry=self.registry,
+        )
+        self._duty_holder = Gauge(
+            'lovagemast_duty_holder',
+            'Whether this VM is the one that calls the infrastructure',
+            registry=self.registry,
+        )
+        self._usage_window = Gauge(
+            'lovagemast_usage_window',
+            'Newest window of usage that is committed, or confirmed',
+            ('state',),
+            registry=self.registry,
+        )
+        self._unconfirmed = Gauge(
+            'lovagemast_unconfirmed_calls',
+            'Committed calls that the infrastructure has not confirmed',
+            ('duty',),
+            registry=self.registry,
+        )
+
 
 class MetricsPage:
     """Serves a metrics registry in the Prometheus format, at any path."""
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_relayhost.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_relayhost.py
@@ -6,6 +6,7 @@
 from typing import Any, Final
 
 from lovagemast_core import PeerMessage
+from lovagemast_core.duties import SteadyClock
 from lovagemast_core.entry import LeaderSearch
 from lovagemast_core.streams import PoolSoftware, StreamMessage
 from lovagemast_core.syncrelay import RELAY_SYNC, SyncRelay
@@ -17,7 +18,7 @@
 )
 from lovagemast_wire import RelaysStub
 
-from .._clock import now_s
+from .._clock import now_s, wall_s
 from ._jsonlog import JsonLog
 from ._settings import ControlSettings
 from ._softwareapi import SoftwareHistory
@@ -76,6 +77,7 @@
     ) -> None:
         epoch = secrets.randbits(EPOCH_BITS) + 1
         self._relay = SyncRelay(cfg.vm, cfg.zone, epoch)
+        self._clock = SteadyClock(wall_s(), now_s()) if cfg.cloud else None
         self._vms = vms
         self._software = SoftwareHistory()
         self._on_records = on_records
@@ -90,7 +92,7 @@
             cfg.peer_port,
             RELAY_SYNC,
             self._search,
-            lambda number: self._relay.build_ask(number, now_s()),
+            self._build_ask,
             self._on_reply,
             log,
         )
@@ -143,6 +145,11 @@
             self._search.record_leader(leader, term)
             self._client.reconnect()
 
+    def _build_ask(self, number: int) -> SyncAsk:
+        now = now_s()
+        utc_s = self._clock.read(wall_s(), now) if self._clock else 0.0
+        return self._relay.build_ask(number, now, utc_s)
+
     def _on_ask(self, session: SyncSession, ask: SyncAsk) -> SyncReply:
         reply = self._relay.on_ask(session.number, ask, now_s())
         if self._relay.needs_leader(ask):
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_settings.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_settings.py
@@ -5,9 +5,17 @@
 
 from typing import NamedTuple
 
+from lovagemast_core.duties import DutyConfig
 from lovagemast_core.quota import QuotaBounds
 
 
+class CloudSettings(NamedTuple):
+    """The infrastructure that is told of usage and of targets to run."""
+
+    address: str
+    duties: DutyConfig
+
+
 class EntrySettings(NamedTuple):
     """Settings of an entry server; durations are in seconds.
 
@@ -30,6 +38,7 @@
     retry_slack: float
     retry_window_s: float
     quota: QuotaBounds
+    cloud: CloudSettings | None = None
 
 
 class ControlSettings(NamedTuple):
@@ -54,3 +63,4 @@
     takeover_s: float
     drain_grace_s: float
     quota: QuotaBounds
+    cloud: CloudSettings | None = None
