--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -13,7 +13,7 @@
 from lovagemast_core.targets import SyncAsk, SyncReply
 from lovagemast_wire import EntriesStub
 
-from .._clock import now_s, wall_s
+from .._clock import now_s
 from ..http import (
     HttpRequest,
     HttpServer,
@@ -208,7 +208,7 @@
 
     def _usage_reports(self, ask: int) -> tuple[VmUsage, ...]:
         usage = self._state.usage
-        return usage.reports(ask, wall_s(), now_s()) if usage else ()
+        return usage.reports(ask, now_s()) if usage else ()
 
     def _unreachable_targets(self) -> tuple[str, ...]:
         """Return the targets that no VM reaches, as far as this one knows."""
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from lovagemast_core.deployment import RouteSpec
-from lovagemast_core.duties import SteadyClock, UsageCounter
+from lovagemast_core.duties import UsageCounter
 from lovagemast_core.entry import (
     LONG_AGO_S,
     BatchLimit,
@@ -27,7 +27,7 @@
 from lovagemast_core.quota import LocalTokens
 from lovagemast_core.streams import StreamLookups, StreamReports
 
-from .._clock import now_s, wall_ms, wall_s
+from .._clock import now_s, wall_ms
 from ..http import TargetPool
 from ._codec import EntryCodec
 from ._jsonlog import JsonLog
@@ -147,5 +147,4 @@
     """
     if cfg.cloud is None or not cfg.cloud.duties.has_metering:
         return None
-    clock = SteadyClock(wall_s(), now_s())
-    return UsageCounter(cfg.vm, wall_ms(), cfg.cloud.duties.windows, clock)
+    return UsageCounter(cfg.vm, wall_ms(), cfg.cloud.duties.windows)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_usage.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_usage.py
@@ -4,7 +4,7 @@
 
 from lovagemast_core.duties import UsageCounter
 
-from .._clock import now_s, wall_s
+from .._clock import now_s
 from ._metrics import EntryMetrics
 
 # From here on, a response does not state that the request has run.
@@ -31,7 +31,7 @@
         """Record that a target has sent an event of a stream."""
         if self._counter is None:
             return
-        self._counter.record(self._account, wall_s(), now_s())
+        self._counter.record(self._account, now_s())
         self._counter = None
         self._metrics.record_usage()
 
--- a/tests/controlcluster.py
+++ b/tests/controlcluster.py
@@ -33,6 +33,7 @@
     ModelSpec,
     PoolSpec,
 )
+from lovagemast_core.duties import DutyConfig
 from lovagemast_core.quota import QuotaBounds
 from lovagemast_core.targets import AdapterWish, SyncAsk, TargetHeartbeat
 
@@ -93,6 +94,8 @@
     and the disks of ``stalled`` ones complete no write.
     """
 
+    duties: DutyConfig | None = None
+
     def __init__(self, vms: tuple[str, ...] = VMS, seed: int = 1) -> None:
         self.now = 100.0
         self.rng = random.Random(seed)
@@ -124,6 +127,7 @@
             TAKEOVER_S,
             QuotaBounds(0.0, 1.0, 0.0),
             self.now,
+            self.duties,
         )
         rng = random.Random(self.rng.random())
         self.nodes[vm] = ControlNode(cfg, parse_index, rng)
