--- a/soak/_cluster.py
+++ b/soak/_cluster.py
@@ -61,6 +61,7 @@
             if not knows_message(build, SOFTWARE_MESSAGE):
                 self._software = SOFTWARE[:1]
             self.knows_limits = knows_message(build, LIMIT_MESSAGE)
+        self.cloud_address = ''
         self.ports = Ports(*(free_port() for _port in Ports._fields))
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         # One restart of a VM at a time: the process of another one would be
@@ -232,6 +233,10 @@
             'leaseMs = 3000',
             f'graceS = {GRACE_S}',
             'retrySlack = 50',
+            '[cloud]',
+            f'address = "{self.cloud_address}"',
+            'duties = ["metering", "autoscale"]',
+            'dutyPerS = 50.0',
         )
         return '\n'.join(lines)
 
--- a/soak/_soak.py
+++ b/soak/_soak.py
@@ -12,6 +12,7 @@
 from tests.platformworker import EVENTS
 
 from ._callers import Caller, LoadBalancer
+from ._cloud import SoakCloud
 from ._cluster import CONTROL, GRACE_S, SoakCluster
 from ._oracle import (
     ConfigObservation,
@@ -77,6 +78,7 @@
     ) -> None:
         self._rng = random.Random(seed)
         self._cluster = SoakCluster(folder, engines, former_build)
+        self._cloud = SoakCloud(seed)
         self._seconds = seconds
         self._balancer = LoadBalancer(self._cluster)
         self._callers = [
@@ -102,14 +104,23 @@
     async def run(self) -> Result:
         """Inject all faults under traffic and check the observations."""
         try:
-            await self._cluster.start()
+            await self._start()
             await asyncio.wait_for(self._wait_until_serving(), START_TIMEOUT_S)
             await self._run_traffic()
         finally:
-            self._cluster.stop()
+            self._stop()
             await asyncio.sleep(STOP_WAIT_S)
         return self._evaluate()
 
+    async def _start(self) -> None:
+        await self._cloud.start()
+        self._cluster.cloud_address = self._cloud.address
+        await self._cluster.start()
+
+    def _stop(self) -> None:
+        self._cluster.stop()
+        self._cloud.stop()
+
     async def _run_traffic(self) -> None:
         runs = [one.run() for one in self._callers]
         tasks = [
@@ -123,6 +134,7 @@
                 *(self._name_limit(one) for one in self._limits),
                 *(self._cut_off(one) for one in self._cuts),
                 self._upgrade_all(),
+                self._cloud.misbehave(self._seconds),
             )
             await asyncio.sleep(SETTLE_S)
         finally:
@@ -287,6 +299,9 @@
         if served < MIN_SERVED_FRACTION * LAST_CALLS:
             violations.append(f'{served} of the last {LAST_CALLS} calls served')
         violations.extend(self._cluster.failures)
+        violations.extend(
+            self._cloud.find_violations(history.executions, self._ended_at)
+        )
         faults = len(self._faults) + len(self._cuts)
         return Result(len(calls), faults, violations)
 
