Usage counts in the window in which work began, by a better time

A plain response tells only the end of its work; counting it then put one request in a hundred into the next window, which is beyond the tolerance of a small client account. Entry VMs estimate the begin and close a window 0.5 s late; clocks are corrected by the fastest replies only. The duties' tests and make check pass.

--- a/packages/lovagemast-core/src/lovagemast_core/duties/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/duties/__init__.py
@@ -36,6 +36,7 @@
     SetDesired,
     SetDutyHolder,
 )
+from ._worktimes import WorkTimes
 
 __all__ = [
     'USAGE_SUBJECT',
@@ -66,6 +67,7 @@
     'UsageWindows',
     'VmUsage',
     'WindowUsage',
+    'WorkTimes',
     'send_by',
     'subject_of',
 ]
--- a/packages/lovagemast-core/src/lovagemast_core/duties/_clock.py
+++ b/packages/lovagemast-core/src/lovagemast_core/duties/_clock.py
@@ -5,8 +5,9 @@
 the median. Relays and entry VMs learn that time from replies of the sync.
 """
 
+from collections import deque
 from statistics import median_low
-from typing import Final
+from typing import Final, NamedTuple
 
 from .._types import VmName
 
@@ -15,9 +16,9 @@
 # after the first correction of a VM that started with a wrong time.
 JUMP_SETTLE_S: Final = 600.0
 SAMPLE_TTL_S: Final = 5.0
-# A reply that took longer says too little of the time at its arrival.
-MAX_ROUND_TRIP_S: Final = 0.1
-MAX_UNSYNCED_S: Final = 10.0  # then a slower reply is better than none
+# By which an offset between two clocks becomes worse, in s per s: more than
+# clocks drift, so that a leader's better time is taken over within seconds.
+DRIFT: Final = 0.001
 
 
 class SteadyClock:
@@ -42,11 +43,16 @@
         return now + self._offset
 
 
+class _Sample(NamedTuple):
+    offset: float  # s, of true time to the leader's clock
+    at: float  # s
+
+
 class FleetClock:
     """The leader's estimate of true time, from the clocks of control VMs."""
 
     def __init__(self) -> None:
-        self._samples: dict[VmName, tuple[float, float]] = {}
+        self._samples: dict[VmName, deque[_Sample]] = {}
 
     def reset(self) -> None:
         """Forget the samples of an earlier term."""
@@ -54,14 +60,17 @@
 
     def record(self, vm: VmName, utc_s: float, now: float) -> None:
         """Record the clock that a control VM has reported."""
-        self._samples[vm] = (utc_s - now, now)
+        samples = self._samples.setdefault(vm, deque())
+        samples.append(_Sample(utc_s - now, now))
+        while now - samples[0].at > SAMPLE_TTL_S:
+            samples.popleft()
 
     def utc(self, voters: int, now: float) -> float | None:
         """Return the time, ``None`` without the clocks of most voters."""
         offsets = [
-            offset
-            for offset, at in self._samples.values()
-            if now - at <= SAMPLE_TTL_S
+            max(samples).offset  # the one that was on its way least
+            for samples in self._samples.values()
+            if now - samples[-1].at <= SAMPLE_TTL_S
         ]
         if len(offsets) <= voters // 2:
             return None
@@ -69,20 +78,25 @@
 
 
 class FollowedClock:
-    """The fleet's time at a relay or an entry VM."""
+    """The fleet's time at a relay or an entry VM.
+
+    A reply whose request took longer says less of the time at its arrival.
+    """
 
     def __init__(self) -> None:
         self._offset: float | None = None
+        self._took_s = 0.0
         self._synced_at = 0.0
 
     def on_reply(self, utc_s: float, asked_at: float, now: float) -> None:
         """Learn from a reply's time, 0 if it has none."""
         took_s = now - asked_at
-        is_overdue = now - self._synced_at > MAX_UNSYNCED_S
-        if not utc_s or not (took_s <= MAX_ROUND_TRIP_S or is_overdue):
-            return
-        self._offset = utc_s + took_s / 2 - now
-        self._synced_at = now
+        tolerated_s = self._took_s + DRIFT * (now - self._synced_at)
+        is_better = self._offset is None or took_s <= tolerated_s
+        if utc_s and is_better:
+            self._offset = utc_s + took_s / 2 - now
+            self._took_s = took_s
+            self._synced_at = now
 
     def utc(self, now: float) -> float | None:
         """Return the time, ``None`` if it is not known yet."""
--- a/packages/lovagemast-core/src/lovagemast_core/duties/_counter.py
+++ b/packages/lovagemast-core/src/lovagemast_core/duties/_counter.py
@@ -7,13 +7,17 @@
 from ._config import UsageWindows
 from ._exchange import UsageExchange
 from ._records import VmUsage, WindowUsage
+from ._worktimes import WorkTimes
 
-MAX_EARLY: Final = 4_096  # requests, until the time is known
+MAX_RUNS: Final = 4_096  # requests, until the time is known
+# A window is closed this long after its end: a response that has just come
+# may tell of work that began before.
+CLOSE_LAG_S: Final = 0.5
 
 
-class _Early(NamedTuple):
+class _Run(NamedTuple):
     account: AccountName
-    at: float  # s
+    began_at: float  # s
 
 
 class UsageCounter:
@@ -27,23 +31,23 @@
         self, vm: VmName, incarnation: int, windows: UsageWindows
     ) -> None:
         self.exchange = UsageExchange()
+        self.work_times = WorkTimes()
         self._vm = vm
         self._incarnation = incarnation
         self._windows = windows
         self._open_window = 0
         self._counts: dict[int, Counter[AccountName]] = {}
-        self._early: list[_Early] = []
+        self._runs: list[_Run] = []
 
-    def record(self, account: AccountName, now: float) -> None:
-        """Count a request that has begun to run."""
-        if self._is_time_known(now):
-            self._count(self._open_window, account)
-        elif len(self._early) < MAX_EARLY:
-            self._early.append(_Early(account, now))
+    def record(self, account: AccountName, began_at: float, now: float) -> None:
+        """Count a request that began to run at a time, in s."""
+        if len(self._runs) < MAX_RUNS:
+            self._runs.append(_Run(account, began_at))
+        self._advance(now)
 
     def reports(self, ask: int, now: float) -> tuple[VmUsage, ...]:
         """Return what to report with the sync request of this number."""
-        if not self._is_time_known(now):
+        if not self._advance(now):
             return ()
         windows = tuple(
             WindowUsage(window, tuple(counts), tuple(counts.values()))
@@ -54,12 +58,12 @@
         self._counts = {  # closed windows are final, and in the ledger
             window: counts
             for window, counts in self._counts.items()
-            if window == self._open_window
+            if window >= self._open_window
         }
         return self.exchange.reports(ask, now)
 
-    def _is_time_known(self, now: float) -> bool:
-        """Open the present window.
+    def _advance(self, now: float) -> bool:
+        """Count the runs, and open the present window.
 
         A small step back of the time opens no closed window again. A larger
         one corrects a time that was wrong.
@@ -67,13 +71,13 @@
         utc_s = self.exchange.clock.utc(now)
         if utc_s is None:
             return False
-        window = self._windows.window_at(utc_s)
+        for account, began_at in self._runs:
+            began_in = self._windows.window_at(utc_s - (now - began_at))
+            self._count(max(began_in, self._open_window), account)
+        self._runs.clear()
+        window = self._windows.window_at(utc_s - CLOSE_LAG_S)
         if self._open_window != window + 1:
             self._open_window = window
-        for account, at in self._early:
-            began_in = self._windows.window_at(utc_s - (now - at))
-            self._count(began_in, account)
-        self._early.clear()
         return True
 
     def _count(self, window: int, account: AccountName) -> None:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -9,7 +9,6 @@
 
 from .._clock import now_s
 from ..http import (
-    MAX_BODY_BYTES,
     MAX_EVENT_BYTES,
     BodyShare,
     ConnectFailed,
@@ -22,7 +21,7 @@
     encode_head,
 )
 from ._admitted import AdmittedRequest
-from ._attemptresult import AttemptOutcome, AttemptResult
+from ._attemptresult import AttemptOutcome, AttemptResult, check_body_size
 from ._codec import TargetRequestMetadata, TargetResponseMetadata
 from ._entrystate import EntryState
 from ._quarantinecheck import QuarantineCheck
@@ -142,6 +141,7 @@
         self.may_have_run = True
         self._reserve_prefill()
         self._quarantine.begin()
+        self._usage.record_sent()
         conn.send(
             self._encode_head(now),
             self._admitted.metadata.request_id.encode('latin-1'),
@@ -152,6 +152,7 @@
         if not isinstance(event, ResponseHead):
             return await self._on_incomplete(event)
         response = state.codec.decode_response_head(event)
+        self._usage.record_head(response)
         if not response.other_target:
             record_tolerance(state, self._candidate.known, response, now)
         record_limit(state, self._candidate.known, response, now)
@@ -345,7 +346,7 @@
             event = await self._next_event(conn)
             if isinstance(event, ResponseData):
                 body += event.chunk
-                problem = _check_size(body, share)
+                problem = check_body_size(body, share)
                 if problem:
                     return ResponseFailed(problem)
             elif isinstance(event, ResponseEnd):
@@ -389,10 +390,3 @@
             self._continuity.record_event(self._candidate.known.record.software)
             self._quarantine.record_event()
             self._usage.record_event()
-
-
-def _check_size(body: bytearray, share: BodyShare) -> str:
-    """Return why a body is not read on, empty if it may be."""
-    if len(body) > MAX_BODY_BYTES:
-        return 'the body is too long'
-    return '' if share.try_grow(len(body)) else 'no memory for the body'
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attemptresult.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attemptresult.py
@@ -3,6 +3,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from ..http import MAX_BODY_BYTES, BodyShare
 from ._refusal import HttpRefusal
 
 
@@ -26,3 +27,10 @@
     outcome: AttemptOutcome
     detail: str
     refusal: HttpRefusal | None = None  # the final answer, if it is known
+
+
+def check_body_size(body: bytearray, share: BodyShare) -> str:
+    """Return why a response's body is not read on, empty if it may be."""
+    if len(body) > MAX_BODY_BYTES:
+        return 'the body is too long'
+    return '' if share.try_grow(len(body)) else 'no memory for the body'
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
@@ -51,9 +51,7 @@
             state, admitted.subjects, admitted.metadata.request_id
         )
         self._continuity = continuity
-        self._usage = RequestUsage(
-            state.usage, admitted.account_name, state.metrics
-        )
+        self._usage = RequestUsage(state, admitted)
         self._wait = TargetWait(state, admitted, self._quarantine, continuity)
         self._tried: set[str] = set()
         self._tried_peers: set[str] = set()
--- a/tests/dutyfleet.py
+++ b/tests/dutyfleet.py
@@ -208,7 +208,7 @@
                 served = rate * TICK_S
                 count = int(served) + (self.rng.random() < served - int(served))
                 for _request in range(count):
-                    entry.counter.record(account, self.now)
+                    entry.counter.record(account, self.now, self.now)
                 self.truth[WINDOWS.window_at(self.utc())][account] += count
 
     def _is_due(self, interval_s: float, index: int) -> bool:
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -23,6 +23,7 @@
     UsageWindows,
     VmUsage,
     WindowUsage,
+    WorkTimes,
 )
 from lovagemast_core.duties._committer import WindowCommitter
 from lovagemast_core.targets import SyncAsk, SyncReply
@@ -158,8 +159,8 @@
     def test_counts_before_the_time_is_known(self) -> None:
         """They go into the windows in which the requests began."""
         counter = UsageCounter('e1', 1, UsageWindows())
-        counter.record('a', NOW)
-        counter.record('a', NOW + 4.0)
+        counter.record('a', NOW, NOW)
+        counter.record('a', NOW + 4.0, NOW + 4.0)
         assert counter.reports(1, NOW + 4.0) == ()
         reply = SyncReply(1, True, 'c', 1, 0.0, utc_s=UTC_S + 6.0)
         counter.exchange.on_reply(reply, NOW + 4.0, NOW + 4.0)
@@ -167,16 +168,54 @@
         assert [one.counts for one in reported.windows] == [(1,), (1,)]
         assert reported.open_window == WINDOW + 1
 
-    def test_closed_windows_stay_closed(self) -> None:
-        """A small step back of the time counts into the open window."""
+    @pytest.mark.parametrize(
+        ('late_s', 'began_s', 'window'),
+        [
+            (0.3, 0.4, WINDOW),  # a response of work from before
+            (0.3, 0.1, WINDOW + 1),
+            (0.7, 0.8, WINDOW + 1),  # the window was closed
+        ],
+    )
+    def test_late_responses(
+        self, late_s: float, began_s: float, window: int
+    ) -> None:
+        """Work counts in the window in which it began, while that is open."""
         counter = UsageCounter('e1', 1, UsageWindows())
         clock = counter.exchange.clock
-        clock.on_reply(UTC_S + 5.01, NOW, NOW)
-        counter.record('a', NOW)
-        clock.on_reply(UTC_S + 4.99, NOW, NOW)
-        counter.record('a', NOW)
-        reported = counter.reports(1, NOW)[0]
-        assert reported.windows == (WindowUsage(WINDOW + 1, ('a',), (2,)),)
+        clock.on_reply(UTC_S + 5.0 + late_s, NOW, NOW)
+        counter.reports(1, NOW)
+        counter.record('a', NOW - began_s, NOW)
+        reported = counter.reports(2, NOW + 1.5)
+        assert [one.window for one in reported[0].windows] == [window]
+
+    def test_small_step_back(self) -> None:
+        """It opens no closed window again."""
+        counter = UsageCounter('e1', 1, UsageWindows())
+        clock = counter.exchange.clock
+        clock.on_reply(UTC_S + 5.51, NOW, NOW)
+        counter.reports(1, NOW)
+        clock.on_reply(UTC_S + 5.49, NOW, NOW)
+        counter.record('a', NOW - 0.6, NOW)
+        reported = counter.reports(2, NOW + 1.5)
+        assert reported[0].windows == (WindowUsage(WINDOW + 1, ('a',), (1,)),)
+
+
+class TestWorkTimes:
+    def test_began_at(self) -> None:
+        """Where requests wait, the shortest time is that of the work."""
+        times = WorkTimes()
+        sent_at = NOW - 0.1
+        assert times.began_at('r', sent_at, NOW, has_queue=True) == sent_at
+        sent_at = NOW - 0.4
+        assert times.began_at('r', sent_at, NOW, has_queue=True) == (
+            pytest.approx(NOW - 0.1)
+        )
+        assert times.began_at('r', sent_at, NOW, has_queue=False) == sent_at
+        assert times.began_at('s', sent_at, NOW, has_queue=True) == sent_at
+        later = NOW + 20.0  # the targets have become slower
+        assert times.began_at('r', later - 0.3, later, has_queue=True) == (
+            pytest.approx(later - 0.3)
+        )
 
 
 class TestCommitter:
