--- /dev/null
+++ b/packages/lovagemast-core/src/lovagemast_core/duties/_config.py
@@ -0,0 +1,33 @@
+"""Settings of the duties at the infrastructure."""
+
+from typing import NamedTuple
+
+
+class UsageWindows(NamedTuple):
+    """The windows by which usage is counted, in s."""
+
+    length_s: float = 5.0
+    due_s: float = 10.0  # after a window's end
+
+    def window_at(self, utc_s: float) -> int:
+        """Return the number of the window that holds a time."""
+        return int(utc_s // self.length_s)
+
+    def end_of(self, window: int) -> float:
+        """Return a window's end, in s since the epoch."""
+        return (window + 1) * self.length_s
+
+
+class DutyConfig(NamedTuple):
+    """Which duties a control VM takes part in, and their bounds."""
+
+    has_metering: bool
+    has_scaling: bool
+    calls_per_s: float = 50.0  # accepted from all VMs together
+    windows: UsageWindows = UsageWindows()
+    lease_s: float = 3.0  # no calls of a new holder for this time
+    # What the platform allows; nothing depends on it, as calls keep to the
+    # rules for infrastructures that do not check them.
+    tolerance: float = 0.05  # of reported counts
+    thaw_slack_s: float = 0.3
+    is_fenced: bool = False  # the infrastructure checks fencing tokens
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -9,7 +9,6 @@
 
 from .._clock import now_s
 from ..http import (
-    MAX_BODY_BYTES,
     MAX_EVENT_BYTES,
     BodyShare,
     ConnectFailed,
@@ -22,7 +21,7 @@
 )
 from ._admitted import AdmittedRequest
 from ._answertimes import AnswerTimes
-from ._attemptresult import AttemptOutcome, AttemptResult
+from ._attemptresult import AttemptOutcome, AttemptResult, check_body_size
 from ._codec import TargetResponseMetadata
 from ._entrystate import EntryState
 from ._quarantinecheck import QuarantineCheck
@@ -31,6 +30,7 @@
 from ._targetlimits import record_limit, record_tolerance, send_terms
 from ._targetrequest import encode_request_head
 from ._targetstate import record_state
+from ._usage import RequestUsage
 
 TARGET_CONNECT_TIMEOUT_S: Final = 0.2
 # Without a byte for so long, the path to the target is probed.
@@ -54,6 +54,7 @@
         relay: ResponseRelay,
         quarantine: QuarantineCheck,
         continuity: StreamContinuity,
+        usage: RequestUsage,
     ) -> None:
         self._state = state
         self._admitted = admitted
@@ -61,6 +62,7 @@
         self._relay = relay
         self._quarantine = quarantine
         self._continuity = continuity
+        self._usage = usage
         self._target = candidate.known.record.target
         self._pool = candidate.known.record.pool
         self._prefill_tokens = 0.0  # counted against the target's limit
@@ -141,6 +143,7 @@
         self._reserve_prefill()
         self._quarantine.begin()
         self._times.begin(now)
+        self._usage.record_sent()
         conn.send(
             encode_request_head(
                 state, self._admitted, self._candidate, self._last_event_id, now
@@ -153,6 +156,7 @@
         if not isinstance(event, ResponseHead):
             return await self._on_incomplete(event)
         response = state.codec.decode_response_head(event)
+        self._usage.record_head(response)
         if not response.other_target:
             record_tolerance(state, self._candidate.known, response, now)
             state.load.paces.record_report(self._candidate.known, response.pace)
@@ -199,9 +203,7 @@
                 return AttemptResult(
                     AttemptOutcome.FAILED, str(response.status)
                 )
-        elif response.status < STATUS_REDIRECT and not _is_from_target(
-            response
-        ):
+        elif response.status < STATUS_REDIRECT and not response.is_from_target:
             return self._fail('not the answer of the target')
         return None
 
@@ -297,6 +299,7 @@
         if is_stream and head.status < STATUS_REDIRECT:
             failure = await self._relay_stream(conn, head)
         else:
+            self._usage.record_response(head.status)
             failure = await self._relay_body(conn, head)
         if failure:
             return await self._on_incomplete(failure)
@@ -330,7 +333,7 @@
             event = await self._next_event(conn)
             if isinstance(event, ResponseData):
                 body += event.chunk
-                problem = _check_size(body, share)
+                problem = check_body_size(body, share)
                 if problem:
                     return ResponseFailed(problem)
             elif isinstance(event, ResponseEnd):
@@ -373,14 +376,4 @@
         if await self._relay.relay_events(head, chunk):
             self._continuity.record_event(self._candidate.known.record.software)
             self._quarantine.record_event()
-
-
-def _is_from_target(response: TargetResponseMetadata) -> bool:
-    return response.stamped and not response.encoded
-
-
-def _check_size(body: bytearray, share: BodyShare) -> str:
-    """Return why a body is not read on, empty if it may be."""
-    if len(body) > MAX_BODY_BYTES:
-        return 'the body is too long'
-    return '' if share.try_grow(len(body)) else 'no memory for the body'
+            self._usage.record_event()
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from lovagemast_core.deployment import RouteSpec
+from lovagemast_core.duties import UsageCounter
 from lovagemast_core.entry import (
     LONG_AGO_S,
     BatchLimit,
@@ -25,7 +26,7 @@
 from lovagemast_core.quota import LocalTokens
 from lovagemast_core.streams import StreamLookups, StreamReports
 
-from .._clock import now_s
+from .._clock import now_s, wall_ms
 from ..http import TargetPool
 from ._codec import EntryCodec
 from ._jsonlog import JsonLog
@@ -85,6 +86,7 @@
             started_at,
         )
         self.drain: DrainWindow | None = None  # once told to stop
+        self._usage = _make_usage_counter(cfg)
         self.time_limits: set[asyncio.Timeout] = set()  # of requests
         self._rng = random.Random(secrets.randbits(64))
         self._update: asyncio.Future[None] | None = None
@@ -94,6 +96,11 @@
         """Return which pools are in reach."""
         return self.prober.paths
 
+    @property
+    def usage(self) -> UsageCounter | None:
+        """Return the counter of usage, if usage is reported."""
+        return self._usage
+
     def pick_pool(self, route: RouteSpec) -> str:
         """Pick a pool at random by the weights of the route's traffic split."""
         splits = [split for split in route.splits if split.weight > 0]
@@ -136,3 +143,14 @@
         if self._update and not self._update.done():
             self._update.set_result(None)
         self.queues.notify_all()
+
+
+def _make_usage_counter(cfg: EntrySettings) -> UsageCounter | None:
+    """Return a counter if usage is to be reported.
+
+    Its counts are those of an incarnation of the process, which is named by
+    its start.
+    """
+    if cfg.cloud is None or not cfg.cloud.duties.has_metering:
+        return None
+    return UsageCounter(cfg.vm, wall_ms(), cfg.cloud.duties.windows)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
@@ -18,6 +18,7 @@
 from ._relay import ResponseRelay
 from ._streamcontinuity import StreamContinuity
 from ._targetwait import TargetWait
+from ._usage import RequestUsage
 from ._waitconditions import NOT_RUN_RETRY_AFTER_S, SearchTerms
 
 # Sends beyond the route's attempts, after targets proved not to have run it.
@@ -52,6 +53,7 @@
             state, admitted.subjects, admitted.metadata.request_id
         )
         self._continuity = continuity
+        self._usage = RequestUsage(state, admitted)
         self._wait = TargetWait(state, admitted, self._quarantine, continuity)
         self._tried: set[str] = set()
         self._tried_peers: set[str] = set()
@@ -135,6 +137,7 @@
             self._relay,
             self._quarantine,
             self._continuity,
+            self._usage,
         )
         target = candidate.target
         chosen_at = now_s()
