Tests: what begins the order of waiting is decoded from real load headers

The test used records without the field for the pace, which all responses have now. It passes the headers through the platform's codec, odd ones too: an unreadable figure is no report of a pace.

--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_poolqueues.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_poolqueues.py
@@ -56,8 +56,12 @@
     def record_response(
         self, pool: str, response: TargetResponseMetadata
     ) -> None:
-        """Serve a pool in order from now on if its target reports its pace."""
-        if response.pace is not None and pool not in self._queues:
+        """Serve a pool in order from now on if its target reports its pace.
+
+        A figure that can't be read (NaN) is no report.
+        """
+        has_pace = response.pace is not None and response.pace > 0
+        if has_pace and pool not in self._queues:
             self.serve_in_order(pool)
 
     def serve_in_order(self, pool: str) -> None:
--- a/tests/test_orderedwait.py
+++ b/tests/test_orderedwait.py
@@ -4,8 +4,7 @@
 import contextlib
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
-from types import SimpleNamespace
-from typing import NamedTuple, cast
+from typing import NamedTuple
 
 import pytest
 from lovagemast_core import PublishedState
@@ -31,6 +30,7 @@
     HttpRequest,
     HttpServer,
     Responder,
+    ResponseHead,
     ServerLimits,
 )
 from lovagemast_platform._entry import PlatformEntryCodec
@@ -485,16 +485,20 @@
     return script
 
 
+def response_with(load: bytes | None) -> TargetResponseMetadata:
+    """Return what a response says that has a load header, if one is given."""
+    headers = ((b'X-Server-Load', load),) if load else ()
+    head = ResponseHead(200, headers, None, echoes_id=True)
+    return PlatformEntryCodec().decode_response_head(head)
+
+
 def test_pace_begins_the_order() -> None:
     """The first response that states a pace gives its pool a queue."""
     state = EntryState(CFG, PlatformEntryCodec(), JsonLog('e1'), lambda: None)
-    responses = [SimpleNamespace(), SimpleNamespace(pace=None)]
-    for response in responses:
-        state.queues.record_response(
-            POOL, cast(TargetResponseMetadata, response)
-        )
+    for load in (None, b'1,0,8', b'1,0,8,', b'1,0,8,x', b'1,0,8,130,1'):
+        state.queues.record_response(POOL, response_with(load))
         assert state.queues.queue_of(POOL) is None
-    paced = cast(TargetResponseMetadata, SimpleNamespace(pace=1.3))
+    paced = response_with(b'1,0,8,130')
     state.queues.record_response(POOL, paced)
     queue = state.queues.queue_of(POOL)
     assert queue is not None
