Leader and relays skip work for what has not changed

Pushes that carry nothing that a reply has not brought are not sent; records and loads are searched only if a stamp is newer; waits of engines are computed only while a holder changes or is silent; only adapters with enough demand for a copy are sorted.

--- a/bench/syncload.py
+++ b/bench/syncload.py
@@ -404,10 +404,13 @@
         self._pushed_at = self.now
         for vm in self._leader_asks:
             data = self.meter.run('leader', partial(self._leader_push, vm))
-            self._to_relay(vm, data)
+            if data:
+                self._to_relay(vm, data)
 
     def _leader_push(self, vm: str) -> bytes:
         ask = self._leader_asks[vm]
+        if not self._node.fleet.has_updates_for(ask):
+            return b''
         age_s = self._node.quorum_age(self.now)
         reply = self._node.fleet.updates_for(ask, age_s, self.now)
         return self._encode_leader(vm, reply._replace(is_push=True))
@@ -703,4 +706,5 @@
         epoch=reply.epoch,
         version=version,
         limit_stamp=reply.limit_stamp,
+        tolerance_stamp=reply.tolerance_stamp,
     )
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/__init__.py
@@ -2,7 +2,7 @@
 
 from ._demand import DemandMeter
 from ._enginestate import EngineState
-from ._label import AdapterLabel
+from ._label import AdapterLabel, name_of_label
 from ._modelloads import ModelLoadLimiter
 from ._orders import Order, OrderOutcome, OrderResult, TargetReport
 from ._planner import AdapterPlanner
@@ -17,4 +17,5 @@
     'OrderOutcome',
     'OrderResult',
     'TargetReport',
+    'name_of_label',
 ]
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_copies.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_copies.py
@@ -16,7 +16,9 @@
     """Return the adapters whose holders are all busy and much requested."""
     return [
         name
-        for name in demand.most_requested(MAX_COPIED_ADAPTERS, now)
+        for name in demand.most_requested(
+            MAX_COPIED_ADAPTERS, MIN_COPY_RATE, now
+        )
         if _warrants_copy(engines, demand.rate(name, now), name)
         and engines.copy_would_help(name)
     ]
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_demand.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_demand.py
@@ -39,11 +39,18 @@
         self._decay(now)
         return sum(self._rates.values())
 
-    def most_requested(self, count: int, now: float) -> list[tuple[str, str]]:
-        """Return up to ``count`` adapters, the most requested first."""
+    def most_requested(
+        self, count: int, min_rate: float, now: float
+    ) -> list[tuple[str, str]]:
+        """Return up to ``count`` adapters, the most requested first.
+
+        Those with a lower rate than ``min_rate`` are left out.
+        """
         self._decay(now)
-        by_rate = sorted(self._rates, key=self._rates.__getitem__, reverse=True)
-        return by_rate[:count]
+        rates = self._rates
+        names = [name for name, rate in rates.items() if rate >= min_rate]
+        names.sort(key=rates.__getitem__, reverse=True)
+        return names[:count]
 
     def _decay(self, now: float) -> None:
         age = now - self._decayed_at
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_enginetable.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_enginetable.py
@@ -11,7 +11,7 @@
 from ._enginestate import MAX_LOADS_PER_ENGINE, EngineState
 from ._holderindex import HolderIndex, Name
 from ._hosthistory import HostHistory
-from ._label import AdapterLabel
+from ._label import AdapterLabel, name_of_label
 
 # A copy of an adapter helps if all holders use more than this fraction of
 # their slots, and another engine less than this ratio of what they use.
@@ -237,7 +237,7 @@
             self.requests[use.target] += use.running
             known = self.by_target.get(use.target)
             if known and use.running:
-                name = AdapterLabel.from_text(use.label).name
+                name = name_of_label(use.label)
                 before = known.running.get(name, 0)
                 known.running[name] = before + use.running
                 known.running_total += use.running
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_label.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_label.py
@@ -32,6 +32,12 @@
         return self.model, self.adapter
 
 
+@lru_cache(maxsize=MAX_PARSED)
+def name_of_label(text: str) -> tuple[str, str]:
+    """Return the model and the adapter of a label's text."""
+    return AdapterLabel.from_text(text).name
+
+
 def _parse_version(text: str) -> int:
     is_number = text.isascii() and text.isdigit()
     return int(text) if is_number and len(text) <= MAX_VERSION_DIGITS else 0
--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -196,6 +196,19 @@
             ),
         )
 
+    def has_updates_for(self, ask: SyncAsk) -> bool:
+        """Return whether a relay lacks a change that it is to know of."""
+        held = (ask.epoch, ask.stamp, ask.limit_stamp, ask.tolerance_stamp)
+        if held != (
+            self._term,
+            self.registry.stamp,
+            self.limits.stamp,
+            self.tolerances.stamp,
+        ):
+            return True
+        is_newer = self._published.version > ask.version
+        return is_newer or self.quarantine.state.version > ask.quarantine
+
     def updates_for(
         self,
         ask: SyncAsk,
@@ -209,6 +222,7 @@
         tolerance_stamp = ask.tolerance_stamp if is_current else 0
         removals = self.registry.removals
         is_complete = known_stamp == 0 or known_stamp < removals.horizon
+        since = 0 if is_complete else known_stamp
         self._drop_silent_relays(now)
         ranked = sorted(self._relays)
         published = self._published
@@ -223,8 +237,7 @@
             stamp=self.registry.stamp,
             targets=tuple(
                 self._cached_record(registered, now)
-                for registered in self.registry.all_targets()
-                if is_complete or registered.stamp > known_stamp
+                for registered in self.registry.changed_since(since)
             ),
             removed=removals.since(known_stamp),
             is_complete=is_complete,
@@ -272,10 +285,12 @@
         """Return the orders to send now; none without a valid lease."""
         if quorum_age_s > LEADER_LEASE_S:
             return []
-        waits = {
-            engine.target: self._order_delay_s(engine.target, now)
-            for engine in self.planner.engines
-        }
+        waits: dict[TargetName, float] = {}
+        if not self.holders.can_all_send(self._can_send, now):
+            waits = {
+                engine.target: self._order_delay_s(engine.target, now)
+                for engine in self.planner.engines
+            }
         self._orders_allowed_at = now + min(waits.values(), default=0.0)
         blocked = frozenset(
             target for target, wait_s in waits.items() if wait_s > 0
@@ -326,10 +341,13 @@
             if now - relay.synced_at < RELAY_TIMEOUT_S
         }
 
+    def _can_send(self, holder: VmName, now: float) -> bool:
+        return holder == self._vm or self.relays.can_send(holder, now)
+
     def _order_delay_s(self, target: TargetName, now: float) -> float:
         """Return how long an engine must not get orders, in s."""
         holder = self.holders.holder_of(target)
-        if holder == self._vm or self.relays.can_send(holder, now):
+        if self._can_send(holder, now):
             return self.holders.takeover_wait_s(target, now)
         hello_wait_s = self._leader_since + RELAY_HELLO_TTL_S - now
         if hello_wait_s > 0:  # a holder has had no time to report yet
--- a/packages/lovagemast-core/src/lovagemast_core/control/_holders.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_holders.py
@@ -9,6 +9,7 @@
 """
 
 import hashlib
+from collections.abc import Callable
 from functools import lru_cache
 from typing import Final
 
@@ -83,8 +84,18 @@
         """Return the VM that sends an engine's orders, or an empty name."""
         return _choose_holder(self.state.vms, target)
 
+    def can_all_send(
+        self, can_send: Callable[[VmName, float], bool], now: float
+    ) -> bool:
+        """Return whether no engine must be kept from getting orders."""
+        if self.state.former or not self.state.vms:
+            return False
+        return all(can_send(vm, now) for vm in self.state.vms)
+
     def takeover_wait_s(self, target: TargetName, now: float) -> float:
         """Return how long a former holder's orders may still arrive, in s."""
+        if not self.state.former:
+            return 0.0
         holder = self.holder_of(target)
         former = (
             _choose_holder(holder_set.vms, target)
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_targetindex.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_targetindex.py
@@ -8,7 +8,7 @@
 from collections import defaultdict
 
 from .._types import TargetName
-from ..adapters import AdapterLabel
+from ..adapters import name_of_label
 from ..targets import TargetRecord
 
 Name = tuple[str, str]
@@ -24,9 +24,7 @@
 
     def put(self, record: TargetRecord) -> None:
         """Add a target, or replace what is known of it."""
-        names = frozenset(
-            AdapterLabel.from_text(one.label).name for one in record.adapters
-        )
+        names = frozenset(name_of_label(one.label) for one in record.adapters)
         entry = (record.pool, names)
         if self._entries.get(record.target) == entry:
             return
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_loads.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_loads.py
@@ -32,6 +32,8 @@
 
     def changed_since(self, stamp: int) -> tuple[TargetLoad, ...]:
         """Return the loads that are newer than a stamp."""
+        if stamp >= self.stamp:
+            return ()
         return tuple(
             load
             for changed_at, load in self._loads.values()
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_records.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_records.py
@@ -75,6 +75,8 @@
 
     def changed_since(self, stamp: int, now: float) -> tuple[TargetRecord, ...]:
         """Return the records that are newer than a stamp."""
+        if stamp >= self.stamp:
+            return ()
         return tuple(
             self._record(name, now)
             for name, changed_at in self._stamps.items()
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_registry.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_registry.py
@@ -77,6 +77,12 @@
         """Return the registrations of all targets."""
         return list(self._registered.values())
 
+    def changed_since(self, stamp: int) -> list[RegisteredTarget]:
+        """Return the registrations that are newer than a stamp."""
+        if stamp >= self.stamp:
+            return []
+        return [one for one in self._registered.values() if one.stamp > stamp]
+
     def names(self) -> tuple[TargetName, ...]:
         """Return the names of all targets."""
         return tuple(self._registered)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -40,6 +40,7 @@
 from .._storage import LogStore
 from ..http import HttpServer, ServerLimits, split_address
 from ._codec import ControlCodec
+from ._collector import tune_collector
 from ._controlapi import ControlApi
 from ._engines import EngineClient
 from ._jsonlog import JsonLog
@@ -177,6 +178,7 @@
             watch_leader(self._node, self._log),
         ):
             self._spawn(task, is_essential=True)
+        tune_collector()
         self._tick()
         await self._stopped.wait()
         server.close()
@@ -338,6 +340,8 @@
     def _build_push(self, session: SyncSession) -> SyncReply | None:
         if session.ask is None or not self._node.is_ready_leader():
             return None
+        if not self._node.fleet.has_updates_for(session.ask):
+            return None  # a reply has brought them meanwhile
         now = now_s()
         age_s = self._node.quorum_age(now)
         reply = self._node.fleet.updates_for(session.ask, age_s, now)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -22,6 +22,7 @@
     split_address,
 )
 from ._codec import EntryCodec
+from ._collector import tune_collector
 from ._entrystate import EntryState
 from ._forwardservice import ForwardService
 from ._jsonlog import JsonLog
@@ -95,10 +96,7 @@
         await page.listen(self._cfg.metrics)
         host = split_address(self._cfg.front)[0]
         peers = await serve_peers((self._forwards,), host, self._cfg.peer_port)
-        tasks = [
-            asyncio.create_task(self._sync.run()),
-            asyncio.create_task(self._state.prober.run()),
-        ]
+        tasks = self._start_tasks()
         await self._draining.wait()
         await self._drain()
         for task in tasks:
@@ -107,6 +105,13 @@
         self._state.peers.close()
         self._log.write('entry', 'stop', running=self._running)
 
+    def _start_tasks(self) -> list[asyncio.Task[None]]:
+        tune_collector()
+        return [
+            asyncio.create_task(self._sync.run()),
+            asyncio.create_task(self._state.prober.run()),
+        ]
+
     async def _drain(self) -> None:
         started_at = now_s()
         max_drain_s = self._cfg.drain_grace_s - EXIT_MARGIN_S
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_syncservice.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_syncservice.py
@@ -136,6 +136,7 @@
             version=version,
             quarantine=quarantine,
             limit_stamp=reply.limit_stamp,
+            tolerance_stamp=reply.tolerance_stamp,
         )
 
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -9,7 +9,13 @@
 from lovagemast_core.control import LEADER_LEASE_S
 from lovagemast_core.targets import SyncAsk, TargetHeartbeat
 
-from tests.controlcluster import STEP_S, VMS, Cluster, make_config
+from tests.controlcluster import (
+    STEP_S,
+    VMS,
+    Cluster,
+    make_config,
+    make_heartbeat,
+)
 
 
 @pytest.fixture
@@ -201,6 +207,27 @@
         assert (second.targets, second.removed) == ((), ())
         assert not second.is_complete
 
+    def test_nothing_is_pushed_twice(self, cluster: Cluster) -> None:
+        """A push of what a reply has brought would cost all for nothing."""
+        node = cluster.nodes[cluster.leader()]
+        node.on_heartbeat(make_heartbeat('e1', cluster.now), cluster.now)
+        ask = SyncAsk(1, 'r1', 'z1', 0, 0, 0)
+        assert node.fleet.has_updates_for(ask)
+        reply = node.on_ask(ask, cluster.now)
+        held = ask._replace(
+            stamp=reply.stamp,
+            epoch=reply.epoch,
+            version=node.published.version,
+            quarantine=node.fleet.quarantine.state.version,
+        )
+        assert not node.fleet.has_updates_for(held)
+        node.fleet.registry.mark_changed('e1')
+        assert node.fleet.has_updates_for(held)
+        held = held._replace(stamp=node.fleet.registry.stamp)
+        assert not node.fleet.has_updates_for(held)
+        assert node.fleet.has_updates_for(held._replace(epoch=0))
+        assert node.fleet.has_updates_for(held._replace(limit_stamp=9))
+
     def test_removal_is_sent(self, cluster: Cluster) -> None:
         """The removal of a target is sent until its stamp is reported."""
         node = cluster.nodes[cluster.leader()]
