Connections keep one timer, and a response's head goes with its body

Each event of a stream started and cancelled a timer for the silence of its target, and each request set three timers of its caller's connection. A timer now covers many waits: it looks at the deadline of the current one when it runs out. The head of a response is written together with what follows it in the same step. Events that a chunk completes exactly, as most do, are not copied or searched for their ends. test_cuthead reads the new queue's items; it checks what it checked before.

--- a/packages/lovagemast-core/src/lovagemast_core/entry/_eventstream.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_eventstream.py
@@ -29,13 +29,13 @@
 
     def feed(self, chunk: bytes) -> bytes:
         """Take the next chunk and return the events that are now complete."""
-        buffered = self._partial + chunk
+        buffered = self._partial + chunk if self._partial else chunk
         end = _end_of_events(buffered)
         if not end:
             self._partial = buffered
             return b''
         self._partial = buffered[end:]
-        complete = buffered[:end]
+        complete = buffered[:end]  # the same object if all are complete
         self._update_last_id(complete)
         return complete
 
@@ -50,6 +50,8 @@
         self._partial = b''
 
     def _update_last_id(self, complete: bytes) -> None:
+        if ID_FIELD not in complete:
+            return
         for line in reversed(complete.replace(b'\r', b'\n').split(b'\n')):
             if line.startswith(ID_FIELD):
                 self.last_id = line[len(ID_FIELD) :].strip().decode('latin-1')
@@ -58,6 +60,8 @@
 
 def _end_of_events(buffered: bytes) -> int:
     """Return the length of the complete events, 0 if there is none."""
+    if buffered.endswith(EVENT_ENDS):  # as most chunks do
+        return len(buffered)
     ends = (
         buffered.rfind(mark) + len(mark)
         for mark in EVENT_ENDS
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -1,6 +1,5 @@
 """Sends a request to one target and relays its response."""
 
-import asyncio
 from typing import Final
 
 from lovagemast_core.deployment import CallKind
@@ -171,8 +170,7 @@
         """Wait for the next event, or until the path to it is known as lost."""
         while True:
             try:
-                async with asyncio.timeout(SILENCE_S):
-                    return await conn.next_event()
+                return await conn.next_event(SILENCE_S)
             except TimeoutError:
                 if await self._state.prober.is_lost(self._candidate.known):
                     return ResponseFailed(PATH_LOST)
--- a/packages/lovagemast-node/src/lovagemast_node/http/_client.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_client.py
@@ -11,6 +11,7 @@
 import httptools
 
 from ._bodybudget import BodyBudget
+from ._eventqueue import EventQueue
 from ._message import Headers
 from ._responsesize import ResponseSize
 from ._sockets import enable_keepalive, split_address
@@ -77,7 +78,7 @@
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.idle_since = 0.0
         self._transport: asyncio.Transport | None = None
-        self._events: asyncio.Queue[ResponseEvent] = asyncio.Queue()
+        self._events: EventQueue[ResponseEvent] = EventQueue()
         self._request_id = b''
         self._request_id_header = b''
         self._is_busy = False
@@ -128,7 +129,7 @@
             self.close()
         self._check_size()
         is_full = (
-            self._events.qsize() > MAX_BUFFERED_EVENTS
+            len(self._events) > MAX_BUFFERED_EVENTS
             or self._buffered_bytes > MAX_BUFFERED_BYTES
         )
         if is_full and self._transport:
@@ -172,7 +173,7 @@
             self.is_reusable = False
         if self._is_skipping:
             return
-        self._events.put_nowait(
+        self._events.put(
             ResponseHead(
                 status,
                 tuple(self._headers),
@@ -186,7 +187,7 @@
         if self._is_busy and not self._is_skipping:
             self._size.add_body(len(body))
             self._buffered_bytes += len(body)
-            self._events.put_nowait(ResponseData(body))
+            self._events.put(ResponseData(body))
 
     def on_message_complete(self) -> None:
         """Emit the end of the response."""
@@ -211,7 +212,8 @@
         self._request_id = request_id
         self._request_id_header = request_id_header
         self._is_busy = True
-        self._events = asyncio.Queue()
+        self._events.close()
+        self._events = EventQueue()
         self._buffered_bytes = 0
         self._start_parser()
         if self._transport and not self.is_closed:
@@ -221,17 +223,24 @@
         else:
             self._fail('closed while idle')
 
-    async def next_event(self) -> ResponseEvent:
-        """Wait for the next event of the response."""
-        event = await self._events.get()
+    async def next_event(self, timeout_s: float | None = None) -> ResponseEvent:
+        """Wait for the next event of the response.
+
+        Raises :exc:`TimeoutError` if none comes in time.
+        """
+        event = await self._events.get(timeout_s)
         if isinstance(event, ResponseData):
             self._buffered_bytes -= len(event.chunk)
-        if self._is_reading_paused and self._events.empty():
+        if self._is_reading_paused and not self._events:
             self._is_reading_paused = False
             if self._transport and not self.is_closed:
                 self._transport.resume_reading()
         return event
 
+    def rest(self) -> None:
+        """Stop the timer of the last response."""
+        self._events.close()
+
     def is_usable(self, now: float) -> bool:
         """Return whether the target may still keep the idle connection."""
         spare_s = self.idle_timeout_s - IDLE_TIMEOUT_MARGIN_S
@@ -241,6 +250,7 @@
         """Abort the connection, so that the target cancels its request."""
         self.is_reusable = False
         self._is_busy = False
+        self._events.close()
         if self._transport:
             self._transport.abort()
 
@@ -274,12 +284,12 @@
         self._is_busy = False
         if self._unsent:  # bytes of the next request would take their place
             self.is_reusable = False
-        self._events.put_nowait(ResponseEnd())
+        self._events.put(ResponseEnd())
 
     def _fail(self, detail: str) -> None:
         self._is_busy = False
         self.is_reusable = False
-        self._events.put_nowait(ResponseFailed(detail))
+        self._events.put(ResponseFailed(detail))
 
 
 class TargetPool:
@@ -350,6 +360,7 @@
             return
         self._purge(now)
         conn.idle_since = now
+        conn.rest()
         idle = self._idle.setdefault(conn.address, deque())
         idle.append(conn)
         if len(idle) > MAX_IDLE_PER_ADDRESS:
--- a/packages/lovagemast-node/src/lovagemast_node/http/_server.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_server.py
@@ -52,6 +52,7 @@
         self._conn = conn
         self._head_only = head_only
         self._chunked = False
+        self._head = b''  # not written yet
         self.started = False
         self.ended = False
 
@@ -72,7 +73,10 @@
         headers: Headers,
         length: int | None,
     ) -> None:
-        """Write the head; without a length the body is chunked.
+        """Set the head, which is written with what follows it at once.
+
+        Without a length the body is chunked. Head and body together take one
+        system call less.
 
         Raises :exc:`AlreadyStartedError` if the response has begun.
         """
@@ -88,8 +92,7 @@
         if self._conn.closes_after_response():
             framing.append((b'Connection', b'close'))
         self.started = True
-        head = encode_head(status_line(status), (*headers, *framing))
-        self._conn.write(head)
+        self._head = encode_head(status_line(status), (*headers, *framing))
 
     async def write(self, chunk: bytes) -> None:
         """Write a chunk of the body, with back-pressure from the caller."""
@@ -97,20 +100,31 @@
             return
         if self._chunked:
             chunk = b'%x\r\n%b\r\n' % (len(chunk), chunk)
-        self._conn.write(chunk)
+        self._conn.write(self._take_head() + chunk)
         await self._conn.drain()
 
     def end(self) -> None:
         """Finish the response."""
+        rest = self._take_head()
         if self._chunked and not self._head_only:
-            self._conn.write(b'0\r\n\r\n')
+            rest += b'0\r\n\r\n'
+        if rest:
+            self._conn.write(rest)
         self.ended = True
 
     def abort(self) -> None:
         """Abort the connection, so that the response is visibly truncated."""
         self.ended = True
+        head = self._take_head()
+        if head:
+            self._conn.write(head)
         self._conn.abort()
 
+    def _take_head(self) -> bytes:
+        head = self._head
+        self._head = b''
+        return head
+
 
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
@@ -128,6 +142,7 @@
         self._queue: deque[CompletedRequest] = deque()
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._deadline: float | None = None  # s, by the loop's clock
         self._is_writable = asyncio.Event()
         self._is_writable.set()
         self._keep_alive = True
@@ -150,7 +165,7 @@
         self._is_closed = True
         self._is_writable.set()
         self._server.connections.discard(self)
-        self._stop_timer()
+        self._cancel_timer()
         self._reader.close()
         for waiting in self._queue:
             waiting.share.release()
@@ -270,7 +285,7 @@
         """
         if self._transport and self._transport.can_write_eof():
             self._transport.write_eof()
-        self._stop_timer()
+        self._cancel_timer()
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(LINGER_S, self.abort)
 
@@ -280,16 +295,36 @@
             self._transport.close()
 
     def _start_timer(self, delay_s: float) -> None:
-        self._stop_timer()
+        """Set the deadline; a timer that runs out before it is kept.
+
+        Each request sets it three times, and most timers would be cancelled.
+        """
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay_s, self._on_timeout)
+        deadline = loop.time() + delay_s
+        if self._timer and self._timer.when() > deadline:
+            self._cancel_timer()
+        self._deadline = deadline
+        if self._timer is None:
+            self._timer = loop.call_at(deadline, self._on_timer)
 
     def _stop_timer(self) -> None:
+        self._deadline = None
+
+    def _cancel_timer(self) -> None:
+        self._deadline = None
         if self._timer:
             self._timer.cancel()
             self._timer = None
 
-    def _on_timeout(self) -> None:
+    def _on_timer(self) -> None:
+        self._timer = None
+        if self._deadline is None:
+            return
+        loop = asyncio.get_running_loop()
+        if loop.time() < self._deadline:
+            self._timer = loop.call_at(self._deadline, self._on_timer)
+            return
+        self._deadline = None
         if self._is_idle():
             self._close()
         elif self._task is None:
--- a/tests/test_cuthead.py
+++ b/tests/test_cuthead.py
@@ -11,6 +11,7 @@
     ResponseHead,
     TargetConnection,
 )
+from lovagemast_node.http._eventqueue import EventQueue
 
 from tests.test_calls import ScriptedTarget, response_of
 from tests.test_resumedstream import CHUNK, resumed_body
@@ -49,12 +50,10 @@
         conn.send(b'', b'r', b'x-request-id')
         # Without a transport the send has failed; start anew.
         conn._is_busy = True
-        conn._events = asyncio.Queue()
+        conn._events = EventQueue()
         conn.data_received(before + cut)
         conn.connection_lost(exc)
-        events = [
-            conn._events.get_nowait() for _ in range(conn._events.qsize())
-        ]
+        events = list(conn._events._items)
         assert not any(
             isinstance(event, ResponseHead | ResponseEnd) for event in events
         )
