Leaving engines are no holders; services may have scaling

An adapter's holders included engines that leave at short notice. An idle one prevented copies of a crowded adapter, halved the demand by which victims are chosen, and made a named adapter that nobody asked for load elsewhere. Each heartbeat of a leaving target was a change for all relays, since its remaining time differs.

The configuration of a service may hold scaling with min, max and bootS; nothing reads it yet.

--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_enginetable.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_enginetable.py
@@ -84,10 +84,16 @@
             self.by_target[heartbeat.target].received_at = received_at
 
     def refresh(self, now: float) -> None:
-        """Update the holders and their demand before planning."""
+        """Update the holders and their demand before planning.
+
+        Engines that are leaving are no holders: what only they hold has to be
+        loaded elsewhere, and their falling load says nothing of the others.
+        """
         self._now = now
         self._holders = {}
         for engine in self:
+            if engine.heartbeat.leaving:
+                continue
             for label in engine.ready_at:
                 self._holders.setdefault(label.name, []).append(engine)
         self._adapter_demand = {
--- a/packages/lovagemast-core/src/lovagemast_core/deployment/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/deployment/__init__.py
@@ -10,6 +10,7 @@
     ModelSpec,
     PoolSpec,
     RouteSpec,
+    ScalingSpec,
     Split,
 )
 
@@ -24,6 +25,7 @@
     'ModelSpec',
     'PoolSpec',
     'RouteSpec',
+    'ScalingSpec',
     'Split',
     'digest_key',
 ]
--- a/packages/lovagemast-core/src/lovagemast_core/deployment/_model.py
+++ b/packages/lovagemast-core/src/lovagemast_core/deployment/_model.py
@@ -87,8 +87,19 @@
         return max(self.adapter_slots, int(room_mb / model.adapter_mb))
 
 
+class ScalingSpec(NamedTuple):
+    """How many targets a pool may have in each availability zone."""
+
+    min_targets: int
+    max_targets: int
+    boot_s: float  # from the order of a target until it serves
+
+
 class PoolSpec(NamedTuple):
-    """A pool of interchangeable targets; ``engine`` is set for engines only."""
+    """A pool of interchangeable targets; ``engine`` is set for engines only.
+
+    Without ``scaling``, the number of its targets is not ours to choose.
+    """
 
     name: str
     health_path: str
@@ -96,6 +107,7 @@
     cold_start_s: float
     cold_per_s: float  # requests/s that a cold target can take
     engine: EngineSpec | None = None
+    scaling: ScalingSpec | None = None
 
 
 class AccountSpec(NamedTuple):
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_registry.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_registry.py
@@ -205,10 +205,15 @@
 def _is_relevant_change(
     heartbeat: TargetHeartbeat, registered: TargetHeartbeat
 ) -> bool:
-    """Return whether a heartbeat changes what entry VMs need to know."""
+    """Return whether a heartbeat changes what entry VMs need to know.
+
+    The remaining time of a target that leaves differs in each heartbeat.
+    """
     if heartbeat.cold_s > 0 or registered.cold_s > 0:
         return True
     unchanged = registered._replace(
-        sequence=heartbeat.sequence, adapters=heartbeat.adapters
+        sequence=heartbeat.sequence,
+        adapters=heartbeat.adapters,
+        remaining_s=heartbeat.remaining_s,
     )
     return heartbeat != unchanged
--- a/tests/test_oddconfig.py
+++ b/tests/test_oddconfig.py
@@ -14,6 +14,14 @@
 from tests.test_platform import make_config, make_route
 
 HUGE: Final = 2**70
+
+
+def make_scaled(**changes: Any) -> dict[str, Any]:
+    """Return a service with scaling."""
+    scaling = {'min': 2, 'max': 7, 'bootS': 8.0, **changes}
+    return {'name': 's1', 'scaling': scaling}
+
+
 DOCUMENTS: Final = (
     make_config(version=HUGE),
     make_config(version=-1),
@@ -31,6 +39,16 @@
     make_config(services=['s1']),
     make_config(services=[{'name': 's1', 'engine': [7]}]),
     make_config(services=[{'name': 's1', 'maxConnections': HUGE}]),
+    make_config(services=[make_scaled(min=-1)]),
+    make_config(services=[make_scaled(min=8)]),
+    make_config(services=[make_scaled(min=None)]),
+    make_config(services=[make_scaled(min=2.5)]),
+    make_config(services=[make_scaled(max=HUGE)]),
+    make_config(services=[make_scaled(max=True)]),
+    make_config(services=[make_scaled(bootS=-1)]),
+    make_config(services=[make_scaled(bootS='8')]),
+    make_config(services=[{'name': 's1', 'scaling': []}]),
+    make_config(services=[{'name': 's1', 'scaling': {}}]),
     make_config(tenants=[{'name': 't\n1'}]),
     make_config(tenants=[{'name': 't1', 'apiKeys': [None]}]),
     make_config(tenants=[{'name': 't1', 'ratePerS': -5}]),
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,7 +5,7 @@
 
 import pytest
 from lovagemast_core.adapters import AdapterLabel, Order, OrderResult
-from lovagemast_core.deployment import CallKind, Deployment
+from lovagemast_core.deployment import CallKind, Deployment, ScalingSpec
 from lovagemast_node.fleet import (
     DepartureCall,
     HeartbeatCall,
@@ -138,6 +138,22 @@
         """An invalid configuration gives an error text."""
         assert isinstance(parse_deployment(json.dumps(config)), str)
 
+    def test_scaling(self) -> None:
+        """A service without ``scaling`` has no count that we may choose."""
+        scaling = {'min': 20, 'max': 47, 'bootS': 8.5}
+        services = [
+            {'name': 's1', 'scaling': scaling},
+            {'name': 's2', 'scaling': None},
+            {'name': 's3'},
+        ]
+        read = parse_deployment(json.dumps(make_config(services=services)))
+        assert isinstance(read, Deployment)
+        assert [pool.scaling for pool in read.pools] == [
+            ScalingSpec(20, 47, 8.5),
+            None,
+            None,
+        ]
+
     def test_cut_short(self) -> None:
         """A truncated document is rejected."""
         assert isinstance(parse_deployment(json.dumps(make_config())[:-9]), str)
