The end of a leaving target is no crash

Entry VMs took the end of a target with a termination notice for a crash and held back the retries of all prompts that it ran, as suspected to crash targets: 502 after 0.4 s in the test. A target that is leaving is sent nothing new, so what it still runs has run for a while; its end says nothing of the prompts.

Tested: test_leavingtargets (fails without the change), test_promptcheck, test_deadlyrequests, test_departures, test_resumedstream.

--- a/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
@@ -181,6 +181,13 @@
             return False
         return not self.zone_is_out(current.record.zone)
 
+    def is_leaving(self, chosen: KnownTarget) -> bool:
+        """Return whether a target that was chosen before is leaving."""
+        current = self.targets.get(chosen.record.target, chosen)
+        if current.record.incarnation != chosen.record.incarnation:
+            return False
+        return self._is_leaving(current.record)
+
     def record_leaving(self, known: KnownTarget) -> bool:
         """Record that a target says itself that it leaves.
 
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -266,10 +266,7 @@
         """Report a connection that ended before the answer was complete."""
         if self._state.paths.is_lost(self._pool):
             return
-        record = self._candidate.known.record
-        await self._quarantine.record_lost(
-            record.target, record.incarnation, record.address
-        )
+        await self._quarantine.record_lost(self._candidate.known)
 
     def _fail(self, detail: str) -> AttemptResult:
         self._state.health.record_failure(self._target, now_s())
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_quarantinecheck.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_quarantinecheck.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from lovagemast_core.entry import KnownTarget
 from lovagemast_core.quarantine import (
     ANSWERING_S,
     QuarantineVerdict,
@@ -113,15 +114,18 @@
         self._state.guard.record_partial_answer(self._subjects, now)
         self._send_reports()
 
-    async def record_lost(
-        self, target: str, incarnation: int, address: str
-    ) -> None:
+    async def record_lost(self, known: KnownTarget) -> None:
         """Record that the connection was lost before the answer was complete.
 
         A target that takes no further connection has crashed; otherwise only
-        this connection is lost.
+        this connection is lost. One that is leaving ends whatever it runs,
+        and a suspicion would hold back the retries of all of it.
         """
-        if not await self._has_crashed(address):
+        target, incarnation = known.record.target, known.record.incarnation
+        if self._state.view.is_leaving(known):
+            self.record_inconclusive()
+            return
+        if not await self._has_crashed(known.record.address):
             return
         now = now_s()
         self._state.health.record_unreachable(target, now)
--- a/tests/test_leavingtargets.py
+++ b/tests/test_leavingtargets.py
@@ -1,7 +1,10 @@
 """Tests that targets which leave at short notice get nothing new."""
 
+import asyncio
+
 import pytest
 from lovagemast_core.adapters import Order, TargetReport
+from lovagemast_core.deployment import CallKind
 from lovagemast_core.entry import (
     NoReadyTarget,
     SelectionCriteria,
@@ -16,11 +19,16 @@
     TargetHeartbeat,
     TargetRegistry,
 )
+from lovagemast_node._clock import now_s
 
 from tests.relayfleet import RelayFleet, make_heartbeat
 from tests.test_adapters import Bench, make_pool
+from tests.test_calls import HOST, make_index
+from tests.test_promptcheck import EntryVm
 
 NOTICE_S = 2.0
+HOLD_S = 0.5  # for which a new suspicion holds retries back
+ANSWER = b'HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n'
 
 
 def leave(bench: Bench, name: str, remaining_s: float = NOTICE_S) -> None:
@@ -199,6 +207,77 @@
         assert orders_to(orders) == [('t2', 't1', True)]
 
 
+class EndingTarget:
+    """A target that ends with its request once ``ends``; answers later ones."""
+
+    def __init__(self, ends: asyncio.Event) -> None:
+        self.has_request = asyncio.Event()
+        self._ends = ends
+        self._server: asyncio.Server | None = None
+
+    async def serve(self) -> int:
+        """Listen and return the port."""
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        return int(self._server.sockets[0].getsockname()[1])
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await reader.readuntil(b'\r\n\r\n')
+        except asyncio.IncompleteReadError:
+            writer.close()
+            return
+        self.has_request.set()
+        if self._ends.is_set():
+            writer.write(ANSWER)
+            await writer.drain()
+        else:
+            await self._ends.wait()
+            if self._server:
+                self._server.close()
+        writer.close()
+
+
+class TestRetries:
+    @pytest.mark.parametrize('has_notice', [True, False])
+    def test_end_at_notice_is_no_crash(self, *, has_notice: bool) -> None:
+        """What a leaving target was running is repeated at once elsewhere.
+
+        Its end was taken for a crash, and the retries of all prompts that it
+        ran were held back, as suspected to crash targets. One without a
+        notice has crashed.
+        """
+
+        async def play() -> tuple[int, float, int]:
+            vm = EntryVm()
+            ends = asyncio.Event()
+            targets = [EndingTarget(ends), EndingTarget(ends)]
+            await vm.serve(*targets)  # type: ignore[arg-type]
+            vm.state.view.set_index(make_index(CallKind.SAFE))
+            task = asyncio.create_task(vm.request('sys:9,own:1'))
+            waits = [
+                asyncio.create_task(one.has_request.wait()) for one in targets
+            ]
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+            number = int(targets[1].has_request.is_set())
+            view = vm.state.view
+            if has_notice:
+                view.record_leaving(view.targets[f't{number}'])
+            ended_at = now_s()
+            ends.set()
+            answer = await task
+            took_s = now_s() - ended_at
+            waits[1 - number].cancel()
+            return answer.status, took_s, len(vm.implicated())
+
+        status, took_s, crashes = asyncio.run(play())
+        assert crashes == (0 if has_notice else 1)
+        if has_notice:
+            assert status == 200
+            assert took_s < HOLD_S
+
+
 def _notice(target: str) -> TargetHeartbeat:
     beat = make_heartbeat(target, 1, 10_000, leaving=True)
     return beat._replace(remaining_s=NOTICE_S)
