Leader refutes crashes of targets whose announced time is over

An entry VM that had not heard of a termination notice reports the target's end as a crash; silence then confirmed it. The heartbeat's remaining time tells when the end is due.

Tested: test_crashwitness.

--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -305,8 +305,13 @@
         registered = self.registry.get(target)
         if registered is None:
             return None
-        incarnation = registered.heartbeat.incarnation
-        return LastHeartbeat(incarnation, registered.received_at)
+        heartbeat = registered.heartbeat
+        ends_at = None
+        if heartbeat.leaving and heartbeat.remaining_s is not None:
+            ends_at = registered.received_at + heartbeat.remaining_s
+        return LastHeartbeat(
+            heartbeat.incarnation, registered.received_at, ends_at
+        )
 
     def _retain_limits(self, now: float) -> None:
         present = self.registry.names()
--- a/packages/lovagemast-core/src/lovagemast_core/quarantine/_failuredetector.py
+++ b/packages/lovagemast-core/src/lovagemast_core/quarantine/_failuredetector.py
@@ -18,6 +18,16 @@
 
     incarnation: int
     received_at: float  # s
+    ends_at: float | None = None  # s, if it has a termination notice
+
+    def announces(self, crash: 'ReportedCrash') -> bool:
+        """Return whether a reported crash is the end that was announced.
+
+        The end is due earlier than ``ends_at`` by the heartbeat's delay.
+        """
+        if self.ends_at is None or self.incarnation != crash.incarnation:
+            return False
+        return crash.reported_at >= self.ends_at - HEARTBEAT_DELAY_S
 
 
 class ReportedCrash(NamedTuple):
@@ -44,6 +54,8 @@
         return True if now - led_since > LEADER_LEARNING_S else None
     if heartbeat.incarnation > crash.incarnation:
         return True
+    if heartbeat.announces(crash):
+        return False
     if heartbeat.received_at > crash.reported_at + HEARTBEAT_DELAY_S:
         return False
     return True if now - heartbeat.received_at > MISSED_HEARTBEAT_S else None
--- a/tests/test_crashwitness.py
+++ b/tests/test_crashwitness.py
@@ -3,11 +3,18 @@
 from collections.abc import Iterable
 
 import pytest
+from lovagemast_core.control import FleetController
 from lovagemast_core.quarantine import (
+    LastHeartbeat,
     QuarantineState,
     SubjectRecord,
     TargetCrash,
 )
+from lovagemast_core.quarantine._failuredetector import (
+    ReportedCrash,
+    has_crashed,
+)
+from lovagemast_core.quota import QuotaBounds
 from lovagemast_core.targets import SyncAsk
 
 from tests.controlcluster import VMS, Cluster, make_heartbeat
@@ -120,3 +127,31 @@
     fleet.cluster.stop(fleet.cluster.leader())
     fleet.run(6.0)
     assert fleet.is_quarantined()
+
+
+@pytest.mark.parametrize(
+    ('reported_at', 'incarnation', 'crashed'),
+    [(11.75, 1, False), (13.0, 1, False), (11.0, 1, True), (12.0, 2, True)],
+)
+def test_announced_end_is_no_crash(
+    reported_at: float, incarnation: int, *, crashed: bool
+) -> None:
+    """A target whose announced time is over has not crashed.
+
+    An entry VM that had not heard of the notice reports a crash, and what
+    ran there would count towards a quarantine. An earlier end, or that of
+    an earlier incarnation, is judged as without a notice.
+    """
+    heartbeat = LastHeartbeat(incarnation, 10.0, ends_at=12.0)
+    crash = ReportedCrash(incarnation=1, reported_at=reported_at)
+    assert has_crashed(crash, heartbeat, 0.0, now=13.5) is crashed
+
+
+def test_leader_knows_when_a_target_ends() -> None:
+    """The remaining time of a heartbeat reaches the judgement of crashes."""
+    leader = FleetController(
+        'l', takeover_s=3.0, quota=QuotaBounds(0.1, 8.0, 17_000.0)
+    )
+    beat = make_heartbeat('t1', 10.0)._replace(leaving=True, remaining_s=2.0)
+    leader.on_heartbeat(beat, 10.0)
+    assert leader._last_heartbeat('t1') == LastHeartbeat(1, 10.0, 12.0)
