--- a/packages/lovagemast-core/src/lovagemast_core/adapters/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/__init__.py
@@ -5,9 +5,10 @@
 from ._label import AdapterLabel
 from ._modelloads import ModelLoadLimiter
 from ._orders import Order, OrderOutcome, OrderResult, TargetReport
-from ._planner import AdapterPlanner
+from ._planner import USES_TTL_S, AdapterPlanner
 
 __all__ = [
+    'USES_TTL_S',
     'AdapterLabel',
     'AdapterPlanner',
     'DemandMeter',
--- a/packages/lovagemast-core/src/lovagemast_core/control/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/__init__.py
@@ -21,6 +21,7 @@
 from ._fleet import LEADER_LEASE_S, FleetController
 from ._holders import HolderHealth, OrderHolders
 from ._node import ControlNode
+from ._scaling import observe_scaling
 
 __all__ = [
     'FORMAT',
@@ -44,4 +45,5 @@
     'RequestReport',
     'SendOrder',
     'SoftwareChanged',
+    'observe_scaling',
 ]
--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -11,9 +11,10 @@
     OrderOutcome,
     TargetReport,
 )
-from ..deployment import DeploymentIndex
+from ..deployment import DeploymentIndex, PoolSpec
 from ..quarantine import JudgeCrash, LastHeartbeat, QuarantineController
 from ..quota import ISSUE_LEASE_S, QuotaBounds, TokenIssuer
+from ..scaling import RelayLoads
 from ..streams import SetSoftware, SoftwareTracker, TargetSoftware, retention_s
 from ..syncrelay import PeerOffers
 from ..targetlimits import SendBounds, TargetLimits
@@ -86,6 +87,7 @@
         self._index: DeploymentIndex | None = None
         self._published = PublishedState()
         self.quarantine = QuarantineController()
+        self.relay_loads = RelayLoads()
         self._software = SoftwareTracker()
         self._peers = PeerOffers()  # of all relays
 
@@ -94,6 +96,15 @@
         """Return the term that this VM leads, or the last one it led."""
         return self._term
 
+    @property
+    def pools(self) -> tuple[PoolSpec, ...]:
+        """Return the pools of the configuration."""
+        return self._index.deployment.pools if self._index else ()
+
+    def led_s(self, now: float) -> float:
+        """Return for how long this VM has led."""
+        return now - self._leader_since
+
     def start_term(
         self,
         term: int,
@@ -117,6 +128,7 @@
         self.quarantine.start_term(now)
         self._software.start_term()
         self._relays.clear()
+        self.relay_loads.clear()
 
     def apply_published(
         self,
@@ -167,6 +179,7 @@
         The reply holds tokens only while the leader's lease is valid.
         """
         self._relays[ask.vm] = _RelayStatus(now, ask.zone, ask.entries)
+        self.relay_loads.record(ask, now)
         self._peers.add(ask.peers, now)
         self.planner.record_wishes(ask.wishes, now)
         if ask.has_uses:
@@ -229,7 +242,7 @@
             removed=removals.since(known_stamp),
             is_complete=is_complete,
             entries=sum(relay.entries for relay in self._relays.values()),
-            led_s=now - self._leader_since,
+            led_s=self.led_s(now),
             orders_in_s=max(0.0, self._orders_allowed_at - now),
             rank=ranked.index(ask.vm) if ask.vm in self._relays else 0,
             relays=tuple(RelayInfo(vm, self._relays[vm].zone) for vm in ranked),
@@ -305,13 +318,9 @@
         registered = self.registry.get(target)
         if registered is None:
             return None
-        heartbeat = registered.heartbeat
-        ends_at = None
-        if heartbeat.leaving and heartbeat.remaining_s is not None:
-            ends_at = registered.received_at + heartbeat.remaining_s
-        return LastHeartbeat(
-            heartbeat.incarnation, registered.received_at, ends_at
-        )
+        incarnation = registered.heartbeat.incarnation
+        received_at = registered.received_at
+        return LastHeartbeat(incarnation, received_at, registered.ends_at)
 
     def _retain_limits(self, now: float) -> None:
         present = self.registry.names()
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
@@ -168,25 +168,23 @@
     ) -> bool:
         """Return whether a target takes requests, of one version if given."""
         record = known.record
-        if self._is_leaving(record) or self.zone_is_out(record.zone):
+        if self.is_leaving(record) or self.zone_is_out(record.zone):
             return False
         return software is None or record.software == software
 
     def may_use(self, chosen: KnownTarget) -> bool:
         """Return whether a target that was chosen before may still be used."""
         current = self.targets.get(chosen.record.target)
-        if current is None or self._is_leaving(current.record):
+        if current is None or self.is_leaving(current.record):
             return False
         if current.record.incarnation != chosen.record.incarnation:
             return False
         return not self.zone_is_out(current.record.zone)
 
-    def is_leaving(self, chosen: KnownTarget) -> bool:
-        """Return whether a target that was chosen before is leaving."""
-        current = self.targets.get(chosen.record.target, chosen)
-        if current.record.incarnation != chosen.record.incarnation:
-            return False
-        return self._is_leaving(current.record)
+    def is_leaving(self, record: TargetRecord) -> bool:
+        """Return whether a target is leaving, by a record or its answer."""
+        said_by = self._leaving.get(record.target)
+        return record.leaving or said_by == record.incarnation
 
     def record_leaving(self, known: KnownTarget) -> bool:
         """Record that a target says itself that it leaves.
@@ -194,7 +192,7 @@
         Return whether that is news.
         """
         record = known.record
-        if self._is_leaving(record):
+        if self.is_leaving(record):
             return False
         self._leaving[record.target] = record.incarnation
         if len(self._leaving) > MAX_LEAVING:
@@ -230,10 +228,6 @@
         confirmed = asked_at - max(0.0, reply.quorum_age_s)
         return reply.epoch != self.epoch and self._is_behind(confirmed, now)
 
-    def _is_leaving(self, record: TargetRecord) -> bool:
-        said_by = self._leaving.get(record.target)
-        return record.leaving or said_by == record.incarnation
-
     def _is_behind(self, confirmed: float, now: float) -> bool:
         """Return whether to wait for another relay to catch up."""
         if confirmed >= self.confirmed_at:
--- /dev/null
+++ b/packages/lovagemast-core/src/lovagemast_core/scaling/_demand.py
@@ -0,0 +1,120 @@
+"""Demand over time: its recent peak, and how it grows.
+
+Load that it handles: waves with a period of about 11 s and a swing of 0.27,
+bursts of a few seconds, steps and ramps. A wave must not look like growth: the
+slope of its rising half, projected over a boot time of 8 s, would order more
+than twice the targets that are needed.
+"""
+
+import itertools
+import math
+from collections import deque
+from typing import Final
+
+# Demand is averaged over this time, in s: counts of the sync arrive in steps
+# some tenths of a second apart.
+SMOOTHING_S: Final = 1.0
+# Two waves of 11 s, so that the peak does not depend on their phase.
+MIN_HOLD_S: Final = 24.0
+# A decrease waits for this many boot times of low demand: undoing it takes one.
+HOLD_BOOTS: Final = 3.0
+HOLD_BUCKETS: Final = 48
+# Growth counts if the peak rises over three such periods in a row, together
+# longer than a wave: one of them then holds the wave's former crest.
+TREND_PERIOD_S: Final = 4.0
+TREND_PERIODS: Final = 3
+TREND_BUCKETS: Final = 24
+# Without a measurement for this long, the peak may have been missed.
+MAX_GAP_S: Final = 3.0
+
+
+class Peaks:
+    """The highest values of consecutive buckets of time."""
+
+    def __init__(self, length_s: float, buckets: int) -> None:
+        self._length_s = length_s
+        self._width_s = length_s / buckets
+        self._peaks: deque[tuple[float, float]] = deque()  # start, peak
+
+    def record(self, measured: float, now: float) -> None:
+        """Record a value of this moment."""
+        peaks = self._peaks
+        if peaks and now - peaks[-1][0] < self._width_s:
+            start, peak = peaks.pop()
+            peaks.append((start, max(peak, measured)))
+        else:
+            peaks.append((now, measured))
+        while peaks[0][0] < now - self._length_s - self._width_s:
+            peaks.popleft()
+
+    def between(self, since: float, until: float) -> float:
+        """Return the peak of the buckets that start in a span, 0 if none."""
+        return max(
+            (peak for start, peak in self._peaks if since < start <= until),
+            default=0.0,
+        )
+
+    def clear(self) -> None:
+        """Forget all values."""
+        self._peaks.clear()
+
+
+class DemandWindow:
+    """The recent demand of a pool, or of one of its availability zones.
+
+    It is given in requests at a time.
+    """
+
+    def __init__(self, boot_s: float) -> None:
+        self.hold_s = max(MIN_HOLD_S, HOLD_BOOTS * boot_s)
+        self._boot_s = boot_s
+        self._hold = Peaks(self.hold_s, HOLD_BUCKETS)
+        self._trend = Peaks(TREND_PERIOD_S * TREND_PERIODS, TREND_BUCKETS)
+        self._smoothed = 0.0
+        self._since: float | None = None  # s, of uninterrupted measurement
+        self._measured_at = 0.0  # s
+
+    def record(self, demand: float, now: float) -> None:
+        """Record the demand of this moment."""
+        elapsed_s = now - self._measured_at
+        if self._since is None or elapsed_s > MAX_GAP_S:
+            self._since = now
+            self._smoothed = demand
+            self._hold.clear()
+            self._trend.clear()
+        else:
+            weight = 1.0 - math.exp(-max(0.0, elapsed_s) / SMOOTHING_S)
+            self._smoothed += weight * (demand - self._smoothed)
+        self._measured_at = now
+        self._hold.record(self._smoothed, now)
+        self._trend.record(self._smoothed, now)
+
+    @property
+    def current(self) -> float:
+        """Return the demand of the last second."""
+        return self._smoothed
+
+    def is_full(self, now: float) -> bool:
+        """Return whether demand is known for long enough to decrease."""
+        return self._since is not None and now - self._since >= self.hold_s
+
+    def peak(self, now: float) -> float:
+        """Return the highest demand of the last ``hold_s``."""
+        return self._hold.between(now - self.hold_s, now)
+
+    def projected(self, now: float) -> float:
+        """Return the demand to expect once targets ordered now serve."""
+        return self._smoothed + self._growth_per_s(now) * self._boot_s
+
+    def _growth_per_s(self, now: float) -> float:
+        """Return by how much the peak rises, at least, in each period."""
+        if self._since is None or (
+            now - self._since < TREND_PERIOD_S * TREND_PERIODS
+        ):
+            return 0.0
+        ends = [now - TREND_PERIOD_S * age for age in range(TREND_PERIODS)]
+        peaks = [self._trend.between(end - TREND_PERIOD_S, end) for end in ends]
+        rises = [
+            later - earlier for later, earlier in itertools.pairwise(peaks)
+        ]
+        return max(0.0, min(rises)) / TREND_PERIOD_S
--- a/packages/lovagemast-core/src/lovagemast_core/scaling/_observations.py
+++ b/packages/lovagemast-core/src/lovagemast_core/scaling/_observations.py
@@ -7,13 +7,16 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
-from typing import NamedTuple
+from collections.abc import Iterable
+from typing import Final, NamedTuple
 
-from .._types import TargetName, ZoneName
-from ..adapters import AdapterPlanner
+from .._types import VmName, ZoneName
+from ..adapters import USES_TTL_S, AdapterPlanner
 from ..deployment import PoolSpec, ScalingSpec
-from ..targets import RegisteredTarget
+from ..targets import AdapterWish, RegisteredTarget, SyncAsk
+
+RELAY_TIMEOUT_S: Final = 2.0  # without a sync, until a relay's report is old
+NEVER: Final = float('-inf')
 
 
 class ZoneObservation(NamedTuple):
@@ -59,13 +62,62 @@
     pools: tuple[PoolObservation, ...] = ()
 
 
+class _RelayReport(NamedTuple):
+    wishes: tuple[AdapterWish, ...]
+    entries: int  # entry VMs that sync with the relay
+    asked_at: float  # s
+    used_at: float  # s, of the last report of requests in progress
+
+
+class RelayLoads:
+    """What relays last reported of load, as far as the planner lacks it."""
+
+    def __init__(self) -> None:
+        self._reports: dict[VmName, _RelayReport] = {}
+
+    def record(self, ask: SyncAsk, now: float) -> None:
+        """Record a relay's sync request."""
+        known = self._reports.get(ask.vm)
+        used_at = known.used_at if known else NEVER
+        self._reports[ask.vm] = _RelayReport(
+            ask.wishes, ask.entries, now, now if ask.has_uses else used_at
+        )
+
+    def clear(self) -> None:
+        """Forget all reports, at the start of a term."""
+        self._reports.clear()
+
+    def reporting(self, now: float) -> int:
+        """Return how many entry VMs have their requests in progress known."""
+        return sum(
+            report.entries
+            for report in self._recent(now)
+            if now - report.used_at < USES_TTL_S
+        )
+
+    def waiting(self, now: float) -> Counter[str]:
+        """Return the requests that wait for an adapter, by pool."""
+        found: Counter[str] = Counter()
+        for report in self._recent(now):
+            for wish in report.wishes:
+                found[wish.pool] += wish.waiting
+        return found
+
+    def _recent(self, now: float) -> list[_RelayReport]:
+        self._reports = {
+            vm: report
+            for vm, report in self._reports.items()
+            if now - report.asked_at < RELAY_TIMEOUT_S
+        }
+        return list(self._reports.values())
+
+
 class LoadSources(NamedTuple):
     """Where the leader keeps what it knows of targets and their load."""
 
     targets: Iterable[RegisteredTarget]
     planner: AdapterPlanner
-    waiting: Mapping[str, int]  # by pool
-    zones_out: frozenset[ZoneName]
+    relays: RelayLoads
 
 
 def observe_pools(
@@ -75,75 +127,57 @@
     scaled = {pool.name: pool.scaling for pool in pools if pool.scaling}
     if not scaled:
         return ()
-    counts: dict[tuple[str, ZoneName], Counter[str]] = {}
-    is_cold = _coldness(sources.planner, now)
+    counts = _TargetCounts(sources.planner, now)
     for registered in sources.targets:
-        heartbeat = registered.heartbeat
-        if heartbeat.pool in scaled:
-            place = (heartbeat.pool, heartbeat.zone)
-            found = counts.setdefault(place, Counter())
-            _count(found, registered, sources.planner, is_cold)
+        if registered.heartbeat.pool in scaled:
+            counts.add(registered)
+    waiting = sources.relays.waiting(now)
     return tuple(
-        PoolObservation(
-            pool,
-            spec,
-            sources.waiting.get(pool, 0),
-            tuple(
-                _zone_observation(zone, found, sources.zones_out)
-                for (name, zone), found in sorted(counts.items())
-                if name == pool
-            ),
-        )
+        PoolObservation(pool, spec, waiting[pool], counts.zones(pool))
         for pool, spec in scaled.items()
     )
 
 
-def _coldness(
-    planner: AdapterPlanner, now: float
-) -> Callable[[RegisteredTarget], bool]:
-    """Return what tells whether a target can't take its share yet."""
+class _TargetCounts:
+    """Sums over the targets of each pool and availability zone."""
+
+    def __init__(self, planner: AdapterPlanner, now: float) -> None:
+        self._planner = planner
+        self._now = now
+        self._found: dict[tuple[str, ZoneName], ZoneObservation] = {}
+
+    def add(self, registered: RegisteredTarget) -> None:
+        heartbeat = registered.heartbeat
+        place = (heartbeat.pool, heartbeat.zone)
+        out = heartbeat.zone in self._planner.engines.zones_out
+        found = self._found.get(place) or ZoneObservation(
+            heartbeat.zone, 0, 0, 0, 0, 0, in_service=not out
+        )
+        requests = self._planner.requests_at(heartbeat.target)
+        found = found._replace(requests=found.requests + requests)
+        if heartbeat.leaving:
+            found = found._replace(leaving=found.leaving + 1)
+        elif self._is_cold(registered):
+            found = found._replace(
+                cold=found.cold + 1, slots=found.slots + heartbeat.slots
+            )
+        else:
+            found = found._replace(
+                ready=found.ready + 1, slots=found.slots + heartbeat.slots
+            )
+        self._found[place] = found
+
+    def zones(self, pool: str) -> tuple[ZoneObservation, ...]:
+        return tuple(
+            found
+            for (of_pool, _zone), found in sorted(self._found.items())
+            if of_pool == pool
+        )
 
-    def is_cold(registered: RegisteredTarget) -> bool:
+    def _is_cold(self, registered: RegisteredTarget) -> bool:
+        """Return whether a target can't take its share yet."""
         heartbeat = registered.heartbeat
-        if heartbeat.cold_s > now - registered.received_at:
+        if heartbeat.cold_s > self._now - registered.received_at:
             return True
-        engine = planner.get(heartbeat.target)
+        engine = self._planner.get(heartbeat.target)
         return engine is not None and not engine.models
-
-    return is_cold
-
-
-def _count(
-    found: Counter[str],
-    registered: RegisteredTarget,
-    planner: AdapterPlanner,
-    is_cold: Callable[[RegisteredTarget], bool],
-) -> None:
-    heartbeat = registered.heartbeat
-    found['requests'] += planner.requests_at(heartbeat.target)
-    if heartbeat.leaving:
-        found['leaving'] += 1
-        return
-    found['slots'] += heartbeat.slots
-    found['cold' if is_cold(registered) else 'ready'] += 1
-
-
-def _zone_observation(
-    zone: ZoneName, found: Counter[str], zones_out: frozenset[ZoneName]
-) -> ZoneObservation:
-    return ZoneObservation(
-        zone,
-        found['ready'],
-        found['cold'],
-        found['leaving'],
-        found['slots'],
-        found['requests'],
-        zone not in zones_out,
-    )
-
-
-def requests_of(
-    targets: Iterable[TargetName], planner: AdapterPlanner
-) -> int:
-    """Return the requests in progress at some targets."""
-    return sum(planner.requests_at(target) for target in targets)
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_registry.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_registry.py
@@ -28,6 +28,14 @@
     received_at: float  # s
     stamp: int  # of the last change that entry VMs need to know of
 
+    @property
+    def ends_at(self) -> float | None:
+        """Return when a target with a termination notice stops, in s."""
+        remaining_s = self.heartbeat.remaining_s
+        if remaining_s is None or not self.heartbeat.leaving:
+            return None
+        return self.received_at + remaining_s
+
 
 class TargetRegistry:
     """Keeps the newest heartbeat of each target.
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_quarantinecheck.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_quarantinecheck.py
@@ -122,7 +122,7 @@
         and a suspicion would hold back the retries of all of it.
         """
         target, incarnation = known.record.target, known.record.incarnation
-        if self._state.view.is_leaving(known):
+        if self._is_leaving(known):
             self.record_inconclusive()
             return
         if not await self._has_crashed(known.record.address):
@@ -147,6 +147,12 @@
         )
         self._state.request_sync()
 
+    def _is_leaving(self, known: KnownTarget) -> bool:
+        view = self._state.view
+        record = view.targets.get(known.record.target, known).record
+        is_same = record.incarnation == known.record.incarnation
+        return is_same and view.is_leaving(record)
+
     def _send_reports(self) -> None:
         if self._state.guard.reports:
             self._state.request_sync()
