--- a/packages/lovagemast-core/src/lovagemast_core/scaling/_controller.py
+++ b/packages/lovagemast-core/src/lovagemast_core/scaling/_controller.py
@@ -231,7 +231,7 @@
     def _may_step(self, zone: ZoneName, now: float) -> bool:
         window = self._demand[zone]
         state = self._counts[zone]
-        return window.is_full(now) and state.may_decrease(
+        return window.may_decrease(now) and state.may_decrease(
             window.hold_s, self.boot_s, now
         )
 
--- a/packages/lovagemast-core/src/lovagemast_core/scaling/_demand.py
+++ b/packages/lovagemast-core/src/lovagemast_core/scaling/_demand.py
@@ -6,7 +6,6 @@
 than twice the targets that are needed.
 """
 
-import itertools
 import math
 from collections import deque
 from typing import Final
@@ -21,8 +20,16 @@
 HOLD_BUCKETS: Final = 48
 # Growth counts if the peak rises over three such periods in a row, together
 # longer than a wave: one of them then holds the wave's former crest.
-TREND_PERIOD_S: Final = 4.0
+TREND_PERIOD_S: Final = 5.0
+# Growth is projected only if demand exceeds the earlier peak by this factor, so
+# that waves up to the length of the whole window are not projected either.
+NEW_PEAK: Final = 1.02
 TREND_PERIODS: Final = 3
+# Growth has to go on in the last periods of this length. After a step, the
+# longer periods show a rise that is over.
+RECENT_PERIOD_S: Final = 1.5
+# Of the demand; less growth within a boot time is within the headroom.
+MIN_GROWTH: Final = 0.1
 TREND_BUCKETS: Final = 24
 # Without a measurement for this long, the peak may have been missed.
 MAX_GAP_S: Final = 3.0
@@ -94,9 +101,11 @@
         """Return the demand of the last second."""
         return self._smoothed
 
-    def is_full(self, now: float) -> bool:
-        """Return whether demand is known for long enough to decrease."""
-        return self._since is not None and now - self._since >= self.hold_s
+    def may_decrease(self, now: float) -> bool:
+        """Return whether demand is known for long enough and not rising."""
+        if self._since is None or now - self._since < self.hold_s:
+            return False
+        return not self._is_new_peak(now)
 
     def peak(self, now: float) -> float:
         """Return the highest demand of the last ``hold_s``."""
@@ -104,17 +113,32 @@
 
     def projected(self, now: float) -> float:
         """Return the demand to expect once targets ordered now serve."""
-        return self._smoothed + self._growth_per_s(now) * self._boot_s
+        growth = self._growth_per_s(now) * self._boot_s
+        if growth < MIN_GROWTH * self._smoothed:
+            return self._smoothed
+        return self._smoothed + growth
+
+    def _is_new_peak(self, now: float) -> bool:
+        """Return whether demand is higher than it was in the window."""
+        former = self._hold.between(now - self.hold_s, now - TREND_PERIOD_S)
+        return self._smoothed > NEW_PEAK * former
 
     def _growth_per_s(self, now: float) -> float:
         """Return by how much the peak rises, at least, in each period."""
-        if self._since is None or (
-            now - self._since < TREND_PERIOD_S * TREND_PERIODS
-        ):
+        known_s = 0.0 if self._since is None else now - self._since
+        if known_s < TREND_PERIOD_S * TREND_PERIODS:
+            return 0.0
+        if not self._is_new_peak(now):
             return 0.0
-        ends = [now - TREND_PERIOD_S * age for age in range(TREND_PERIODS)]
-        peaks = [self._trend.between(end - TREND_PERIOD_S, end) for end in ends]
-        rises = [
-            later - earlier for later, earlier in itertools.pairwise(peaks)
-        ]
-        return max(0.0, min(rises)) / TREND_PERIOD_S
+        rises = (
+            self._rise_per_s(now, TREND_PERIOD_S),
+            self._rise_per_s(now - TREND_PERIOD_S, TREND_PERIOD_S),
+            self._rise_per_s(now, RECENT_PERIOD_S),
+        )
+        return max(0.0, min(rises))
+
+    def _rise_per_s(self, end: float, period_s: float) -> float:
+        """Return the rise of the peak from the period before to the last."""
+        start = end - period_s
+        last = self._trend.between(start, end)
+        return (last - self._trend.between(start - period_s, start)) / period_s
