--- a/packages/lovagemast-core/src/lovagemast_core/scaling/_counts.py
+++ b/packages/lovagemast-core/src/lovagemast_core/scaling/_counts.py
@@ -107,7 +107,7 @@
             for need in self._needs
             if need is not lost
         )
-        lacking = total_peak / SPARE_USE - others
+        lacking = total_peak / SPARE_USE - others - ROUNDING
         self._raise_others(lost, lacking, Reason.SPARE)
 
     def _plan_zone(self, need: ZoneNeed) -> None:
@@ -135,13 +135,12 @@
 
         A round leaves a rest only if it has raised some zone to its maximum.
         """
-        for _round in self._needs:
-            able = self._with_room(lost)
-            if slots <= ROUNDING or not able:
-                return
+        able = self._with_room(lost)
+        while slots > 0 and able:
             share = slots / len(able)
             for need in able:
                 slots -= self._raise(need, share, reason)
+            able = self._with_room(lost)
 
     def _with_room(self, lost: ZoneNeed | None) -> list[ZoneNeed]:
         return [
@@ -153,9 +152,13 @@
         ]
 
     def _raise(self, need: ZoneNeed, slots: float, reason: Reason) -> float:
-        """Raise a zone's count by so many slots; return those it got."""
+        """Raise a zone's count by so many slots, at least by one target.
+
+        Return the slots that it got.
+        """
         count = self.counts[need.zone].targets
-        raised = min(count + _ceil(slots / need.slots), self._spec.max_targets)
+        raised = count + max(1, _ceil(slots / need.slots))
+        raised = min(raised, self._spec.max_targets)
         self.counts[need.zone] = NeededCount(raised, reason)
         return (raised - count) * need.slots
 
--- a/tests/scalingmodel.py
+++ b/tests/scalingmodel.py
@@ -36,6 +36,11 @@
         self.is_up = True
         self.requests = 0.0  # in progress or waiting at targets
 
+    @property
+    def slots(self) -> int:
+        """Return the slots that callers can use."""
+        return SLOTS * self.ready if self.is_up else 0
+
     def advance(self, now: float) -> None:
         """Let targets appear and go."""
         self.ready += sum(at <= now for at in self.booting)
@@ -54,11 +59,6 @@
             self.ready += missing
             self.leaving += [now + LEAVING_S] * -missing
 
-    @property
-    def slots(self) -> int:
-        """Return the slots that callers can use."""
-        return SLOTS * self.ready if self.is_up else 0
-
 
 class Model:
     """Runs zones, their demand and a controller in virtual time.
@@ -137,6 +137,25 @@
         later = [count for at, count in self.history[zone] if at > since]
         return kept + later
 
+    def observe(self) -> ScalingObservations:
+        """Return what the leader knows now."""
+        zones = tuple(
+            ZoneObservation(
+                name,
+                zone.ready,
+                0,
+                len(zone.leaving),
+                zone.ready * SLOTS,
+                round(zone.requests),
+                name not in self.zones_out,
+            )
+            for name, zone in self.zones.items()
+            if zone.is_up and zone.ready + len(zone.leaving)
+        )
+        pool = PoolObservation('pool', self.spec, 0, zones)
+        led_s = self.now - self.led_since
+        return ScalingObservations(self.term, led_s, self.reporting, (pool,))
+
     def _serve(self) -> None:
         wanted = {zone: self.demand(zone, self.elapsed) for zone in self.zones}
         up = [zone for zone, known in self.zones.items() if known.is_up]
@@ -161,25 +180,6 @@
             zone.ready for zone in self.zones.values()
         )
 
-    def observe(self) -> ScalingObservations:
-        """Return what the leader knows now."""
-        zones = tuple(
-            ZoneObservation(
-                name,
-                zone.ready,
-                0,
-                len(zone.leaving),
-                zone.ready * SLOTS,
-                round(zone.requests),
-                name not in self.zones_out,
-            )
-            for name, zone in self.zones.items()
-            if zone.is_up and zone.ready + len(zone.leaving)
-        )
-        pool = PoolObservation('pool', self.spec, 0, zones)
-        led_s = self.now - self.led_since
-        return ScalingObservations(self.term, led_s, self.reporting, (pool,))
-
     def _decide(self) -> None:
         self.decided = self.controller.decide(
             self.observe(), self.committed, self.now
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -1,7 +1,8 @@
 """Tests of the counts of targets: callers must find slots, at a low count."""
 
+import bisect
+import itertools
 import math
-from itertools import pairwise
 
 import pytest
 from hypothesis import given, settings
@@ -146,7 +147,9 @@
         for zone in ZONES:
             counts = model.changes(zone, since=60.0)
             assert counts == sorted(counts, reverse=True)
-            steps = [former - later for former, later in pairwise(counts)]
+            steps = [
+                former - later for former, later in itertools.pairwise(counts)
+            ]
             assert max(steps) <= max(1, before // 10)
             assert needed(BASE / 2) <= counts[-1]
             assert counts[-1] <= needed(BASE / 2) * SLACK + 1
@@ -416,19 +419,20 @@
 
     Otherwise the count would go A, B, A with demand that was there before.
     """
-    starts = [
-        sum(s for s, _level in parts[:index]) for index in range(len(parts))
-    ]
+    starts = list(itertools.accumulate((s for s, _ in parts), initial=0))
 
     def demand(_zone: str, now: float) -> float:
-        level = [at for at, start in enumerate(starts) if start <= now][-1]
+        index = bisect.bisect_right(starts, now) - 1
+        level = parts[min(index, len(parts) - 1)][1]
         angle = 2 * math.pi * now / PERIOD_S
-        return parts[level][1] * (1 + swing * math.sin(angle))
+        return level * (1 + swing * math.sin(angle))
 
     model = Model(demand)
-    model.run(sum(s for s, _level in parts))
+    model.run(starts[-1])
     for zone in ZONES:
-        for (down_at, low), (up_at, high) in pairwise(model.history[zone][1:]):
+        for (down_at, low), (up_at, high) in itertools.pairwise(
+            model.history[zone][1:]
+        ):
             if high <= low or up_at - down_at >= 2 * BOOT_S:
                 continue
             if low >= _before(model, zone, down_at):
