A slow load is not the next victim as soon as it has ended

After a load that took longer than expected, the engine's report gave the adapter a ready time of 0, so the 0.27 s for which a loaded adapter is kept until its requests were sent did not apply. On an engine whose other adapters are in use, it was evicted at once for the next one that was missing.

Tested: test_adapters (the slow case fails without the change), test_lateorders, test_streamwishes, test_limitedengines, test_lostchange, test_orderdelay.

--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_enginestate.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_enginestate.py
@@ -168,7 +168,12 @@
         self.models = set(report.models)
         for model in report.models:
             self.model_ready_at.pop(model, None)
-        reported = dict.fromkeys(report.adapters, 0.0)
+        # A load that has just ended keeps its time: until its requests were
+        # sent, the adapter looks idle.
+        reported = {
+            label: min(now, self._ready_time(label, 0.0))
+            for label in report.adapters
+        }
         for label in report.loading:
             known = self._ready_time(label, now)
             reported[label] = known if known > now else UNKNOWN_TIME
@@ -219,8 +224,9 @@
         if len(self._host_cached) > self.spec.host_cache_capacity(name[0]):
             self._host_cached.pop(next(iter(self._host_cached)))
 
-    def _ready_time(self, label: AdapterLabel, now: float) -> float:
+    def _ready_time(self, label: AdapterLabel, default: float) -> float:
+        """Return when any version of an adapter is ready, if it is known."""
         for known, ready_at in self.ready_at.items():
             if known.name == label.name:
                 return ready_at
-        return now
+        return default
--- a/tests/test_adapters.py
+++ b/tests/test_adapters.py
@@ -64,7 +64,12 @@
         )
         self.planner.update_engine(heartbeat, make_pool(), self.now)
 
-    def report(self, name: str, labels: tuple[AdapterLabel, ...]) -> None:
+    def report(
+        self,
+        name: str,
+        labels: tuple[AdapterLabel, ...],
+        loading: tuple[AdapterLabel, ...] = (),
+    ) -> None:
         """Pass an engine's report to the planner."""
         self.planner.record_report(
             TargetReport(
@@ -73,7 +78,7 @@
                 busy=False,
                 models=('m',),
                 adapters=labels,
-                loading=(),
+                loading=loading,
                 running=0,
                 waiting=0,
             ),
@@ -268,6 +273,40 @@
         bench.wish('new')
         assert bench.plan() == []
 
+    @pytest.mark.parametrize('is_slow', [False, True])
+    def test_loaded_adapter_stays_for_its_requests(
+        self, *, is_slow: bool
+    ) -> None:
+        """An adapter is not evicted before its requests were sent.
+
+        Entry VMs learn of a load, and the leader of their requests, some
+        tenths of a second later. After a load that took longer than expected,
+        the report that showed its end made it the next victim at once.
+        """
+        bench = Bench(engines=1)
+        names = [f'a{index}' for index in range(SLOTS - 1)]
+        for name in names:
+            bench.load(name)
+        uses = tuple(AdapterUse('e0', f'm/{one}@0', 1, 0) for one in names)
+        bench.planner.record_uses('vm', uses, bench.now)
+        bench.send_heartbeats()
+        bench.wish('new')
+        bench.answer(bench.plan()[0])
+        labels = tuple(AdapterLabel('m', one, 3) for one in (*names, 'new'))
+        bench.now += 0.3
+        if is_slow:
+            bench.report('e0', labels[:-1], loading=labels[-1:])
+            bench.now += 1.0
+            bench.send_heartbeats()
+            bench.report('e0', labels)
+        for waited_s in (0.0, 0.1, 0.1):
+            bench.now += waited_s
+            bench.wish('other')
+            assert bench.plan() == []
+        bench.now += 0.3
+        bench.wish('other')
+        assert [one.adapter for one in bench.plan()] == ['new']
+
 
 class TestStoreRate:
     @pytest.mark.parametrize('per_s', [0.2, 1.0, 3.9])
