Scaling: a zone's first count waits until its targets have appeared

With nothing committed, the count of the targets that a leader had seen so far was ordered; the infrastructure would have removed those still booting.

Tested: test_scaling, test_scalingproperties, test_scalingload.

--- a/packages/lovagemast-core/src/lovagemast_core/scaling/_controller.py
+++ b/packages/lovagemast-core/src/lovagemast_core/scaling/_controller.py
@@ -141,8 +141,12 @@
         self._zones: dict[ZoneName, ZoneObservation] = {}  # observed last
 
     def counts(self) -> dict[ZoneName, int]:
-        """Return the counts that were decided."""
-        return {zone: state.count for zone, state in self._counts.items()}
+        """Return the counts that were committed or decided."""
+        return {
+            zone: state.count
+            for zone, state in self._counts.items()
+            if state.is_ordered
+        }
 
     def observe(
         self,
@@ -151,16 +155,20 @@
         now: float,
     ) -> None:
         """Record an observation, and which zones the pool has."""
-        known = {*committed, *self._counts}
+        known = {*committed, *self.counts()}
         self._zones = {
             name: ZoneObservation(name, 0, 0, 0, 0, 0) for name in known
         }
         self._zones.update({zone.zone: zone for zone in pool.zones})
+        for name in set(self._counts) - set(self._zones):
+            self._counts.pop(name)
+            self._lost_at.pop(name, None)
         self._record_demand(pool.waiting, now)
         for name, zone in self._zones.items():
             if name not in self._counts:
-                first = committed.get(name, limited(zone.present, pool.spec))
-                self._counts[name] = CountState(first, zone.present, now)
+                self._counts[name] = CountState(
+                    committed.get(name), zone.present, now
+                )
             self._counts[name].record_present(zone.present, now)
         self._record_lost(now)
 
@@ -177,18 +185,45 @@
         )
         may_decrease = is_complete and not self._is_recently_lost(now)
         for name, zone in sorted(self._zones.items()):
-            state = self._counts[name]
-            base = limited(state.count, spec)
-            found = NeededCount(base, _reason_to_keep(zone))
+            found = self._keep(zone, spec)
             if name in needed:
                 may_step = may_decrease and self._may_step(name, now)
-                found = next_count(
-                    base, needed[name], spec, may_decrease=may_step
-                )
-            if base != state.count and found.targets == base:
-                found = NeededCount(base, Reason.LIMITS)
-            state.set_count(found.targets, now)
-            yield DesiredCount(self._pool, name, *found, zone.present)
+                found = self._step(name, needed[name], spec, may_step)
+            state = self._counts[name]
+            may_begin = name in needed and self._may_begin(state, found, now)
+            if state.is_ordered or may_begin:
+                state.set_count(found.targets, now)
+                yield DesiredCount(self._pool, name, *found, zone.present)
+
+    def _keep(self, zone: ZoneObservation, spec: ScalingSpec) -> NeededCount:
+        """Return the count of a zone whose load tells nothing."""
+        count = self._counts[zone.zone].count
+        kept = limited(count, spec)
+        reason = _reason_to_keep(zone) if kept == count else Reason.LIMITS
+        return NeededCount(kept, reason)
+
+    def _step(
+        self,
+        zone: ZoneName,
+        needed: NeededCount,
+        spec: ScalingSpec,
+        may_decrease: bool,
+    ) -> NeededCount:
+        count = self._counts[zone].count
+        base = limited(count, spec)
+        found = next_count(base, needed, spec, may_decrease=may_decrease)
+        if base != count and found.targets == base:
+            return NeededCount(base, Reason.LIMITS)
+        return found
+
+    def _may_begin(
+        self, state: CountState, found: NeededCount, now: float
+    ) -> bool:
+        """Return whether to order the first count of a zone."""
+        is_short = found.targets > state.count
+        if is_short and found.reason is not Reason.LIMITS:
+            return True
+        return state.is_settled(self.boot_s, now)
 
     def _live(self) -> list[ZoneObservation]:
         return [zone for zone in self._zones.values() if _is_live(zone)]
--- a/packages/lovagemast-core/src/lovagemast_core/scaling/_steps.py
+++ b/packages/lovagemast-core/src/lovagemast_core/scaling/_steps.py
@@ -37,15 +37,25 @@
 
 
 class CountState:
-    """The count of one pool in one availability zone, and its changes."""
+    """The count of one pool in one availability zone, and its changes.
 
-    def __init__(self, count: int, present: int, now: float) -> None:
-        self.count = count
+    Until one was committed or decided, the count is that of the present
+    targets. An order of it would remove those that are still to appear.
+    """
+
+    def __init__(self, committed: int | None, present: int, now: float) -> None:
+        self.count = present if committed is None else committed
+        self.is_ordered = committed is not None
         self._changed_at = now  # s
         self._increased_at = now  # s
         self._missing_since = now  # s
+        self._present_since = now  # s, the same number
         self._present = present
 
+    def is_settled(self, boot_s: float, now: float) -> bool:
+        """Return whether no target has appeared or gone for a boot time."""
+        return now - self._present_since >= boot_s + MIN_COMING_S
+
     def may_decrease(self, hold_s: float, boot_s: float, now: float) -> bool:
         """Return whether the last changes are long enough ago."""
         if now - self._increased_at < hold_s:
@@ -61,11 +71,16 @@
         if count != self.count:
             self._changed_at = now
         self.count = count
+        self.is_ordered = True
 
     def record_present(self, present: int, now: float) -> None:
         """Record how many targets are present, of those ordered."""
         if present >= self.count or present > self._present:
             self._missing_since = now
+        if present != self._present:
+            self._present_since = now
+        if not self.is_ordered:
+            self.count = present
         self._present = present
 
     def is_coming(self, boot_s: float, now: float) -> bool:
