--- a/packages/lovagemast-core/src/lovagemast_core/scaling/_observations.py
+++ b/packages/lovagemast-core/src/lovagemast_core/scaling/_observations.py
@@ -138,39 +138,64 @@
     )
 
 
+class _ZoneCounts:
+    """Sums over the targets of one pool in one availability zone."""
+
+    def __init__(self) -> None:
+        self.ready = 0
+        self.cold = 0
+        self.leaving = 0
+        self.slots = 0
+        self.requests = 0
+
+    def add(self, registered: RegisteredTarget, *, is_cold: bool) -> None:
+        heartbeat = registered.heartbeat
+        if heartbeat.leaving:
+            self.leaving += 1
+            return
+        self.slots += heartbeat.slots
+        self.cold += is_cold
+        self.ready += not is_cold
+
+    def observation(
+        self, zone: ZoneName, *, in_service: bool
+    ) -> ZoneObservation:
+        return ZoneObservation(
+            zone,
+            self.ready,
+            self.cold,
+            self.leaving,
+            self.slots,
+            self.requests,
+            in_service,
+        )
+
+
 class _TargetCounts:
-    """Sums over the targets of each pool and availability zone."""
+    """The sums of all pools and availability zones."""
 
     def __init__(self, planner: AdapterPlanner, now: float) -> None:
         self._planner = planner
         self._now = now
-        self._found: dict[tuple[str, ZoneName], ZoneObservation] = {}
+        self._found: dict[tuple[str, ZoneName], _ZoneCounts] = {}
 
     def add(self, registered: RegisteredTarget) -> None:
         heartbeat = registered.heartbeat
         place = (heartbeat.pool, heartbeat.zone)
-        out = heartbeat.zone in self._planner.engines.zones_out
-        found = self._found.get(place) or ZoneObservation(
-            heartbeat.zone, 0, 0, 0, 0, 0, in_service=not out
-        )
-        requests = self._planner.requests_at(heartbeat.target)
-        found = found._replace(requests=found.requests + requests)
-        if heartbeat.leaving:
-            found = found._replace(leaving=found.leaving + 1)
-        elif self._is_cold(registered):
-            found = found._replace(
-                cold=found.cold + 1, slots=found.slots + heartbeat.slots
-            )
-        else:
-            found = found._replace(
-                ready=found.ready + 1, slots=found.slots + heartbeat.slots
-            )
-        self._found[place] = found
+        found = self._found.get(place)
+        if found is None:
+            found = _ZoneCounts()
+            self._found[place] = found
+        found.requests += self._planner.requests_at(heartbeat.target)
+        found.add(registered, is_cold=self._is_cold(registered))
 
     def zones(self, pool: str) -> tuple[ZoneObservation, ...]:
+        zones_out = self._planner.engines.zones_out
         return tuple(
-            found
-            for (of_pool, _zone), found in sorted(self._found.items())
+            found.observation(zone, in_service=zone not in zones_out)
+            for (of_pool, zone), found in sorted(
+                self._found.items(), key=lambda one: one[0]
+            )
             if of_pool == pool
         )
 
