--- a/packages/lovagemast-core/src/lovagemast_core/scaling/_counts.py
+++ b/packages/lovagemast-core/src/lovagemast_core/scaling/_counts.py
@@ -12,9 +12,9 @@
 from .._types import ZoneName
 from ..deployment import ScalingSpec
 
-# Of the slots in use at the recent peak. Engines slow down beyond it, and a
-# burst of 1.7 times the demand still finds a slot (1.7 times 0.6 is 1.02).
-TARGET_USE: Final = 0.6
+# Of the slots in use at the recent peak, to which counts are raised. Engines slow
+# down as they fill, and a burst of 1.7 times the demand has to find slots.
+TARGET_USE: Final = 0.58
 # Of the slots that remain when a zone is lost, until new targets serve.
 SPARE_USE: Final = 0.9
 ROUNDING: Final = 1e-9  # of a target, against errors of floating point
--- a/packages/lovagemast-core/src/lovagemast_core/scaling/_steps.py
+++ b/packages/lovagemast-core/src/lovagemast_core/scaling/_steps.py
@@ -12,7 +12,11 @@
 
 # Targets kept above the need. A decrease to the need itself would be undone by
 # the next wave that is slightly higher than the last two.
-MARGIN: Final = 0.05
+MARGIN: Final = 0.1
+# A count that is at least this part of the need is not raised: use is then 0.62
+# at the peak. Together with the margin, the noise of 100 requests at a time moves
+# a count every few minutes, and never back and forth.
+ENOUGH: Final = 0.94
 STEP: Final = 0.1  # of a count, for one decrease
 MIN_STEP_INTERVAL_S: Final = 4.0  # load moves to the other targets meanwhile
 # Ordered targets are expected for so many boot times, at least so many seconds.
@@ -24,7 +28,7 @@
     base: int, needed: NeededCount, spec: ScalingSpec, *, may_decrease: bool
 ) -> NeededCount:
     """Return the count that follows ``base``, which is within the limits."""
-    if needed.targets > base:
+    if base < ENOUGH * needed.targets:
         return needed
     lowest = needed.targets
     if needed.reason is not Reason.LIMITS:
