--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_enginetable.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_enginetable.py
@@ -84,10 +84,16 @@
             self.by_target[heartbeat.target].received_at = received_at
 
     def refresh(self, now: float) -> None:
-        """Update the holders before planning."""
+        """Update the holders before planning.
+
+        Engines that are leaving are no holders: what only they hold has to be
+        loaded elsewhere, and their falling load says nothing of the others.
+        """
         self._now = now
         self._demand_per_holder.clear()
-        self._holders.update(self)
+        self._holders.update(
+            engine for engine in self if not engine.heartbeat.leaving
+        )
 
     def set_limits(
         self,
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_registry.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_registry.py
@@ -28,6 +28,14 @@
     received_at: float  # s
     stamp: int  # of the last change that entry VMs need to know of
 
+    @property
+    def ends_at(self) -> float | None:
+        """Return when a target with a termination notice stops, in s."""
+        remaining_s = self.heartbeat.remaining_s
+        if remaining_s is None or not self.heartbeat.leaving:
+            return None
+        return self.received_at + remaining_s
+
 
 class TargetRegistry:
     """Keeps the newest heartbeat of each target.
@@ -211,10 +219,15 @@
 def _is_relevant_change(
     heartbeat: TargetHeartbeat, registered: TargetHeartbeat
 ) -> bool:
-    """Return whether a heartbeat changes what entry VMs need to know."""
+    """Return whether a heartbeat changes what entry VMs need to know.
+
+    The remaining time of a target that leaves differs in each heartbeat.
+    """
     if heartbeat.cold_s > 0 or registered.cold_s > 0:
         return True
     unchanged = registered._replace(
-        sequence=heartbeat.sequence, adapters=heartbeat.adapters
+        sequence=heartbeat.sequence,
+        adapters=heartbeat.adapters,
+        remaining_s=heartbeat.remaining_s,
     )
     return heartbeat != unchanged
