Control: desired counts of targets go to the infrastructure

The leader decides once a second on the counts of pools with scaling and hands them to the duties, which commit, send and repeat them. Decisions are logged as scaling: count when a count or its reason changes, and /admin/duties shows what is present and why. The cache of target records moves to a module of its own.

--- a/packages/lovagemast-core/src/lovagemast_core/control/_effects.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_effects.py
@@ -9,6 +9,7 @@
 from ..adapters import Order, OrderOutcome
 from ..duties import DutyState, HandedCall
 from ..quarantine import QuarantineState
+from ..scaling import DesiredCount
 from ..streams import PoolSoftware
 from ..targets import LimitReport
 
@@ -84,6 +85,15 @@
     reports: tuple[LimitReport, ...]
 
 
+class CountsDecided(NamedTuple):
+    """The leader has decided on other counts of targets, or for new reasons.
+
+    Targets that have appeared or gone since change ``present`` only.
+    """
+
+    counts: tuple[DesiredCount, ...]
+
+
 class RelayFailed(NamedTuple):
     """A holder did not send a relayed order, or did not report its outcome."""
 
@@ -128,6 +138,7 @@
     | QuarantineChanged
     | LimitsChanged
     | RelayFailed
+    | CountsDecided
     | CallInfrastructure
     | DutiesChanged
 )
--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -19,34 +19,20 @@
 from ..syncrelay import PeerOffers
 from ..targetlimits import SendBounds, TargetLimits
 from ..targets import (
-    RegisteredTarget,
     RelayInfo,
     SyncAsk,
     SyncReply,
     TargetHeartbeat,
     TargetLoad,
-    TargetRecord,
     TargetRegistry,
 )
 from ._holders import HolderHealth, OrderHolders
+from ._recordcache import RecordCache
 from ._relays import RELAY_HELLO_TTL_S, RelaySender
 
 # Shorter than the election timeout, so that no other VM can lead meanwhile.
 LEADER_LEASE_S: Final = 0.5
 RELAY_TIMEOUT_S: Final = 2.0  # without a sync, until a relay is dropped
-# A record is built once for all relays that sync within this time; the
-# remaining times in it are late by as much.
-RECORD_CACHE_TTL_S: Final = 0.03
-
-
-class _CachedRecord(NamedTuple):
-    stamp: int
-    made_at: float  # s
-    record: TargetRecord
-
-    def is_fresh(self, stamp: int, now: float) -> bool:
-        """Return whether the record may still be sent."""
-        return self.stamp == stamp and now - self.made_at < RECORD_CACHE_TTL_S
 
 
 class _RelayStatus(NamedTuple):
@@ -83,7 +69,7 @@
         self._leader_since = 0.0
         self._orders_allowed_at = 0.0  # s, when the first engine gets orders
         self._relays: dict[VmName, _RelayStatus] = {}
-        self._records: dict[TargetName, _CachedRecord] = {}
+        self._records = RecordCache(self.planner)
         self._index: DeploymentIndex | None = None
         self._published = PublishedState()
         self.quarantine = QuarantineController()
@@ -249,7 +235,7 @@
             epoch=self._term,
             stamp=self.registry.stamp,
             targets=tuple(
-                self._cached_record(registered, now)
+                self._records.record_of(registered, now)
                 for registered in self.registry.changed_since(since)
             ),
             removed=removals.since(known_stamp),
@@ -377,34 +363,3 @@
         self.planner.update_engine(
             heartbeat, pools.get(heartbeat.pool), received_at
         )
-
-    def _cached_record(
-        self, known: RegisteredTarget, now: float
-    ) -> TargetRecord:
-        """Return a target's record, shared by all relays that sync now."""
-        target = known.heartbeat.target
-        cached = self._records.get(target)
-        if cached and cached.is_fresh(known.stamp, now):
-            return cached.record
-        record = self._build_record(known, now)
-        self._records[target] = _CachedRecord(known.stamp, now, record)
-        return record
-
-    def _build_record(
-        self, known: RegisteredTarget, now: float
-    ) -> TargetRecord:
-        heartbeat = known.heartbeat
-        engine = self.planner.get(heartbeat.target)
-        return TargetRecord(
-            heartbeat.target,
-            heartbeat.pool,
-            heartbeat.address,
-            heartbeat.zone,
-            heartbeat.incarnation,
-            heartbeat.slots,
-            heartbeat.leaving,
-            max(0.0, heartbeat.cold_s - (now - known.received_at)),
-            tuple(engine.models) if engine else heartbeat.models,
-            engine.resident_adapters(now) if engine else (),
-            heartbeat.software,
-        )
--- a/packages/lovagemast-core/src/lovagemast_core/control/_infrastructure.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_infrastructure.py
@@ -17,6 +17,8 @@
 from ..targets import SyncAsk, SyncReply
 from ._config import ControlConfig
 from ._effects import CallInfrastructure, ControlEffect, DutiesChanged
+from ._fleet import FleetController
+from ._scaling import TargetScaling
 
 
 class InfrastructureDuties:
@@ -30,6 +32,7 @@
         self,
         cfg: ControlConfig,
         replica: Replica,
+        fleet: FleetController,
         outbox: Outbox,
         emit: Callable[[ControlEffect], None],
     ) -> None:
@@ -41,6 +44,7 @@
         self._outbox = outbox
         self._emit = emit
         self._receiver = CallReceiver()
+        self._scaling = TargetScaling(fleet, emit)
         self._last_state = DutyState()
 
     def hello(self, now: float) -> RelayHello:
@@ -85,6 +89,7 @@
         if controller is None:
             return
         controller.on_hello(self._vm, now, now)
+        self._scaling.step(controller, now)
         voters = len(self._replica.voter_vms)
         for command in controller.commands(voters, now):
             self._replica.propose(command, now)
--- a/packages/lovagemast-core/src/lovagemast_core/control/_node.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_node.py
@@ -104,7 +104,7 @@
         )
         self._duties = LeaderDuties(self.vm, self.replica, self.fleet)
         self.infrastructure = InfrastructureDuties(
-            cfg, self.replica, self._outbox, self._effects.append
+            cfg, self.replica, self.fleet, self._outbox, self._effects.append
         )
         self._proposals = ProposalController(
             self._outbox,
--- a/packages/lovagemast-core/src/lovagemast_core/control/_scaling.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_scaling.py
@@ -1,8 +1,21 @@
-"""Observations for the scaling of pools, from a leader's fleet control."""
+"""Desired counts of targets: from a leader's fleet control to the duties."""
 
-from ..scaling import LoadSources, ScalingObservations, observe_pools
+from collections.abc import Callable
+from typing import Final
+
+from ..duties import DutyController, ScaleOrder
+from ..scaling import (
+    DesiredCount,
+    LoadSources,
+    ScalingController,
+    ScalingObservations,
+    observe_pools,
+)
+from ._effects import ControlEffect, CountsDecided
 from ._fleet import FleetController
 
+DECISION_INTERVAL_S: Final = 1.0
+
 
 def observe_scaling(fleet: FleetController, now: float) -> ScalingObservations:
     """Return what a leader knows of the pools whose targets are counted."""
@@ -14,3 +27,34 @@
         fleet.relay_loads.reporting(now),
         observe_pools(fleet.pools, sources, now),
     )
+
+
+class TargetScaling:
+    """Decides at intervals while this VM leads."""
+
+    def __init__(
+        self, fleet: FleetController, emit: Callable[[ControlEffect], None]
+    ) -> None:
+        self._fleet = fleet
+        self._emit = emit
+        self._controller = ScalingController()
+        self._decided: tuple[DesiredCount, ...] = ()
+        self._due_at = 0.0  # s
+
+    def step(self, duties: DutyController, now: float) -> None:
+        """Hand new counts to the duties, which commit and send them."""
+        if not duties.has_scaling or now < self._due_at:
+            return
+        self._due_at = now + DECISION_INTERVAL_S
+        committed = {
+            (known.pool, known.zone): known.desired
+            for known in duties.state.desired
+        }
+        observations = observe_scaling(self._fleet, now)
+        counts = self._controller.decide(observations, committed, now)
+        if counts:
+            orders = (ScaleOrder(*count[:3]) for count in counts)
+            duties.set_desired(tuple(orders), now)
+        if counts != self._decided:
+            self._decided = counts
+            self._emit(CountsDecided(counts))
--- a/packages/lovagemast-core/src/lovagemast_core/duties/_controller.py
+++ b/packages/lovagemast-core/src/lovagemast_core/duties/_controller.py
@@ -67,6 +67,11 @@
         self._holders.update(state, now)
         self._dispatcher.update(state)
 
+    @property
+    def has_scaling(self) -> bool:
+        """Return whether numbers of targets are to be ordered."""
+        return self._cfg.has_scaling
+
     def set_desired(self, counts: tuple[ScaleOrder, ...], now: float) -> None:
         """Set the numbers of targets of all pools and availability zones.
 
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -21,6 +21,7 @@
     ControlConfig,
     ControlEffect,
     ControlNode,
+    CountsDecided,
     DutiesChanged,
     FormatsNoticed,
     HoldersNoticed,
@@ -267,6 +268,7 @@
             RelayFailed: self._log_relay_failed,
             CallInfrastructure: self._duties.call,
             DutiesChanged: self._duties.on_changed,
+            CountsDecided: self._duties.on_decided,
             QuarantineChanged: self._on_quarantine,
             LimitsChanged: lambda effect: log_limits(
                 self._log, effect.reports, 'relay'
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_dutyhost.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_dutyhost.py
@@ -6,9 +6,11 @@
 from lovagemast_core.control import (
     CallInfrastructure,
     ControlNode,
+    CountsDecided,
     DutiesChanged,
 )
 from lovagemast_core.duties import DutyState
+from lovagemast_core.scaling import DesiredCount
 
 from .._clock import now_s
 from ._codec import ControlCodec
@@ -42,6 +44,8 @@
         self._log = log
         self._metrics = metrics
         self._state = DutyState()
+        # Decided by this VM as the leader, by pool and availability zone.
+        self._decided: dict[tuple[str, str], DesiredCount] = {}
         self._client: InfrastructureClient | None = None
         if cfg.cloud:
             self._client = InfrastructureClient(cfg.cloud, cfg.name, codec, log)
@@ -70,6 +74,15 @@
             if known not in before.desired:
                 self._log.write('duty', 'desired count', **known._asdict())
 
+    def on_decided(self, effect: CountsDecided) -> None:
+        """Log the counts that have changed, or whose reason has."""
+        before = self._decided
+        self._decided = {(one.pool, one.zone): one for one in effect.counts}
+        for place, count in self._decided.items():
+            known = before.get(place)
+            if known is None or known[:4] != count[:4]:
+                self._log.write('scaling', 'count', **count._asdict())
+
     def describe(self) -> dict[str, Any]:
         """Return the document that shows the duties to operators."""
         state = self._state
@@ -90,11 +103,19 @@
                     'zone': known.zone,
                     'desired': known.desired,
                     'confirmed': known.is_confirmed,
+                    **self._describe_decision(known.pool, known.zone),
                 }
                 for known in state.desired
             ],
         }
 
+    def _describe_decision(self, pool: str, zone: str) -> dict[str, Any]:
+        """Return what the leader saw and why; empty at other VMs."""
+        decided = self._decided.get((pool, zone))
+        if decided is None or not self._node.is_ready_leader():
+            return {}
+        return {'present': decided.present, 'reason': decided.reason.value}
+
     async def _call(
         self, client: InfrastructureClient, effect: CallInfrastructure
     ) -> None:
--- a/tests/controlcluster.py
+++ b/tests/controlcluster.py
@@ -32,6 +32,7 @@
     EngineSpec,
     ModelSpec,
     PoolSpec,
+    ScalingSpec,
 )
 from lovagemast_core.duties import DutyConfig
 from lovagemast_core.quota import QuotaBounds
@@ -58,11 +59,14 @@
     stored: StoredLog
 
 
-def parse_index(_document: str) -> DeploymentIndex:
+def parse_index(
+    _document: str, scaling: ScalingSpec | None = None
+) -> DeploymentIndex:
     """Return a deployment with one pool of engines."""
     model = ModelSpec('m', 100.0, 2.0, 1.0)
     engine = EngineSpec(8, 1_000, 200.0, 50, 4.0, 200.0, (model,))
     pool = PoolSpec('pool', '/health', 10, 0.0, 0.0, engine)
+    pool = pool._replace(scaling=scaling)
     return DeploymentIndex(Deployment(1, pools=(pool,)))
 
 
@@ -95,6 +99,7 @@
     """
 
     duties: DutyConfig | None = None
+    scaling: ScalingSpec | None = None  # of the pool
 
     def __init__(self, vms: tuple[str, ...] = VMS, seed: int = 1) -> None:
         self.now = 100.0
@@ -130,7 +135,9 @@
             self.duties,
         )
         rng = random.Random(self.rng.random())
-        self.nodes[vm] = ControlNode(cfg, parse_index, rng)
+        self.nodes[vm] = ControlNode(
+            cfg, lambda document: parse_index(document, self.scaling), rng
+        )
 
     def stop(self, vm: str) -> None:
         """Kill a VM's process; its disk is kept."""
--- a/tests/dutyfleet.py
+++ b/tests/dutyfleet.py
@@ -5,7 +5,11 @@
 from itertools import groupby
 from typing import NamedTuple
 
-from lovagemast_core.control import CallInfrastructure, DutiesChanged
+from lovagemast_core.control import (
+    CallInfrastructure,
+    CountsDecided,
+    DutiesChanged,
+)
 from lovagemast_core.duties import (
     CallDone,
     CallResult,
@@ -19,7 +23,7 @@
     subject_of,
 )
 from lovagemast_core.syncrelay import SyncRelay
-from lovagemast_core.targets import SyncAsk
+from lovagemast_core.targets import AdapterUse, SyncAsk
 
 from tests.controlcluster import VMS, Cluster
 
@@ -108,6 +112,7 @@
         self.relay = ''
         self.asks = 0
         self.counter = UsageCounter(vm, incarnation, WINDOWS)
+        self.uses: tuple[AdapterUse, ...] = ()
 
 
 class DutyFleet(Cluster):
@@ -124,6 +129,7 @@
         self.truth: dict[int, Counter[str]] = defaultdict(Counter)
         self.rates = dict.fromkeys(ACCOUNTS, 20.0)  # requests/s, each VM
         self.is_loaded = True
+        self.decided: list[CountsDecided] = []
         self._calls: list[tuple[float, str, CallInfrastructure]] = []
         self._answers: list[tuple[float, str, CallDone]] = []
         self._incarnation = 0
@@ -231,7 +237,16 @@
     def _sync_entry(self, entry: Entry) -> None:
         entry.asks += 1
         usage = entry.counter.reports(entry.asks, self.now)
-        ask = SyncAsk(entry.asks, entry.vm, 'z1', 0, 0, 0, usage=usage)
+        ask = SyncAsk(
+            entry.asks,
+            entry.vm,
+            'z1',
+            0,
+            0,
+            0,
+            uses=entry.uses,
+            usage=usage,
+        )
         reply = self.relays[entry.relay].on_ask(1, ask, self.now)
         if reply.serves:
             entry.counter.exchange.on_reply(reply, self.now, self.now)
@@ -260,6 +275,8 @@
     def _perform(self, vm: str, effect: object) -> None:
         if isinstance(effect, CallInfrastructure):
             self._calls.append((self.now + TICK_S / 5, vm, effect))
+        elif isinstance(effect, CountsDecided):
+            self.decided.append(effect)
         elif not isinstance(effect, DutiesChanged):
             super()._perform(vm, effect)
 
