--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -109,7 +109,12 @@
 
     def put_config(self, version: int, keys: tuple[str, ...] = ('k1',)) -> int:
         """Send a configuration to the last control VM."""
-        config = {
+        url = f'http://{CONTROL[2]}:{self.ports.control}/config'
+        return put(url, self.config(version, keys))
+
+    def config(self, version: int, keys: tuple[str, ...]) -> dict[str, Any]:
+        """Return the configuration with these keys."""
+        return {
             'version': version,
             'routes': [
                 make_route('/lm/', 's-lm', 'streaming', resumable=True),
@@ -130,8 +135,6 @@
             ],
             'tenants': [{'name': 't1', 'apiKeys': list(keys)}],
         }
-        url = f'http://{CONTROL[2]}:{self.ports.control}/config'
-        return put(url, config)
 
     def post(
         self,
