Bound trailers, chunk lines and empty lines of requests and responses

The reader counted bytes only until the head was complete. Trailers after a chunked body were kept as headers without limit, and an unfinished trailer line in the parser. Empty lines after a first request were not counted either.

Now all bytes after the last of a body, and all before a head is complete, have to stay under the limit of a head; lines are counted one by one, as one read has room for 30,000 of them. Trailers are dropped: one could have stood for a header that was checked. Framing of chunks is bounded by 64 KiB and 8 times the body. The client of targets does the same for responses.

--- a/packages/lovagemast-node/src/lovagemast_node/http/_client.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_client.py
@@ -12,7 +12,7 @@
 
 from ._bodybudget import BodyBudget
 from ._message import Headers
-from ._responsesize import ResponseSize
+from ._responsesize import MAX_OVERHEAD_BYTES, ResponseSize
 from ._sockets import enable_keepalive, split_address
 
 IDLE_TIMEOUT_MARGIN_S: Final = (
@@ -27,6 +27,7 @@
 SLICE_BYTES: Final = 65_536  # of a request's body, written at a time
 # The last two are for an address that no connection can be opened to.
 CONNECT_ERRORS: Final = (OSError, TimeoutError, ValueError, OverflowError)
+LINE_BYTES: Final = 4  # of a header line beside its name and value
 MIN_FINAL_STATUS: Final = 200  # lower ones are interim responses
 
 
@@ -149,10 +150,20 @@
         if not self._is_busy:
             self.is_reusable = False
         self._headers: list[tuple[bytes, bytes]] = []
+        self._lines_bytes = 0
+        self._is_in_body = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
-        self._headers.append((name, value))
+        """Store a header, drop a trailer; the lines of both are bounded.
+
+        One read has room for many lines, each of which takes several times
+        its size once it is parsed.
+        """
+        self._lines_bytes += len(name) + len(value) + LINE_BYTES
+        if self._lines_bytes > MAX_OVERHEAD_BYTES:
+            raise ValueError('too many header lines')
+        if not self._is_in_body:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Emit the head, unless it belongs to another request."""
@@ -248,6 +259,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._size = ResponseSize()
         self._headers = []
+        self._lines_bytes = 0
         self._length = None
         self._is_chunked = False
         self._is_in_body = False
--- a/packages/lovagemast-node/src/lovagemast_node/http/_reader.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_reader.py
@@ -14,6 +14,10 @@
 from ._message import HttpRequest
 
 HEAD_OVERHEAD_BYTES: Final = 8_192  # for the request line and separators
+LINE_BYTES: Final = 4  # of a header line beside its name and value
+# Of a chunked body beside its data. Chunks of one byte take five more each.
+MAX_FRAMING_BYTES: Final = 65_536
+MAX_FRAMING_FACTOR: Final = 8
 
 
 class RefusalStatus(IntEnum):
@@ -56,6 +60,7 @@
         self._bodies = bodies
         self._share = BodyShare(bodies)
         self.partial_bytes = 0  # of an incomplete request
+        self._fed_since_body = 0  # bytes fed after the last of a body
         self._parser = httptools.HttpRequestParser(self)
         self._completed: list[CompletedRequest] = []
         self._refusal_status: RefusalStatus | None = None
@@ -64,36 +69,49 @@
     def feed(self, data: bytes) -> list[CompletedRequest] | RefusalStatus:
         """Parse bytes and return the requests that they complete."""
         self.partial_bytes += len(data)
+        self._fed_since_body += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             return self._refusal_status or RefusalStatus.BAD_REQUEST
-        completed = self._completed
-        self._completed = []
-        head_limit = self.limits.header_bytes + HEAD_OVERHEAD_BYTES
-        is_too_long = (
-            self.partial_bytes > head_limit and not self._is_head_complete
-        )
-        if is_too_long and not completed:
-            return RefusalStatus.HEADERS_TOO_LARGE
-        return completed
+        if self._completed:
+            completed = self._completed
+            self._completed = []
+            return completed
+        return self._check_partial() or []
 
     def on_message_begin(self) -> None:
         """Start a new request."""
         self._url = b''
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
+        self._trailer_bytes = 0
         self._is_head_complete = False
         self._body = bytearray()
 
     def on_url(self, url: bytes) -> None:
         """Append to the request-target."""
         self._url += url
+        if len(self._url) > self._head_limit:
+            self._refuse(RefusalStatus.HEADERS_TOO_LARGE)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header and count its size."""
+        """Store a header and count its size; drop a trailer.
+
+        Both are bounded line by line, because one read has room for many
+        lines, each of which takes several times its size once it is parsed.
+        """
+        size = len(name) + len(value)
+        if self._is_head_complete:
+            self._trailer_bytes += size + LINE_BYTES
+            if self._trailer_bytes > self._head_limit:
+                self._refuse(RefusalStatus.HEADERS_TOO_LARGE)
+            return
         self._headers.append((name, value))
-        self._header_bytes += len(name) + len(value)
+        self._header_bytes += size
+        lines_bytes = self._header_bytes + LINE_BYTES * len(self._headers)
+        if lines_bytes > self._head_limit:
+            self._refuse(RefusalStatus.HEADERS_TOO_LARGE)
 
     def on_headers_complete(self) -> None:
         """Check the head before the body is read."""
@@ -104,6 +122,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append to the body, up to the size limit."""
+        self._fed_since_body = 0
         self._body += body
         if len(self._body) > self.limits.body_bytes:
             self._refuse(RefusalStatus.BODY_TOO_LARGE)
@@ -123,11 +142,33 @@
         self._share = BodyShare(self._bodies)
         self._body = bytearray()
         self.partial_bytes = 0
+        self._fed_since_body = 0
 
     def close(self) -> None:
         """Release the memory of an incomplete request."""
         self._share.release()
         self._body = bytearray()
+        self._headers = []
+        self._url = b''
+
+    @property
+    def _head_limit(self) -> int:
+        return self.limits.header_bytes + HEAD_OVERHEAD_BYTES
+
+    def _check_partial(self) -> RefusalStatus | None:
+        """Return why an incomplete request is not read on.
+
+        Empty lines before a request, its head, the line of a chunk and the
+        trailers each have to end within the limit of a head. The parser keeps
+        an unfinished line as a whole.
+        """
+        if self._fed_since_body > self._head_limit:
+            return RefusalStatus.HEADERS_TOO_LARGE
+        size = len(self._body)
+        framing = self.partial_bytes - size
+        if framing > MAX_FRAMING_BYTES + MAX_FRAMING_FACTOR * size:
+            return RefusalStatus.BAD_REQUEST
+        return None
 
     def _refuse(self, status: RefusalStatus) -> None:
         self._refusal_status = status
