One account of what all connections of a process hold

Only bodies of an entry VM's callers and targets were accounted, with 64 MiB whatever memory the VM has; each other listener had 64 MiB of its own, the ports between VMs and engines' reports had no limit, and connections were not limited at all.

Each process now has one account of heads and bodies for all its listeners and for responses of targets, and one table of accepted connections, derived from memoryMb and maxFds of [limits] in the settings; without them the former defaults apply. When the account is exhausted, incomplete messages that hold most and move least are refused (503, Retry-After: 1) first; bodies count as they arrive, not as they are declared. When there are too many connections, those without a request are closed first. Readiness and metrics take no bodies, messages between VMs have to find room, and a caller that takes nothing of its response for the idle time-out loses its connection.

_read_response of the engine client got an optional argument. No existing test changed.

--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -9,7 +9,6 @@
 
 from .._clock import now_s
 from ..http import (
-    MAX_BODY_BYTES,
     MAX_EVENT_BYTES,
     BodyShare,
     ConnectFailed,
@@ -19,6 +18,7 @@
     ResponseFailed,
     ResponseHead,
     TargetConnection,
+    check_size,
     encode_head,
 )
 from ._admitted import AdmittedRequest
@@ -343,11 +343,13 @@
             event = await self._next_event(conn)
             if isinstance(event, ResponseData):
                 body += event.chunk
-                problem = _check_size(body, share)
+                problem = check_size(body, share)
                 if problem:
                     return ResponseFailed(problem)
             elif isinstance(event, ResponseEnd):
-                await self._end_body(head, bytes(body))
+                whole = bytes(body)
+                body.clear()  # while the caller reads the other copy
+                await self._end_body(head, whole)
                 return None
             elif isinstance(event, ResponseFailed):
                 return event
@@ -390,10 +392,3 @@
 
 def _is_from_target(response: TargetResponseMetadata) -> bool:
     return response.stamped and not response.encoded
-
-
-def _check_size(body: bytearray, share: BodyShare) -> str:
-    """Return why a body is not read on, empty if it may be."""
-    if len(body) > MAX_BODY_BYTES:
-        return 'the body is too long'
-    return '' if share.try_grow(len(body)) else 'no memory for the body'
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -38,8 +38,9 @@
 
 from .._clock import now_s
 from .._storage import LogStore
-from ..http import HttpServer, ServerLimits, split_address
+from ..http import HttpServer, ServerLimits, TargetPool, split_address
 from ._codec import ControlCodec
+from ._connectionlimits import ConnectionLimits
 from ._controlapi import ControlApi
 from ._engines import EngineClient
 from ._jsonlog import JsonLog
@@ -86,6 +87,7 @@
         self._log = JsonLog(cfg.name)
         metrics = ControlMetrics()
         self._metrics = metrics
+        self._limits = ConnectionLimits(cfg.limits, self._log, metrics.registry)
         self._store = LogStore.open(Path(cfg.data_dir), cfg.vm)
         self._node = ControlNode(
             ControlConfig(
@@ -132,8 +134,12 @@
             lambda: self._log.write(
                 'control', 'unhandled error in an HTTP handler'
             ),
+            self._limits.bodies,
+            self._limits.table,
         )
-        self._engines = EngineClient(cfg.vm, codec, self._log)
+        self._http.on_unread = self._limits.on_unread
+        pool = TargetPool(self._limits.bodies, cfg.limits.max_idle)
+        self._engines = EngineClient(cfg.vm, codec, self._log, pool)
         self._log_writer = LogWriter(
             self._store, self._on_log_synced, self._log
         )
@@ -165,9 +171,10 @@
             ),
             self._cfg.vm,
             self._cfg.peer_port,
+            self._limits,
         )
         await self._http.listen(*split_address(self._cfg.control))
-        page = MetricsPage(self._metrics.registry, self._log)
+        page = MetricsPage(self._metrics.registry, self._log, self._limits)
         await page.listen(self._cfg.metrics)
         for task in (
             self._log_writer.run(),
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_engines.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_engines.py
@@ -13,13 +13,15 @@
 
 from .._clock import now_s
 from ..http import (
-    MAX_BODY_BYTES,
+    BodyBudget,
+    BodyShare,
     ConnectFailed,
     ResponseData,
     ResponseFailed,
     ResponseHead,
     TargetConnection,
     TargetPool,
+    check_size,
 )
 from ._codec import ControlCodec
 from ._jsonlog import JsonLog
@@ -39,11 +41,13 @@
 class EngineClient:
     """Sends orders and report requests to engines."""
 
-    def __init__(self, vm: str, codec: ControlCodec, log: JsonLog) -> None:
+    def __init__(
+        self, vm: str, codec: ControlCodec, log: JsonLog, pool: TargetPool
+    ) -> None:
         self._vm = vm
         self._codec = codec
         self._log = log
-        self._pool = TargetPool()
+        self._pool = pool
 
     async def send(self, order: Order) -> OrderOutcome:
         """Send an order to load or unload an adapter; return its outcome."""
@@ -105,7 +109,7 @@
         conn.send(data, b'', b'')
         try:
             async with asyncio.timeout(RESPONSE_TIMEOUT_S):
-                response = await _read_response(conn)
+                response = await _read_response(conn, self._pool.bodies)
         except TimeoutError:
             response = ResponseFailed('no answer in time')
         if isinstance(response, EngineResponse):
@@ -116,7 +120,17 @@
 
 
 async def _read_response(
-    conn: TargetConnection,
+    conn: TargetConnection, bodies: BodyBudget | None = None
+) -> EngineResponse | ResponseFailed:
+    share = BodyShare(bodies or BodyBudget())
+    try:
+        return await _keep_response(conn, share)
+    finally:
+        share.release()
+
+
+async def _keep_response(
+    conn: TargetConnection, share: BodyShare
 ) -> EngineResponse | ResponseFailed:
     status = 0
     body = bytearray()
@@ -126,8 +140,9 @@
             status = event.status
         elif isinstance(event, ResponseData):
             body += event.chunk
-            if len(body) > MAX_BODY_BYTES:
-                return ResponseFailed('the body is too long')
+            problem = check_size(body, share)
+            if problem:
+                return ResponseFailed(problem)
         elif isinstance(event, ResponseFailed):
             return event
         else:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -14,9 +14,9 @@
 
 from .._clock import now_s
 from ..http import (
+    READ_ONLY_LIMITS,
     HttpRequest,
     HttpServer,
-    RefusalStatus,
     Responder,
     ServerLimits,
     split_address,
@@ -70,14 +70,18 @@
             self._serve,
             ServerLimits(*limits),
             self._on_handler_error,
-            self._state.pool.bodies,
+            self._state.limits.bodies,
+            self._state.limits.table,
         )
-        self._front.on_unread = self._log_unread
         self._health = HttpServer(
             self._check_health,
-            ServerLimits(),
+            READ_ONLY_LIMITS,
             self._on_handler_error,
+            self._state.limits.bodies,
+            self._state.limits.table,
         )
+        for server in (self._front, self._health):
+            server.on_unread = self._state.limits.on_unread
         self._forwards = ForwardService(self._state)
         self._running = 0
         self._draining = asyncio.Event()
@@ -91,10 +95,14 @@
         self._log.write('entry', 'start', zone=self._cfg.zone)
         await self._health.listen(*split_address(self._cfg.ready))
         await self._front.listen(*split_address(self._cfg.front))
-        page = MetricsPage(self._state.metrics.registry, self._log)
+        page = MetricsPage(
+            self._state.metrics.registry, self._log, self._state.limits
+        )
         await page.listen(self._cfg.metrics)
         host = split_address(self._cfg.front)[0]
-        peers = await serve_peers((self._forwards,), host, self._cfg.peer_port)
+        peers = await serve_peers(
+            (self._forwards,), host, self._cfg.peer_port, self._state.limits
+        )
         tasks = [
             asyncio.create_task(self._sync.run()),
             asyncio.create_task(self._state.prober.run()),
@@ -134,15 +142,6 @@
             'entry', 'SIGHUP ignored: settings are read only at start'
         )
 
-    def _log_unread(self, status: RefusalStatus) -> None:
-        self._log.write(
-            'request',
-            'refused unread',
-            status=status.value,
-            reason=status.name,
-            bodies_bytes=self._state.pool.bodies.used_bytes,
-        )
-
     def _on_handler_error(self) -> None:
         self._log.write('entry', 'unhandled error in an HTTP handler')
 
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
@@ -29,6 +29,7 @@
 from .._clock import now_s
 from ..http import TargetPool
 from ._codec import EntryCodec
+from ._connectionlimits import ConnectionLimits
 from ._jsonlog import JsonLog
 from ._loadtracker import LoadTracker
 from ._metrics import EntryMetrics
@@ -66,7 +67,9 @@
         )
         self.tokens = LocalTokens(cfg.quota)
         self.load = LoadTracker()
-        self.pool = TargetPool()
+        self.metrics = EntryMetrics()
+        self._limits = ConnectionLimits(cfg.limits, log, self.metrics.registry)
+        self.pool = TargetPool(self._limits.bodies, cfg.limits.max_idle)
         self.cold = ColdStartLimiter()
         self.sends = SendLimiter()
         self.rejections = RejectionGuard()
@@ -76,7 +79,6 @@
         self.guard = QuarantineGuard(cfg.vm)
         self.streams = StreamReports()
         self.lookups = StreamLookups()
-        self.metrics = EntryMetrics()
         self.retries = RetryBudget(
             cfg.retry_ratio,
             cfg.retry_slack,
@@ -88,6 +90,11 @@
         self._rng = random.Random(secrets.randbits(64))
         self._update: asyncio.Future[None] | None = None
 
+    @property
+    def limits(self) -> ConnectionLimits:
+        """Return what the connections of this process may hold."""
+        return self._limits
+
     @property
     def paths(self) -> PathMonitor:
         """Return which pools are in reach."""
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
@@ -12,12 +12,13 @@
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
 from ..http import (
+    READ_ONLY_LIMITS,
     HttpRequest,
     HttpServer,
     Responder,
-    ServerLimits,
     split_address,
 )
+from ._connectionlimits import ConnectionLimits
 from ._jsonlog import JsonLog
 
 LATENCY_BUCKETS_S: Final = (
@@ -234,10 +235,22 @@
 class MetricsPage:
     """Serves a metrics registry in the Prometheus format, at any path."""
 
-    def __init__(self, registry: CollectorRegistry, log: JsonLog) -> None:
+    def __init__(
+        self,
+        registry: CollectorRegistry,
+        log: JsonLog,
+        limits: ConnectionLimits,
+    ) -> None:
         self._registry = registry
         self._log = log
-        self._server = HttpServer(self._serve, ServerLimits(), self._on_error)
+        self._server = HttpServer(
+            self._serve,
+            READ_ONLY_LIMITS,
+            self._on_error,
+            limits.bodies,
+            limits.table,
+        )
+        self._server.on_unread = limits.on_unread
 
     async def listen(self, address: str) -> None:
         """Listen on an address; an error is logged and not raised."""
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
@@ -28,6 +28,7 @@
 )
 
 from .._clock import now_s
+from ._connectionlimits import ConnectionLimits
 from ._jsonlog import JsonLog
 from ._keepalive import (
     LINK_PING_INTERVAL_S,
@@ -36,6 +37,7 @@
     SERVER_PING_TIMEOUT_S,
     ping_config,
 )
+from ._peerserver import LimitedServer
 
 PEER_RECONNECT_DELAY_S: Final = 0.2
 MAX_QUEUED_MESSAGES: Final = 512
@@ -238,9 +240,14 @@
     services: tuple[IServable, ...],
     host: str,
     port: int,
+    limits: ConnectionLimits | None = None,
 ) -> Server:
     """Start the gRPC server for control and entry VMs."""
     config = ping_config(SERVER_PING_INTERVAL_S, SERVER_PING_TIMEOUT_S)
-    server = Server(services, config=config)
-    await server.start(host, port, reuse_address=True)
-    return server
+    if limits is None:
+        server = Server(services, config=config)
+        await server.start(host, port, reuse_address=True)
+        return server
+    limited = LimitedServer(services, config, limits)
+    await limited.listen(host, port)
+    return limited
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_settings.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_settings.py
@@ -7,6 +7,8 @@
 
 from lovagemast_core.quota import QuotaBounds
 
+from ..http import VmLimits
+
 
 class EntrySettings(NamedTuple):
     """Settings of an entry server; durations are in seconds.
@@ -30,6 +32,7 @@
     retry_slack: float
     retry_window_s: float
     quota: QuotaBounds
+    limits: VmLimits = VmLimits()
 
 
 class ControlSettings(NamedTuple):
@@ -54,3 +57,4 @@
     takeover_s: float
     drain_grace_s: float
     quota: QuotaBounds
+    limits: VmLimits = VmLimits()
--- a/packages/lovagemast-node/src/lovagemast_node/http/__init__.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/__init__.py
@@ -1,6 +1,6 @@
 """An HTTP/1.1 server and client that check message framing strictly."""
 
-from ._bodybudget import BodyBudget, BodyShare
+from ._bodybudget import FREE_BYTES, BodyBudget, BodyShare
 from ._client import (
     ConnectFailed,
     ResponseData,
@@ -11,6 +11,7 @@
     TargetConnection,
     TargetPool,
 )
+from ._connectiontable import ClosingRank, ConnectionTable
 from ._message import (
     Headers,
     HttpRequest,
@@ -19,22 +20,27 @@
     header_value,
 )
 from ._reader import RefusalStatus
-from ._responsesize import MAX_BODY_BYTES, MAX_EVENT_BYTES
+from ._resourcelimits import READ_ONLY_LIMITS, ServerLimits, VmLimits
+from ._responsesize import MAX_BODY_BYTES, MAX_EVENT_BYTES, check_size
 from ._server import (
     AlreadyStartedError,
     HttpServer,
     Responder,
-    ServerLimits,
 )
-from ._sockets import split_address
+from ._sockets import ACCEPT_BATCH, extend_backlog, split_address
 
 __all__ = [
+    'ACCEPT_BATCH',
+    'FREE_BYTES',
     'MAX_BODY_BYTES',
     'MAX_EVENT_BYTES',
+    'READ_ONLY_LIMITS',
     'AlreadyStartedError',
     'BodyBudget',
     'BodyShare',
+    'ClosingRank',
     'ConnectFailed',
+    'ConnectionTable',
     'Headers',
     'HttpRequest',
     'HttpServer',
@@ -48,8 +54,11 @@
     'ServerLimits',
     'TargetConnection',
     'TargetPool',
+    'VmLimits',
+    'check_size',
     'encode_head',
     'end_to_end',
+    'extend_backlog',
     'header_value',
     'split_address',
 ]
--- a/packages/lovagemast-node/src/lovagemast_node/http/_client.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_client.py
@@ -301,8 +301,14 @@
     them takes it again.
     """
 
-    def __init__(self) -> None:
-        self.bodies = BodyBudget()  # of all requests and responses
+    def __init__(
+        self,
+        bodies: BodyBudget | None = None,
+        max_idle: int | None = None,
+    ) -> None:
+        self.bodies = bodies or BodyBudget()  # of all requests and responses
+        self._max_idle = max_idle
+        self._is_full = False  # counted when connections are purged
         self._idle: dict[str, deque[TargetConnection]] = {}
         self._purged_at = float('-inf')
 
@@ -361,6 +367,9 @@
             conn.close()
             return
         self._purge(now)
+        if self._is_full:
+            conn.close()
+            return
         conn.idle_since = now
         idle = self._idle.setdefault(conn.address, deque())
         idle.append(conn)
@@ -381,3 +390,7 @@
             if usable:
                 kept[address] = usable
         self._idle = kept
+        self._is_full = (
+            self._max_idle is not None
+            and self.idle_connections >= self._max_idle
+        )
--- a/packages/lovagemast-node/src/lovagemast_node/http/_reader.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_reader.py
@@ -5,6 +5,7 @@
 chunked, and missing or repeated ``Host`` headers.
 """
 
+from collections.abc import Callable
 from enum import IntEnum
 from typing import Final, NamedTuple
 
@@ -14,6 +15,7 @@
 from ._message import HttpRequest
 
 HEAD_OVERHEAD_BYTES: Final = 8_192  # for the request line and separators
+LINE_MEMORY_BYTES: Final = 160  # of a parsed line, beside its text
 LINE_BYTES: Final = 4  # of a header line beside its name and value
 # Of a chunked body beside its data. Chunks of one byte take five more each.
 MAX_FRAMING_BYTES: Final = 65_536
@@ -55,10 +57,16 @@
 class RequestReader:
     """Collects complete requests from the callbacks of the parser."""
 
-    def __init__(self, limits: ReaderLimits, bodies: BodyBudget) -> None:
+    def __init__(
+        self,
+        limits: ReaderLimits,
+        bodies: BodyBudget,
+        evict: Callable[[], None] | None = None,
+    ) -> None:
         self.limits = limits
         self._bodies = bodies
-        self._share = BodyShare(bodies)
+        self._evict = evict  # gives up the connection, for want of memory
+        self._share = BodyShare(bodies, evict)
         self.partial_bytes = 0  # of an incomplete request
         self._fed_since_body = 0  # bytes fed after the last of a body
         self._parser = httptools.HttpRequestParser(self)
@@ -138,8 +146,9 @@
             bytes(self._body),
         )
         keep_alive = self._parser.should_keep_alive()
+        self._share.complete()
         self._completed.append(CompletedRequest(req, keep_alive, self._share))
-        self._share = BodyShare(self._bodies)
+        self._share = BodyShare(self._bodies, self._evict)
         self._body = bytearray()
         self.partial_bytes = 0
         self._fed_since_body = 0
@@ -155,6 +164,11 @@
     def _head_limit(self) -> int:
         return self.limits.header_bytes + HEAD_OVERHEAD_BYTES
 
+    @property
+    def _head_memory(self) -> int:
+        lines_bytes = LINE_MEMORY_BYTES * len(self._headers)
+        return self._header_bytes + lines_bytes + len(self._url)
+
     def _check_partial(self) -> RefusalStatus | None:
         """Return why an incomplete request is not read on.
 
@@ -168,6 +182,11 @@
         framing = self.partial_bytes - size
         if framing > MAX_FRAMING_BYTES + MAX_FRAMING_FACTOR * size:
             return RefusalStatus.BAD_REQUEST
+        self._share.wait_for_more(self.partial_bytes)
+        if not self._is_head_complete and not self._share.try_hold_head(
+            self._head_memory
+        ):
+            return RefusalStatus.NO_MEMORY
         return None
 
     def _refuse(self, status: RefusalStatus) -> None:
@@ -198,6 +217,6 @@
             return RefusalStatus.BAD_REQUEST
         if int(length) > self.limits.body_bytes:
             return RefusalStatus.BODY_TOO_LARGE
-        if not self._share.try_grow(int(length)):
+        if not self._share.try_hold_head(self._head_memory):
             return RefusalStatus.NO_MEMORY
         return None
--- a/packages/lovagemast-node/src/lovagemast_node/http/_responsesize.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_responsesize.py
@@ -8,6 +8,8 @@
 
 from typing import Final
 
+from ._bodybudget import BodyShare
+
 MAX_BODY_BYTES: Final = 8_388_608  # of a body that is kept as a whole
 MAX_EVENT_BYTES: Final = 1_048_576  # of one event of a stream
 # What a response may have beside its body: 64 KiB, and as much as the body,
@@ -15,6 +17,13 @@
 MAX_OVERHEAD_BYTES: Final = 65_536
 
 
+def check_size(body: bytearray, share: BodyShare) -> str:
+    """Return why a body is not read on, empty if it may be."""
+    if len(body) > MAX_BODY_BYTES:
+        return 'the body is too long'
+    return '' if share.try_grow(len(body)) else 'no memory for the body'
+
+
 class ResponseSize:
     """Counts the bytes received for a response, and those of its body."""
 
--- a/packages/lovagemast-node/src/lovagemast_node/http/_server.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_server.py
@@ -3,10 +3,11 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable
-from typing import Final, NamedTuple
+from typing import Final
 
 from .._clock import now_s
-from ._bodybudget import BodyBudget
+from ._bodybudget import BodyBudget, BodyShare
+from ._connectiontable import ClosingRank, ConnectionTable
 from ._message import Headers, HttpRequest, encode_head, status_line
 from ._reader import (
     CompletedRequest,
@@ -14,7 +15,8 @@
     RefusalStatus,
     RequestReader,
 )
-from ._sockets import LISTEN_BACKLOG, enable_keepalive
+from ._resourcelimits import ServerLimits
+from ._sockets import ACCEPT_BATCH, enable_keepalive, extend_backlog
 
 MAX_PIPELINED_REQUESTS: Final = 16
 WRITE_BUFFER_LIMIT_BYTES: Final = 65_536
@@ -24,15 +26,6 @@
 NO_MEMORY_RETRY_AFTER: Final = (b'Retry-After', b'1')
 
 
-class ServerLimits(NamedTuple):
-    """Limits on the size and duration of requests."""
-
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
-
-
 def _ignore(_status: RefusalStatus) -> None:
     """Do nothing about a request that is refused unread."""
 
@@ -92,13 +85,23 @@
         self._conn.write(head)
 
     async def write(self, chunk: bytes) -> None:
-        """Write a chunk of the body, with back-pressure from the caller."""
+        """Write a chunk of the body, with back-pressure from the caller.
+
+        A long one is written in slices: the transport would copy the rest.
+        """
         if not chunk or self._head_only:
             return
         if self._chunked:
             chunk = b'%x\r\n%b\r\n' % (len(chunk), chunk)
-        self._conn.write(chunk)
-        await self._conn.drain()
+        if len(chunk) <= WRITE_BUFFER_LIMIT_BYTES:
+            self._conn.write(chunk)
+            await self._conn.drain()
+            return
+        unwritten = memoryview(chunk)
+        while unwritten:
+            self._conn.write(unwritten[:WRITE_BUFFER_LIMIT_BYTES])
+            unwritten = unwritten[WRITE_BUFFER_LIMIT_BYTES:]
+            await self._conn.drain()
 
     def end(self) -> None:
         """Finish the response."""
@@ -121,8 +124,11 @@
     def __init__(self, server: 'HttpServer') -> None:
         self._server = server
         self._reader = RequestReader(
-            ReaderLimits(*server.limits[:2]), server.bodies
+            ReaderLimits(*server.limits[:2]), server.bodies, self._evict
         )
+        self._unread = BodyShare(server.bodies, self.abort)  # by the caller
+        self._paused_bytes = 0  # that the caller has read slowly
+        self._stall_timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport | None = None
         self._opened_at = 0.0  # s
         self._queue: deque[CompletedRequest] = deque()
@@ -144,17 +150,18 @@
         transport.set_write_buffer_limits(high=WRITE_BUFFER_LIMIT_BYTES)
         self._server.connections.add(self)
         self._start_timer(self._server.limits.idle_timeout_s)
+        self._server.table.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, as its caller has disconnected."""
         self._is_closed = True
         self._is_writable.set()
         self._server.connections.discard(self)
+        self._server.table.remove(self)
         self._stop_timer()
+        self._stop_stall_timer()
         self._reader.close()
-        for waiting in self._queue:
-            waiting.share.release()
-        self._queue.clear()
+        self._clear_queue()
         if self._task:
             self._task.cancel()
 
@@ -177,14 +184,23 @@
         self._start_next()
 
     def pause_writing(self) -> None:
-        """Block writers while the send buffer is full."""
+        """Block writers while the send buffer is full, not for too long."""
         self._is_writable.clear()
+        self._stop_stall_timer()
+        loop = asyncio.get_running_loop()
+        timeout_s = self._server.limits.idle_timeout_s
+        self._stall_timer = loop.call_later(timeout_s, self.abort)
+        self._paused_bytes += WRITE_BUFFER_LIMIT_BYTES
+        self._unread.wait_for_more(self._paused_bytes)
+        if not self._unread.try_grow(WRITE_BUFFER_LIMIT_BYTES):
+            self.abort()
 
     def resume_writing(self) -> None:
         """Unblock writers."""
         self._is_writable.set()
+        self._stop_stall_timer()
 
-    def write(self, data: bytes) -> None:
+    def write(self, data: bytes | memoryview) -> None:
         """Write bytes unless the connection is closed."""
         if self._transport and not self._is_closed:
             self._transport.write(data)
@@ -199,6 +215,22 @@
         if self._transport:
             self._transport.abort()
 
+    def closing_rank(self) -> ClosingRank:
+        """Return how soon the connection is closed to make room."""
+        if self._is_closing:
+            return ClosingRank.UNUSED
+        if self._task or self._queue:
+            return ClosingRank.BUSY
+        if self._reader.partial_bytes:
+            return ClosingRank.INCOMPLETE
+        return ClosingRank.USED if self._has_served else ClosingRank.UNUSED
+
+    def close_for_room(self) -> None:
+        """Close at once; a request that was arriving is refused."""
+        if self._reader.partial_bytes and not self._is_closing:
+            self._evict()
+        self.abort()
+
     def close_if_idle(self) -> None:
         """Close unless a request is in progress, or about to be received."""
         age_s = now_s() - self._opened_at
@@ -248,10 +280,21 @@
             self._start_timer(self._server.limits.idle_timeout_s)
             self._start_next()
 
+    def _evict(self) -> None:
+        """Refuse the request that is arriving, for want of memory."""
+        if not self._is_closing:
+            self._refuse(RefusalStatus.NO_MEMORY)
+
+    def _clear_queue(self) -> None:
+        for waiting in self._queue:
+            waiting.share.release()
+        self._queue.clear()
+
     def _refuse(self, status: RefusalStatus) -> None:
         """Respond to a refused request and stop reading."""
         self._is_closing = True
         self._reader.close()
+        self._clear_queue()
         self._server.on_unread(status)
         if self._task is None:
             head = [(b'Content-Length', b'0'), (b'Connection', b'close')]
@@ -278,6 +321,9 @@
         self._is_closing = True
         if self._transport:
             self._transport.close()
+            if self._transport.get_write_buffer_size():
+                # A caller that reads no more would keep the rest for ever.
+                self._start_timer(self._server.limits.idle_timeout_s)
 
     def _start_timer(self, delay_s: float) -> None:
         self._stop_timer()
@@ -289,8 +335,16 @@
             self._timer.cancel()
             self._timer = None
 
+    def _stop_stall_timer(self) -> None:
+        if self._stall_timer:
+            self._stall_timer.cancel()
+            self._stall_timer = None
+            self._unread.release()
+
     def _on_timeout(self) -> None:
-        if self._is_idle():
+        if self._is_closing:
+            self.abort()
+        elif self._is_idle():
             self._close()
         elif self._task is None:
             self._refuse(RefusalStatus.TIMED_OUT)
@@ -305,11 +359,14 @@
         limits: ServerLimits,
         on_handler_error: Callable[[], None],
         bodies: BodyBudget | None = None,
+        table: ConnectionTable | None = None,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.on_handler_error = on_handler_error
         self.bodies = bodies or BodyBudget()
+        # An empty table counts as false.
+        self.table = ConnectionTable() if table is None else table
         self.on_unread: Callable[[RefusalStatus], None] = _ignore
         self.is_draining = False
         self.connections: set[ServerConnection] = set()
@@ -322,9 +379,10 @@
             lambda: ServerConnection(self),
             host,
             port,
-            backlog=LISTEN_BACKLOG,
+            backlog=ACCEPT_BATCH,
             reuse_address=True,
         )
+        extend_backlog(self._listener)
 
     def stop_listening(self) -> None:
         """Accept no further connections; open ones are kept."""
--- a/packages/lovagemast-node/src/lovagemast_node/http/_sockets.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_sockets.py
@@ -9,6 +9,8 @@
 KEEPALIVE_PROBES: Final = 2
 USER_TIMEOUT_MS: Final = 2_500  # for unacknowledged data
 LISTEN_BACKLOG: Final = 512
+# Connections that are accepted before those accepted earlier are counted.
+ACCEPT_BATCH: Final = 8
 
 
 def enable_keepalive(transport: asyncio.BaseTransport) -> None:
@@ -28,6 +30,16 @@
         sock.setsockopt(level, option, value)
 
 
+def extend_backlog(listener: asyncio.Server) -> None:
+    """Let more connections wait for being accepted than are at a time.
+
+    The event loop has one number for both.
+    """
+    for sock in listener.sockets:
+        with sock.dup() as twin:
+            twin.listen(LISTEN_BACKLOG)
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return the host and port of an address ``host:port``."""
     host, _, port = address.rpartition(':')
