Tests outside the limits: loopback addresses of each run's own

The processes under test now listen on addresses made from the test's process id. Crowds, bounds and checks are the same; Deployment of test_serving.py got its hosts as attributes for this.

--- a/tests/outsidecallers.py
+++ b/tests/outsidecallers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import os
 import re
 import threading
 from collections.abc import Callable
@@ -16,7 +17,7 @@
 
 from tests.platformworker import OK, Worker
 from tests.test_endless import Endless
-from tests.test_serving import CONTROL, Deployment, free_port, make_route
+from tests.test_serving import Deployment, free_port, make_route
 
 KIB: Final = 1_024
 MIB: Final = 1_048_576
@@ -31,7 +32,11 @@
 BLOCK: Final = 65_536
 STEP_S: Final = 0.01
 SEND_TIMEOUT_S: Final = 8.0  # of one caller, so that a crowd always ends
-ENTRY: Final = '127.0.0.1'
+# The port of metrics is the same in all runs. With addresses of its own, a
+# crowd never reaches the processes of another run on the same machine.
+NETWORK: Final = f'127.{100 + os.getpid() % 100}.{os.getpid() // 100 % 250}'
+CONTROL: Final = tuple(f'{NETWORK}.{11 + index}' for index in range(3))
+ENTRY: Final = f'{NETWORK}.21'
 METRICS_PORT: Final = 9_464
 FLOOD_PATH: Final = '/flood/x'
 REDIRECTS: Final = urllib3.Retry(connect=0, read=0, redirect=3)
@@ -159,7 +164,9 @@
 
     async def serve(self) -> None:
         """Serve until cancelled."""
-        server = await asyncio.start_server(self._respond, ENTRY, self.port)
+        server = await asyncio.start_server(
+            self._respond, '127.0.0.1', self.port
+        )
         await server.serve_forever()
 
     async def _respond(
@@ -180,6 +187,9 @@
 class LimitedDeployment(Deployment):
     """A deployment with the limits of the smallest VM in its settings."""
 
+    control_vms = CONTROL
+    entry_vm = ENTRY
+
     def __init__(self, folder: Path) -> None:
         super().__init__(folder)
         self.target = FloodingTarget(free_port())
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -43,11 +43,14 @@
 class Deployment:
     """Three control VMs, an entry VM and three workers on loopback."""
 
+    control_vms: tuple[str, ...] = CONTROL
+    entry_vm = '127.0.0.1'
+
     def __init__(self, folder: Path) -> None:
         self.folder = folder
         self.ports = Ports(*(free_port() for _port in range(4)))
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
-        control = f'{CONTROL[0]}:{self.ports.control}'
+        control = f'{self.control_vms[0]}:{self.ports.control}'
         self.engine = Worker('i-1', 's-lm', free_port(), control)
         self.spare = Worker('i-2', 's-lm', free_port(), control)
         self.plain = Worker('i-3', 's-plain', free_port(), control)
@@ -56,9 +59,9 @@
 
     def start(self) -> None:
         """Start all processes and workers and wait until they serve."""
-        for vm in CONTROL:
+        for vm in self.control_vms:
             self.start_process('control', vm)
-        self.start_process('entry', '127.0.0.1')
+        self.start_process('entry', self.entry_vm)
         self._thread.start()
         for worker in (self.engine, self.spare, self.plain):
             asyncio.run_coroutine_threadsafe(worker.serve(), self._loop)
@@ -109,7 +112,7 @@
 
     def put_config(self, version: int, keys: tuple[str, ...] = ('k1',)) -> int:
         """Send a configuration to the last control VM."""
-        url = f'http://{CONTROL[2]}:{self.ports.control}/config'
+        url = f'http://{self.control_vms[2]}:{self.ports.control}/config'
         return put(url, self.config(version, keys))
 
     def config(self, version: int, keys: tuple[str, ...]) -> dict[str, Any]:
@@ -152,7 +155,7 @@
         }
         return urllib3.request(
             'POST',
-            f'http://127.0.0.1:{self.ports.front}{path}',
+            f'http://{self.entry_vm}:{self.ports.front}{path}',
             headers=sent,
             body=b'{"q": 1}',
             retries=False,
@@ -161,7 +164,7 @@
 
     def _settings(self, role: str, vm: str) -> str:
         ports = self.ports
-        seeds = [f'{one}:{ports.control}' for one in CONTROL]
+        seeds = [f'{one}:{ports.control}' for one in self.control_vms]
         data_dir = self.folder / f'data-{vm}'
         return '\n'.join(
             (
@@ -174,8 +177,8 @@
                 f'dataDir = "{data_dir}"',
                 '[listen]',
                 f'control = "{vm}:{ports.control}"',
-                f'front = "127.0.0.1:{ports.front}"',
-                f'ready = "127.0.0.1:{ports.ready}"',
+                f'front = "{self.entry_vm}:{ports.front}"',
+                f'ready = "{self.entry_vm}:{ports.ready}"',
                 '[faultTolerance]',
                 'machines = 1',
                 '[bounds]',
