--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -138,6 +138,7 @@
             self._limits.table,
         )
         self._http.on_unread = self._limits.on_unread
+        self._http.counts_responses = True
         pool = TargetPool(self._limits.bodies, cfg.limits.max_idle)
         self._engines = EngineClient(cfg.vm, codec, self._log, pool)
         self._log_writer = LogWriter(
--- a/packages/lovagemast-node/src/lovagemast_node/http/_reader.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_reader.py
@@ -154,8 +154,15 @@
         self._fed_since_body = 0
 
     def close(self) -> None:
-        """Release the memory of an incomplete request."""
+        """Release the memory of an incomplete request.
+
+        So too of complete ones, if bytes after them in the same read were
+        refused.
+        """
         self._share.release()
+        for completed in self._completed:
+            completed.share.release()
+        self._completed = []
         self._body = bytearray()
         self._headers = []
         self._url = b''
--- a/packages/lovagemast-node/src/lovagemast_node/http/_server.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_server.py
@@ -85,10 +85,7 @@
         self._conn.write(head)
 
     async def write(self, chunk: bytes) -> None:
-        """Write a chunk of the body, with back-pressure from the caller.
-
-        A long one is written in slices: the transport would copy the rest.
-        """
+        """Write a chunk of the body in slices, with back-pressure."""
         if not chunk or self._head_only:
             return
         if self._chunked:
@@ -101,6 +98,7 @@
         while unwritten:
             self._conn.write(unwritten[:WRITE_BUFFER_LIMIT_BYTES])
             unwritten = unwritten[WRITE_BUFFER_LIMIT_BYTES:]
+            self._conn.unwritten_bytes = len(unwritten)
             await self._conn.drain()
 
     def end(self) -> None:
@@ -128,6 +126,7 @@
         )
         self._unread = BodyShare(server.bodies, self.abort)  # by the caller
         self._paused_bytes = 0  # that the caller has read slowly
+        self.unwritten_bytes = 0  # of a response, beside the send buffer
         self._stall_timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport | None = None
         self._opened_at = 0.0  # s
@@ -192,7 +191,10 @@
         self._stall_timer = loop.call_later(timeout_s, self.abort)
         self._paused_bytes += WRITE_BUFFER_LIMIT_BYTES
         self._unread.wait_for_more(self._paused_bytes)
-        if not self._unread.try_grow(WRITE_BUFFER_LIMIT_BYTES):
+        held = WRITE_BUFFER_LIMIT_BYTES
+        if self._server.counts_responses:
+            held += self.unwritten_bytes
+        if not self._unread.try_grow(held):
             self.abort()
 
     def resume_writing(self) -> None:
@@ -365,10 +367,10 @@
         self.limits = limits
         self.on_handler_error = on_handler_error
         self.bodies = bodies or BodyBudget()
-        # An empty table counts as false.
         self.table = ConnectionTable() if table is None else table
         self.on_unread: Callable[[RefusalStatus], None] = _ignore
         self.is_draining = False
+        self.counts_responses = False  # if the handler doesn't
         self.connections: set[ServerConnection] = set()
         self._listener: asyncio.Server | None = None
 
--- a/tests/test_connectionlimits.py
+++ b/tests/test_connectionlimits.py
@@ -243,6 +243,20 @@
 
 
 class TestServer:
+    def test_refusal_after_a_complete_request(self) -> None:
+        """Its share of the budget would never be returned."""
+
+        async def use(_server: HttpServer, port: int) -> None:
+            size = 100_000
+            request = POST + b'Content-Length: %d\r\n\r\n' % size + b'x' * size
+            answer = await answer_to(port, request + b'\x00' * 100, 200_000)
+            assert answer.startswith((b'HTTP/1.1 400', b'HTTP/1.1 200'))
+
+        for _time in range(20):
+            server = serve(use, echo_size)
+            assert server.bodies.used_bytes == 0
+            assert server.bodies.small_bytes == 0
+
     @pytest.mark.parametrize(
         ('data', 'step'),
         [
@@ -339,6 +353,30 @@
         server = serve(use, flood, limits=ServerLimits(idle_timeout_s=0.3))
         assert server.bodies.small_bytes == 0
 
+    def test_unread_pages_of_operators(self) -> None:
+        """Operators' pages are kept whole until they are written."""
+
+        async def flood(req: HttpRequest, responder: Responder) -> None:
+            size = 16 * MIB if req.path == '/big' else 1
+            await responder.send(200, (), b'x' * size)
+
+        async def use(server: HttpServer, port: int) -> None:
+            server.counts_responses = True
+            conns = []
+            for _conn in range(3):
+                conns.append(
+                    await asyncio.open_connection(HOST, port, limit=1_024)
+                )
+                conns[-1][1].write(GET.replace(b'/a', b'/big'))
+                await conns[-1][0].readuntil(b'\r\n\r\n')
+                await asyncio.sleep(0.1)
+            assert server.bodies.used_bytes <= 20 * MIB
+            assert len(server.connections) == 1
+            for _reader, writer in conns:
+                writer.transport.abort()
+
+        serve(use, flood, BodyBudget(20 * MIB))
+
     def test_many_unread_responses_end_for_others(self) -> None:
         """The memory of responses that nobody reads is limited together."""
 
