--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_attempt.py
@@ -17,10 +17,11 @@
     ResponseFailed,
     ResponseHead,
     TargetConnection,
+    check_size,
 )
 from ._admitted import AdmittedRequest
 from ._answertimes import AnswerTimes
-from ._attemptresult import AttemptOutcome, AttemptResult, check_body_size
+from ._attemptresult import AttemptOutcome, AttemptResult
 from ._codec import TargetResponseMetadata
 from ._entrystate import EntryState
 from ._quarantinecheck import QuarantineCheck
@@ -328,11 +329,13 @@
             event = await self._next_event(conn)
             if isinstance(event, ResponseData):
                 body += event.chunk
-                problem = check_body_size(body, share)
+                problem = check_size(body, share)
                 if problem:
                     return ResponseFailed(problem)
             elif isinstance(event, ResponseEnd):
-                await self._end_body(head, bytes(body))
+                whole = bytes(body)
+                body.clear()  # while the caller reads the other copy
+                await self._end_body(head, whole)
                 return None
             elif isinstance(event, ResponseFailed):
                 return event
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entrystate.py
@@ -29,6 +29,7 @@
 from .._clock import now_s, wall_ms
 from ..http import TargetPool
 from ._codec import EntryCodec
+from ._connectionlimits import ConnectionLimits
 from ._jsonlog import JsonLog
 from ._loadtracker import LoadTracker
 from ._metrics import EntryMetrics
@@ -67,7 +68,9 @@
             PeerDirectory(cfg.vm, cfg.zone), cfg.peer_port
         )
         self.tokens = LocalTokens(cfg.quota)
-        self.pool = TargetPool()
+        self.metrics = EntryMetrics()
+        self._limits = ConnectionLimits(cfg.limits, log, self.metrics.registry)
+        self.pool = TargetPool(self._limits.bodies, cfg.limits.max_idle)
         self.cold = ColdStartLimiter()
         self.sends = SendLimiter()
         self.rejections = RejectionGuard()
@@ -76,7 +79,6 @@
         self.guard = QuarantineGuard(cfg.vm)
         self.streams = StreamReports()
         self.lookups = StreamLookups()
-        self.metrics = EntryMetrics()
         self.load = LoadTracker(PaceTracker(log, self.metrics))
         self.queues = PoolQueues(log, self.metrics)
         self.retries = RetryBudget(
@@ -91,6 +93,11 @@
         self._rng = random.Random(secrets.randbits(64))
         self._update: asyncio.Future[None] | None = None
 
+    @property
+    def limits(self) -> ConnectionLimits:
+        """Return what the connections of this process may hold."""
+        return self._limits
+
     @property
     def paths(self) -> PathMonitor:
         """Return which pools are in reach."""
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_settings.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_settings.py
@@ -8,6 +8,8 @@
 from lovagemast_core.duties import DutyConfig
 from lovagemast_core.quota import QuotaBounds
 
+from ..http import VmLimits
+
 
 class CloudSettings(NamedTuple):
     """The infrastructure that is told of usage and of targets to run."""
@@ -39,6 +41,7 @@
     retry_window_s: float
     quota: QuotaBounds
     cloud: CloudSettings | None = None
+    limits: VmLimits = VmLimits()
 
 
 class ControlSettings(NamedTuple):
@@ -64,3 +67,4 @@
     drain_grace_s: float
     quota: QuotaBounds
     cloud: CloudSettings | None = None
+    limits: VmLimits = VmLimits()
--- a/packages/lovagemast-node/src/lovagemast_node/http/_client.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_client.py
@@ -13,7 +13,7 @@
 from ._bodybudget import BodyBudget
 from ._eventqueue import EventQueue
 from ._message import Headers
-from ._responsesize import ResponseSize
+from ._responsesize import MAX_OVERHEAD_BYTES, ResponseSize
 from ._sockets import enable_keepalive, split_address
 
 IDLE_TIMEOUT_MARGIN_S: Final = (
@@ -28,6 +28,7 @@
 SLICE_BYTES: Final = 65_536  # of a request's body, written at a time
 # The last two are for an address that no connection can be opened to.
 CONNECT_ERRORS: Final = (OSError, TimeoutError, ValueError, OverflowError)
+LINE_BYTES: Final = 4  # of a header line beside its name and value
 MIN_FINAL_STATUS: Final = 200  # lower ones are interim responses
 
 
@@ -150,10 +151,20 @@
         if not self._is_busy:
             self.is_reusable = False
         self._headers: list[tuple[bytes, bytes]] = []
+        self._lines_bytes = 0
+        self._is_in_body = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
-        self._headers.append((name, value))
+        """Store a header, drop a trailer; the lines of both are bounded.
+
+        One read has room for many lines, each of which takes several times
+        its size once it is parsed.
+        """
+        self._lines_bytes += len(name) + len(value) + LINE_BYTES
+        if self._lines_bytes > MAX_OVERHEAD_BYTES:
+            raise ValueError('too many header lines')
+        if not self._is_in_body:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Emit the head, unless it belongs to another request."""
@@ -258,6 +269,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._size = ResponseSize()
         self._headers = []
+        self._lines_bytes = 0
         self._length = None
         self._is_chunked = False
         self._is_in_body = False
@@ -299,8 +311,14 @@
     them takes it again.
     """
 
-    def __init__(self) -> None:
-        self.bodies = BodyBudget()  # of all requests and responses
+    def __init__(
+        self,
+        bodies: BodyBudget | None = None,
+        max_idle: int | None = None,
+    ) -> None:
+        self.bodies = bodies or BodyBudget()  # of all requests and responses
+        self._max_idle = max_idle
+        self._is_full = False  # counted when connections are purged
         self._idle: dict[str, deque[TargetConnection]] = {}
         self._purged_at = float('-inf')
 
@@ -359,6 +377,9 @@
             conn.close()
             return
         self._purge(now)
+        if self._is_full:
+            conn.close()
+            return
         conn.idle_since = now
         conn.rest()
         idle = self._idle.setdefault(conn.address, deque())
@@ -380,3 +401,7 @@
             if usable:
                 kept[address] = usable
         self._idle = kept
+        self._is_full = (
+            self._max_idle is not None
+            and self.idle_connections >= self._max_idle
+        )
