Adapters: requests that wait for a slot call for a copy

In pools that are served in order, a request that finds all holders full counts as five more in the demand that is reported. Two such requests call for a copy; where all engines are as busy, there is none, as before.

--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_loadtracker.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_loadtracker.py
@@ -1,6 +1,7 @@
 """Tracks requests in progress by target, and the demand for adapters."""
 
 from collections import Counter
+from typing import Final
 
 from lovagemast_core.adapters import AdapterLabel
 from lovagemast_core.entry import (
@@ -14,6 +15,10 @@
 
 _AdapterName = tuple[str, str, str, str]
 
+# Requests for an adapter that one counts as which waits for a slot. Two such
+# requests make the leader load a copy of an adapter that one target holds.
+CROWDED_DEMAND: Final = 5
+
 
 class LoadTracker:
     """Counts this VM's requests by target and by adapter.
@@ -72,6 +77,15 @@
         """Count a caller's request for an adapter."""
         self._demand[wanted.pool, wanted.model, wanted.adapter, ''] += 1
 
+    def adapter_crowded(self, wanted: TargetRequirements) -> None:
+        """Count a request that waits as all targets with its adapter are full.
+
+        The leader averages demand over several seconds. A sudden demand for an
+        adapter that one target holds would overrun it for as long.
+        """
+        name = (wanted.pool, wanted.model, wanted.adapter, '')
+        self._demand[name] += CROWDED_DEMAND
+
     def adapter_awaited(self, wanted: TargetRequirements, change: int) -> None:
         """Change the number of requests that wait for an adapter."""
         pool, model, adapter, software = wanted
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_waitconditions.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_waitconditions.py
@@ -59,6 +59,7 @@
         self._continuity = continuity
         # What was reported as waited for.
         self._reported: TargetRequirements | None = None
+        self._is_crowded = False  # reported, once
 
     def end(self) -> None:
         """Stop waiting for tokens and for an adapter."""
@@ -93,6 +94,9 @@
         refusal = self._check(choice, give_up_at, token_deadline, now)
         if refusal is None and self._needs_load(choice, now):
             self._report_waiting()
+        if not self._is_crowded and self._lacks_room(choice):
+            self._is_crowded = True
+            self._state.load.adapter_crowded(self.chooser.requirements)
         return refusal
 
     def _check(
@@ -164,6 +168,14 @@
             bool(self.chooser.requirements.adapter) and not choice.holder_count
         )
 
+    def _lacks_room(self, choice: NoReadyTarget) -> bool:
+        """Return whether the adapter's targets are full, in an ordered pool."""
+        wanted = self.chooser.requirements
+        if not wanted.adapter or choice.ready_at is not None:
+            return False
+        has_queue = self._state.queues.queue_of(wanted.pool) is not None
+        return has_queue and not self.is_held(choice)
+
     def _report_waiting(self) -> None:
         """Report that a request waits for the adapter, once."""
         if self._reported is None:
--- a/tests/test_orderedwait.py
+++ b/tests/test_orderedwait.py
@@ -17,7 +17,11 @@
 )
 from lovagemast_core.entry import DrainWindow
 from lovagemast_core.quarantine import QuarantineState, SubjectRecord
-from lovagemast_core.targets import SyncReply, TargetRecord
+from lovagemast_core.targets import (
+    ResidentAdapter,
+    SyncReply,
+    TargetRecord,
+)
 from lovagemast_node._clock import now_s
 from lovagemast_node.fleet import TargetResponseMetadata
 from lovagemast_node.fleet._admitted import AdmittedRequest, subjects_of
@@ -135,6 +139,16 @@
         assert server._listener
         self._port = server._listener.sockets[0].getsockname()[1]
 
+    def hold_adapter(self, label: str) -> None:
+        """Let the target hold a model and an adapter."""
+        known = self.state.view.targets['t0'].record
+        model = label.partition('/')[0]
+        record = known._replace(
+            models=(model,), adapters=(ResidentAdapter(label, 0.0),)
+        )
+        reply = SyncReply(2, True, 'c', 1, 0.0, targets=(record,))
+        self.state.view.apply(reply, now_s(), now_s())
+
     async def call(
         self, name: str, key: str = 'k1', headers: bytes = b''
     ) -> Answer:
