--- a/tests/test_crowdedadapters.py
+++ b/tests/test_crowdedadapters.py
@@ -38,9 +38,9 @@
     bench = Bench()
     home = bench.load('a1')
     tracker = make_tracker()
-    for _request in range(requests):
+    for _sent in range(requests):
         tracker.adapter_requested(WANTED)
-    for _request in range(crowded):
+    for _waiting in range(crowded):
         tracker.adapter_crowded(WANTED)
     bench.planner.record_wishes(tracker.take_wishes(), bench.now)
     label = str(AdapterLabel('m', 'a1', 0))
