Tests: overload, old sums and 200 entry VMs in the load model

A refused request of the model that finds only targets which refused it ends now; it went on forever when all queues were full.

--- a/tests/loadmodel.py
+++ b/tests/loadmodel.py
@@ -309,7 +309,8 @@
         name = sent.target.candidate.target
         sent.entry.loads[name].record_report(sent.target.requests, now)
         tried = sent.tried | {name}
-        if len(tried) < MAX_TRIES:
+        # A target that refused it before is chosen only if all others did.
+        if name not in sent.tried and len(tried) < MAX_TRIES:
             self._send(sent.entry, sent.arrived_at, tried, now)
 
     def _finish_sent(self, sent: _Sent) -> None:
--- a/tests/test_loadspread.py
+++ b/tests/test_loadspread.py
@@ -75,6 +75,22 @@
         assert before.in_time < MIN_IN_TIME <= spread.in_time
         assert spread.in_time >= best.in_time - 0.015
 
+    @pytest.mark.parametrize(
+        'scenario',
+        [
+            Scenario(rate=20),
+            Scenario(rate=260),
+            Scenario(rate=200, slowdowns=slow(2)),
+            Scenario(lag_s=0.8, slowdowns=slow(2)),
+            Scenario(rate=150, entries=200, slowdowns=slow(1)),
+        ],
+        ids=['calm', 'overload', 'slow overload', 'old sums', '200 entry VMs'],
+    )
+    def test_never_worse_than_before(self, scenario: Scenario) -> None:
+        """Outside of what it is made for, the draw must not cost answers."""
+        before = play(scenario, 'before')
+        assert play(scenario, 'spread').in_time >= before.in_time
+
     @pytest.mark.parametrize('seed', [1, 2])
     def test_equal_targets_are_not_overrun(self, seed: int) -> None:
         """Entry VMs with the same old sums do not all take the same target."""
