--- a/packages/lovagemast-core/src/lovagemast_core/scaling/_counts.py
+++ b/packages/lovagemast-core/src/lovagemast_core/scaling/_counts.py
@@ -12,8 +12,8 @@
 from .._types import ZoneName
 from ..deployment import ScalingSpec
 
-# Of the slots in use at the recent peak, to which counts are raised. Engines slow
-# down as they fill, and a burst of 1.7 times the demand has to find slots.
+# Of the slots in use at the recent peak, to which counts are raised. Engines
+# slow down as they fill, and a burst of 1.7 times the demand has to find slots.
 TARGET_USE: Final = 0.58
 # Of the slots that remain when a zone is lost, until new targets serve.
 SPARE_USE: Final = 0.9
--- a/packages/lovagemast-core/src/lovagemast_core/scaling/_steps.py
+++ b/packages/lovagemast-core/src/lovagemast_core/scaling/_steps.py
@@ -14,8 +14,8 @@
 # the next wave that is slightly higher than the last two.
 MARGIN: Final = 0.1
 # A count that is at least this part of the need is not raised: use is then 0.62
-# at the peak. Together with the margin, the noise of 100 requests at a time moves
-# a count every few minutes, and never back and forth.
+# at the peak. Together with the margin, the noise of 100 requests at a time
+# moves a count every few minutes, and not back within two boot times.
 ENOUGH: Final = 0.94
 STEP: Final = 0.1  # of a count, for one decrease
 MIN_STEP_INTERVAL_S: Final = 4.0  # load moves to the other targets meanwhile
