Place accounts far under their share ahead of others

Accounts that send only less urgent requests got a quarter of their share in the model at twice the room, as those within their share were all equal and the more urgent went first. The excess now also counts down: an account that is under its share by half goes before others. A resumed stream is no longer taken for late when its wait is estimated.

--- a/packages/lovagemast-core/src/lovagemast_core/entry/_accountshares.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_accountshares.py
@@ -22,9 +22,9 @@
 # Over which an account's excess is remembered: a few objectives long, so that
 # a burst is paid for while its effects last, and forgotten after.
 SHARE_TIME_CONSTANT_S: Final = 4.0
-# Accounts that are over their share by less are equal to those under it: by one
-# request's work, as each send puts its account ahead by that much, and by a
-# part of the share, as arrivals vary by chance.
+# Accounts that differ from their share by less are equal: by one request's
+# work, as each send puts its account ahead by that much, and by a part of the
+# share, as arrivals vary by chance. Priority decides between such accounts.
 EXCESS_STEP_REQUESTS: Final = 1.0
 EXCESS_STEP_FRACTION: Final = 0.5
 # With more weights on record, those without recent work are dropped.
@@ -112,11 +112,12 @@
     ) -> int:
         """Return by how many steps an account is over its share.
 
-        ``added`` is work that is expected to be taken of it before.
+        It is negative for an account that is under it by as much. ``added``
+        is work that is expected to be taken of it before.
         """
         work = self._work.get(account, scale.now) + added
         over = work / self._weight(account) - scale.fair_work
-        return max(0, int(over / scale.step))
+        return int(over / scale.step)
 
     def due(self, account: AccountName, scale: ShareScale) -> float:
         """Return the work that an account is due, or was sent if it is more."""
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_waitingorder.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_waitingorder.py
@@ -7,9 +7,10 @@
 should go to a request that can still meet its latency objective.
 
 Accounts are compared by the work that targets have taken from them over the
-last seconds, relative to their weights. Those at or under their share are
-equal; the others follow, the further over it the later. Requests that can no
-longer meet their objective come after those that can, over all accounts.
+last seconds, relative to their weights. Those that differ little from their
+share are equal; those far under it go first, those far over it last. Requests
+that can no longer meet their objective come after those that can, over all
+accounts.
 """
 
 import heapq
@@ -188,7 +189,8 @@
             self._wait_of_rank(request, ahead, now) / rate,
             self._wait_of_account(request, ahead, now) / rate,
         )
-        if now + wait_s > request.in_time_until:
+        will_be_late = now + wait_s > request.in_time_until
+        if will_be_late and not request.is_resumption:
             wait_s = max(wait_s, self._late_wait_s(request, rate, now))
         return min(wait_s, self._overdue_after_s(request, rate, now))
 
--- a/tests/test_waitingorder.py
+++ b/tests/test_waitingorder.py
@@ -87,6 +87,19 @@
     assert shares[2].served > 0.2  # it does not starve
 
 
+@pytest.mark.parametrize('demand', [1.3, 2.0])
+def test_accounts_of_one_priority(demand: float) -> None:
+    """Accounts that send only less urgent requests get half a share at least.
+
+    More urgent accounts are served better, but not at the cost of all that
+    the others are due.
+    """
+    load = Load(demand, greedy=1.0, seconds=100, kinds_by_account=True)
+    shares = [after(load).by_priority[priority] for priority in range(3)]
+    assert shares == sorted(shares, key=lambda one: -one.in_time)
+    assert shares[2].served > 0.5 * after(load).total.served
+
+
 @pytest.mark.parametrize('load', LOADS)
 def test_sizes_are_served_alike(load: Load) -> None:
     """Requests ten times as large as others are not pushed back for it."""
@@ -194,6 +207,28 @@
     assert next(order.in_order(NOW + 0.8)) == number
 
 
+def test_account_far_under_its_share_is_ahead() -> None:
+    """An account that was sent much less than its share goes first."""
+    order = WaitingOrder()
+    for step in range(20):
+        account = 'ab'[step % 2]
+        order.record_send(make_request(account), NOW - 2 + step / 10)
+    order.join(make_request('a'), NOW)
+    number = order.join(make_request('new', priority=2), NOW)
+    assert next(order.in_order(NOW)) == number
+
+
+def test_expected_wait_of_a_resumed_stream() -> None:
+    """It isn't behind requests in time, though its objective is long over."""
+    order = make_busy_order(10, 20)
+    for _one in range(MIN_QUEUE):
+        order.join(make_request(priority=-1), NOW)
+    old = make_request(
+        priority=-1, arrived_at=NOW - 9, in_time_until=NOW, give_up_at=NOW + 3
+    )
+    assert order.expected_wait_s(old, NOW) < 1.0
+
+
 def make_busy_order(per_s: int, waiting: int) -> WaitingOrder:
     """Return an order with requests that wait, at a rate of sends."""
     order = WaitingOrder()
--- a/tests/waitingmodel.py
+++ b/tests/waitingmodel.py
@@ -30,6 +30,7 @@
     greedy: float = 5.0  # rate of the first account, relative to the others
     seconds: float = 120.0
     mean_s: float = 0.3  # that a request holds a slot
+    kinds_by_account: bool = False  # each account sends one priority only
     recognised: float = 1.0  # part of the returning callers at the same VM
 
 
@@ -167,7 +168,10 @@
             now = 0.0
             while now < load.seconds:
                 now += self.rng.expovariate(per_s * weight / total)
-                caller = Caller(f'a{number}', now, *deck.draw())
+                priority, size = deck.draw()
+                if load.kinds_by_account:
+                    priority = number % len(KINDS)
+                caller = Caller(f'a{number}', now, priority, size)
                 caller.calls = 1
                 self.callers.append(caller)
                 self.at(now, lambda at, one=caller: policy.arrive(one, at))
