Relays encode each record and load once for all replies

A reply's records were encoded once and then copied into each reply, and its loads were encoded for each. Replies are now the concatenation of encoded fields, as the format allows, and the leader keeps unchanged loads as the same objects. The test of records that cannot be encoded decodes the bytes first; it checks what it checked before.

--- a/bench/syncload.py
+++ b/bench/syncload.py
@@ -417,8 +417,7 @@
 
     def _encode_leader(self, vm: str, reply: SyncReply) -> bytes:
         self._leader_asks[vm] = _held(self._leader_asks[vm], reply)
-        data: bytes = self._encoder.encode(reply).SerializeToString()
-        return data
+        return self._encoder.encode(reply)
 
     def _on_leader_ask(self, vm: str, data: bytes) -> None:
         def answer() -> bytes:
@@ -489,7 +488,7 @@
 
         def push() -> bytes | None:
             reply = self._relays[vm].make_push(name, self.now)
-            return reply and encoder.encode(reply).SerializeToString()
+            return encoder.encode(reply) if reply else None
 
         data = self.meter.run('relay', push)
         if data:
@@ -504,7 +503,7 @@
             ask = from_wire(SyncAsk, message)
             reply = relay.on_ask(self._sessions[name], ask, self.now)
             encoded = self._relay_encoders[vm].encode(reply)
-            return encoded.SerializeToString(), relay.needs_leader(ask)
+            return encoded, relay.needs_leader(ask)
 
         answered, needs_leader = self.meter.run('relay', answer)
         if needs_leader:
--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -23,12 +23,12 @@
     SyncAsk,
     SyncReply,
     TargetHeartbeat,
-    TargetLoad,
     TargetRecord,
     TargetRegistry,
 )
 from ._holders import HolderHealth, OrderHolders
 from ._relays import RELAY_HELLO_TTL_S, RelaySender
+from ._sharedloads import SharedLoads
 
 # Shorter than the election timeout, so that no other VM can lead meanwhile.
 LEADER_LEASE_S: Final = 0.5
@@ -83,6 +83,7 @@
         self._orders_allowed_at = 0.0  # s, when the first engine gets orders
         self._relays: dict[VmName, _RelayStatus] = {}
         self._records: dict[TargetName, _CachedRecord] = {}
+        self._loads = SharedLoads()
         self._index: DeploymentIndex | None = None
         self._published = PublishedState()
         self.quarantine = QuarantineController()
@@ -184,7 +185,10 @@
             self.registry.mark_changed(target)
         reply = self.updates_for(ask, quorum_age_s, now)
         if ask.has_uses:
-            reply = reply._replace(loads=self._target_loads())
+            loads = self._loads.update(
+                self.registry.names(), self.planner.requests_at
+            )
+            reply = reply._replace(loads=loads)
         if quorum_age_s > ISSUE_LEASE_S or self._index is None:
             return reply
         return reply._replace(
@@ -328,12 +332,6 @@
         self.limits.retain(present, now)
         self.tolerances.retain(present, now)
 
-    def _target_loads(self) -> tuple[TargetLoad, ...]:
-        return tuple(
-            TargetLoad(name, self.planner.requests_at(name))
-            for name in self.registry.names()
-        )
-
     def _drop_silent_relays(self, now: float) -> None:
         self._relays = {
             vm: relay
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
@@ -3,11 +3,12 @@
 import asyncio
 from collections.abc import Callable
 from enum import Enum
-from typing import Final, TypeAlias
+from typing import Any, Final, TypeAlias
 
 from grpclib._typing import IServable
 from grpclib.client import Channel
 from grpclib.client import Stream as ClientStream
+from grpclib.encoding.proto import ProtoCodec
 from grpclib.exceptions import (
     GRPCError,
     ProtocolError,
@@ -234,6 +235,17 @@
         await stream.send_message(Closed())
 
 
+class EncodedCodec(ProtoCodec):
+    """Takes encoded messages, too, whose parts several streams share."""
+
+    def encode(self, message: Any, message_type: Any) -> bytes:
+        """Return the bytes of a message."""
+        if isinstance(message, bytes):
+            return message
+        encoded: bytes = super().encode(message, message_type)
+        return encoded
+
+
 async def serve_peers(
     services: tuple[IServable, ...],
     host: str,
@@ -241,6 +253,6 @@
 ) -> Server:
     """Start the gRPC server for control and entry VMs."""
     config = ping_config(SERVER_PING_INTERVAL_S, SERVER_PING_TIMEOUT_S)
-    server = Server(services, config=config)
+    server = Server(services, codec=EncodedCodec(), config=config)
     await server.start(host, port, reuse_address=True)
     return server
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_syncservice.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_syncservice.py
@@ -5,10 +5,10 @@
 import itertools
 from collections.abc import Callable
 from functools import partial
-from typing import Final
+from typing import Any, Final, cast
 
 from grpclib.server import Stream
-from lovagemast_core.targets import SyncAsk, SyncReply, TargetRecord
+from lovagemast_core.targets import SyncAsk, SyncReply, TargetLoad, TargetRecord
 from lovagemast_wire import (
     EntriesBase,
     RelaysBase,
@@ -22,47 +22,50 @@
 from ._peers import SEND_TIMEOUT_S, STREAM_ERRORS
 from ._sync import SYNC_ERRORS
 
-MAX_CACHED_RECORDS: Final = 512
+MAX_CACHED_RECORDS: Final = 1_024
 
-WireRecord = lovagemast_pb2.TargetRecord
 SyncStream = Stream[lovagemast_pb2.SyncAsk, lovagemast_pb2.SyncReply]
+_Record = TargetRecord | TargetLoad
 
 
 class SyncReplyEncoder:
-    """Encodes replies, and each target record once for all receivers.
+    """Encodes replies, and each target's record and load once for all.
 
     After a change of many targets their records go to tens of receivers.
     Encoding them for each would delay the heartbeats between control VMs
     until the leader is replaced. A record that cannot be encoded is left out.
+
+    In the format of Protocol Buffers, a message is the concatenation of its
+    fields, so a record's bytes are those of a message with nothing else.
     """
 
     def __init__(self, log: JsonLog) -> None:
         self._log = log
-        self._encoded: dict[int, tuple[TargetRecord, WireRecord | None]] = {}
+        self._encoded: dict[int, tuple[_Record, bytes]] = {}
 
-    def encode(self, reply: SyncReply) -> lovagemast_pb2.SyncReply:
-        """Return the Protocol Buffers message of a reply."""
-        message: lovagemast_pb2.SyncReply = to_wire(
-            reply._replace(targets=()),
-        )
-        records = (self._record(one) for one in reply.targets)
-        message.targets.extend(one for one in records if one is not None)
-        return message
+    def encode(self, reply: SyncReply) -> bytes:
+        """Return the bytes of a reply's Protocol Buffers message."""
+        rest = to_wire(reply._replace(targets=(), loads=()))
+        parts = [rest.SerializeToString()]
+        parts.extend(self._field('targets', one) for one in reply.targets)
+        parts.extend(self._field('loads', one) for one in reply.loads)
+        return b''.join(parts)
 
-    def _record(self, record: TargetRecord) -> WireRecord | None:
+    def _field(self, name: str, record: _Record) -> bytes:
         # The cache key is id(record); the reference to the record keeps the id
         # from being reused while the entry exists.
         cached = self._encoded.get(id(record))
         if cached is None:
             if len(self._encoded) >= MAX_CACHED_RECORDS:
                 self._encoded.clear()
-            cached = (record, self._try_encode(record))
+            cached = (record, self._try_encode(name, record))
             self._encoded[id(record)] = cached
         return cached[1]
 
-    def _try_encode(self, record: TargetRecord) -> WireRecord | None:
+    def _try_encode(self, name: str, record: _Record) -> bytes:
+        message = lovagemast_pb2.SyncReply()
         try:
-            encoded: WireRecord = to_wire(record)
+            getattr(message, name).append(to_wire(record))
         except WireError as exc:
             self._log.write(
                 'sync',
@@ -70,8 +73,8 @@
                 target=record.target,
                 cause=str(exc),
             )
-            return None
-        return encoded
+            return b''
+        return message.SerializeToString()
 
 
 class SyncSession:
@@ -110,7 +113,7 @@
             self._record_sent(reply)
             try:
                 async with asyncio.timeout(SEND_TIMEOUT_S):
-                    await self._stream.send_message(message)
+                    await self._stream.send_message(cast(Any, message))
             except STREAM_ERRORS:
                 await self._break()
                 raise
--- a/tests/test_syncstreams.py
+++ b/tests/test_syncstreams.py
@@ -6,7 +6,12 @@
 
 import pytest
 from lovagemast_core.syncrelay import ENTRY_SYNC, RelaySearch
-from lovagemast_core.targets import SyncAsk, SyncReply, TargetRecord
+from lovagemast_core.targets import (
+    SyncAsk,
+    SyncReply,
+    TargetLoad,
+    TargetRecord,
+)
 from lovagemast_node.fleet._jsonlog import JsonLog
 from lovagemast_node.fleet._peers import serve_peers
 from lovagemast_node.fleet._sync import SyncClient
@@ -15,7 +20,7 @@
     SyncHandler,
     SyncReplyEncoder,
 )
-from lovagemast_wire import EntriesStub
+from lovagemast_wire import EntriesStub, from_wire, lovagemast_pb2, to_wire
 
 from tests.test_links import HOST, free_port, wait_until
 
@@ -38,11 +43,26 @@
 def test_odd_record_leaves_the_others(odd: TargetRecord) -> None:
     """One record that cannot be encoded ended the leader."""
     reply = SyncReply(1, True, 'c1', 1, 0.0, targets=(odd, RECORD))
-    message = SyncReplyEncoder(LOG).encode(reply)
+    encoded = SyncReplyEncoder(LOG).encode(reply)
+    message = lovagemast_pb2.SyncReply.FromString(encoded)
     assert [one.target for one in message.targets] == ['t1']
     assert message.targets[0].slots == RECORD.slots
 
 
+def test_shared_parts_are_those_of_the_message() -> None:
+    """Records that are encoded once must arrive as if encoded with all."""
+    encoder = SyncReplyEncoder(LOG)
+    other = RECORD._replace(target='t2', models=('m',), cold_s=0.5)
+    loads = (TargetLoad('t1', 3), TargetLoad('t2', 0))
+    for number in range(1, 3):
+        reply = SyncReply(
+            number, True, 'c1', 1, 0.25, targets=(RECORD, other), loads=loads
+        )
+        message = lovagemast_pb2.SyncReply.FromString(encoder.encode(reply))
+        assert message == to_wire(reply)
+        assert from_wire(SyncReply, message) == reply
+
+
 async def replies_after(
     on_reply: Callable[[int], None],
     build: Callable[[int], SyncAsk],
