--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_pool.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_pool.py
@@ -17,6 +17,8 @@
 
     def total(self, now: float) -> float:
         """Return the tokens that have not expired."""
+        if not self._lots:
+            return 0.0
         self._lots = [
             lot
             for lot in self._lots
--- a/packages/lovagemast-wire/src/lovagemast_wire/_codec.py
+++ b/packages/lovagemast-wire/src/lovagemast_wire/_codec.py
@@ -6,7 +6,7 @@
 
 import types
 import typing
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from enum import Enum
 from functools import cache, partial
 from operator import attrgetter
@@ -104,11 +104,16 @@
         hints = typing.get_type_hints(record)
         self.message_class = _message_class(record.__name__)
         self._record = record
+        # As ``record._make``, without its check of the number of values.
+        self._make: _Convert = partial(tuple.__new__, record)
+        self._is_plain = False  # all fields are single scalars
         self._names = tuple(hints)
         self._conversions: list[_Conversion] = []
         self._optional: dict[int, str] = {}
         for position, (name, hint) in enumerate(hints.items()):
             self._add_field(position, name, hint)
+        self._is_plain = not self._conversions and not self._optional
+        self._read: _Convert = _make_reader(self._names)
         self.decode: _Convert = self._choose_decoder()
 
     def to_fields(self, record: Any) -> dict[str, Any]:
@@ -126,6 +131,12 @@
             self._add_optional(record, fields)
         return fields
 
+    def decode_all(self, messages: Iterable[Any]) -> tuple[Any, ...]:
+        """Return the named tuples for messages."""
+        if self._is_plain:
+            return tuple(map(self._make, map(self._read, messages)))
+        return tuple(map(self.decode, messages))
+
     def explain(self, record: Any, cause: Exception) -> WireError:
         """Return the error that names the field which holds a bad value."""
         name = self._record.__name__
@@ -145,7 +156,9 @@
         encode, decode = _converters(kind)
         if repeated:
             self._conversions.append(
-                _Conversion(position, name, True, encode, _decode_all(decode))
+                _Conversion(
+                    position, name, True, encode, _decode_all(kind, decode)
+                )
             )
         elif decode:
             self._conversions.append(
@@ -175,27 +188,22 @@
         self.message_class(**{self._names[position]: value})
 
     def _choose_decoder(self) -> _Convert:
-        make: _Convert = self._record._make
-        if not self._names:
-            return lambda _message: make(())
         if len(self._names) > MAX_FIELDS_READ:
             return self._make_present_decoder()
-        read: _Convert = attrgetter(*self._names)
-        if len(self._names) == 1:
-            read = partial(_read_alone, read)
-        if not self._conversions and not self._optional:
+        if self._is_plain:
+            make, read = self._make, self._read
             return lambda message: make(read(message))
-        return partial(self._decode_each, read)
+        return self._decode_each
 
-    def _decode_each(self, read: _Convert, message: Any) -> Any:
-        values = list(read(message))
+    def _decode_each(self, message: Any) -> Any:
+        values = list(self._read(message))
         for position, name in self._optional.items():
             if not message.HasField(name):
                 values[position] = None
         for one in self._conversions:
             if values[one.position] is not None:
                 values[one.position] = one.decode(values[one.position])
-        return self._record._make(values)
+        return self._make(values)
 
     def _make_present_decoder(self) -> _Convert:
         """Return a decoder that reads only what a message holds."""
@@ -217,7 +225,7 @@
             fields[one.name].number: one.decode for one in self._conversions
         }
         return _PresentDecoder(
-            self._record._make, defaults, positions, decoders, always
+            self._make, defaults, positions, decoders, always
         ).decode
 
 
@@ -244,8 +252,14 @@
         return self.make(values)
 
 
-def _read_alone(read: _Convert, message: Any) -> tuple[Any]:
-    return (read(message),)
+def _make_reader(names: tuple[str, ...]) -> _Convert:
+    """Return a function that reads the attributes of an object."""
+    if not names:
+        return lambda _message: ()
+    read: _Convert = attrgetter(*names)
+    if len(names) == 1:
+        return lambda message: (read(message),)
+    return read
 
 
 def _encode(one: _Conversion, value: Any) -> Any:
@@ -259,10 +273,13 @@
     return _RecordCodec(record)
 
 
-def _decode_all(decode: _Convert | None) -> _Convert:
+def _decode_all(kind: Any, decode: _Convert | None) -> _Convert:
     """Return a function that decodes the values of a repeated field."""
     if decode is None:
         return tuple
+    if hasattr(kind, '_fields'):
+        all_of_kind: _Convert = _codec(kind).decode_all
+        return all_of_kind
     return lambda values: tuple(map(decode, values))
 
 
