--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_peerserver.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_peerserver.py
@@ -12,6 +12,7 @@
 from grpclib._typing import IServable
 from grpclib.config import Configuration
 from grpclib.const import Status
+from grpclib.encoding.base import CodecBase
 from grpclib.exceptions import GRPCError
 from grpclib.protocol import AbstractHandler, Buffer, H2Protocol
 from grpclib.server import Server
@@ -168,10 +169,11 @@
     def __init__(
         self,
         services: tuple[IServable, ...],
+        codec: CodecBase,
         config: Configuration,
         limits: ConnectionLimits,
     ) -> None:
-        super().__init__(services, config=config)
+        super().__init__(services, codec=codec, config=config)
         self._limits = limits
 
     async def listen(self, host: str, port: int) -> None:
