--- a/tests/test_crowdedadapters.py
+++ b/tests/test_crowdedadapters.py
@@ -16,8 +16,8 @@
 from lovagemast_node.fleet._metrics import EntryMetrics
 from lovagemast_node.fleet._targetpaces import PaceTracker
 
-from .test_adapters import Bench
-from .test_orderedwait import POOL, SLOTS, OrderedVm, play
+from tests.orderedvm import POOL, SLOTS, OrderedVm, play
+from tests.plannerbench import Bench
 
 WANTED = TargetRequirements('pool', 'm', 'a1')
 
--- a/tests/test_leavingtargets.py
+++ b/tests/test_leavingtargets.py
@@ -21,8 +21,8 @@
 )
 from lovagemast_node._clock import now_s
 
+from tests.plannerbench import Bench, make_pool
 from tests.relayfleet import RelayFleet, make_heartbeat
-from tests.test_adapters import Bench, make_pool
 from tests.test_calls import HOST, make_index
 from tests.test_promptcheck import EntryVm
 
--- a/tests/test_limitedengines.py
+++ b/tests/test_limitedengines.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.test_adapters import SLOTS, Bench
+from tests.plannerbench import SLOTS, Bench
 
 
 class TestLimitedEngines:
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -16,7 +16,7 @@
 from lovagemast_core.adapters._enginetable import EngineTable
 from lovagemast_core.targets import AdapterUse, AdapterWish, TargetHeartbeat
 
-from tests.test_adapters import make_pool
+from tests.plannerbench import make_pool
 
 ENGINES = tuple(f'e{number}' for number in range(5))
 ADAPTERS = tuple(f'a{number}' for number in range(9))
--- a/tests/test_streamwishes.py
+++ b/tests/test_streamwishes.py
@@ -4,7 +4,7 @@
 from lovagemast_core.adapters import AdapterLabel, Order
 from lovagemast_core.targets import AdapterUse, AdapterWish
 
-from tests.test_adapters import SLOTS, Bench
+from tests.plannerbench import SLOTS, Bench
 
 WISH = AdapterWish('pool', 'm', 'a0', 1, 0.0, 'v1')
 HELD = AdapterLabel('m', 'a0', 1)
--- a/tests/test_unansweredorders.py
+++ b/tests/test_unansweredorders.py
@@ -2,7 +2,7 @@
 
 from lovagemast_core.adapters import AdapterLabel, OrderResult
 
-from .test_adapters import SLOTS, Bench
+from tests.plannerbench import SLOTS, Bench
 
 LOST = AdapterLabel('m', 'lost')
 
