--- a/packages/lovagemast-node/src/lovagemast_node/http/_bodybudget.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_bodybudget.py
@@ -96,7 +96,6 @@
         for share in ranked:
             if share is wanting or has_room():
                 break
-            self._incomplete.pop(share, None)
             share.evict()
             evicted += 1
         if evicted:
@@ -104,6 +103,33 @@
         return has_room()
 
 
+class _Progress:
+    """How fast an incomplete message arrives.
+
+    The rate is that since the last mark, and over a span of time before it.
+    """
+
+    def __init__(self, now: float) -> None:
+        self.received = 0
+        self._marked = 0
+        self._marked_at = now
+        self._former_bytes = 0
+        self._former_s = 0.0
+
+    def take_rate(self, now: float) -> float:
+        """Return the rate in bytes/s; set a mark if the last one is old."""
+        moved = self.received - self._marked
+        elapsed_s = now - self._marked_at
+        span_s = max(MIN_AGE_S, self._former_s + elapsed_s)
+        rate = (self._former_bytes + moved) / span_s
+        if elapsed_s > PROGRESS_WINDOW_S:
+            self._marked = self.received
+            self._marked_at = now
+            self._former_bytes = moved
+            self._former_s = elapsed_s
+        return rate
+
+
 class BodyShare:
     """What one message uses of the budget, until it is released.
 
@@ -118,13 +144,7 @@
         self._counted = 0
         self._small = 0
         self._head = 0
-        self._is_incomplete = False
-        self._received = 0
-        # Progress is measured since the mark, and over a span before it.
-        self._marked = 0
-        self._marked_at = 0.0
-        self._former_bytes = 0
-        self._former_s = 0.0
+        self._progress: _Progress | None = None  # while it is incomplete
 
     def try_grow(self, size: int) -> bool:
         """Reserve room for a body's bytes in total; return whether."""
@@ -151,21 +171,23 @@
 
     def wait_for_more(self, received: int) -> None:
         """Note that a message is incomplete, and how much of it has come."""
-        self._received = received
-        if self._evict and not self._is_incomplete:
-            self._is_incomplete = True
-            self._marked_at = now_s()
+        if self._evict is None:
+            return
+        if self._progress is None:
+            self._progress = _Progress(now_s())
             self._budget.add_incomplete(self)
+        self._progress.received = received
 
     def complete(self) -> None:
         """Note that a message is complete, and is not given up any more."""
-        if self._is_incomplete:
-            self._is_incomplete = False
+        if self._progress:
+            self._progress = None
             self._budget.remove_incomplete(self)
 
     def release(self) -> None:
         """Return all that was reserved."""
-        self.complete()
+        if self._progress:
+            self.complete()
         self._budget.remove(self._counted, self._small + self._head)
         self._counted = 0
         self._small = 0
@@ -174,19 +196,11 @@
     def rank(self, now: float) -> tuple[float, int]:
         """Return a key that is least for what holds most and moves least."""
         held = self._counted + self._small + self._head
-        moved = self._received - self._marked
-        elapsed_s = now - self._marked_at
-        span_s = max(MIN_AGE_S, self._former_s + elapsed_s)
-        rate = (self._former_bytes + moved) / span_s
-        if elapsed_s > PROGRESS_WINDOW_S:
-            self._marked = self._received
-            self._marked_at = now
-            self._former_bytes = moved
-            self._former_s = elapsed_s
+        rate = self._progress.take_rate(now) if self._progress else 0.0
         return rate / max(1, held), -held
 
     def evict(self) -> None:
         """Give up the message."""
-        self._is_incomplete = False
+        self.complete()
         if self._evict:
             self._evict()
--- a/packages/lovagemast-node/src/lovagemast_node/http/_reader.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_reader.py
@@ -91,11 +91,12 @@
     def on_message_begin(self) -> None:
         """Start a new request."""
         self._url = b''
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._header_bytes = 0
-        self._trailer_bytes = 0
-        self._is_head_complete = False
+        self._lines: list[tuple[bytes, bytes]] = []  # of a head, or trailers
+        self._lines_bytes = 0
+        self._head_memory = 0
+        self._headers: tuple[tuple[bytes, bytes], ...] = ()
         self._body = bytearray()
+        self._head_limit = self.limits.header_bytes + HEAD_OVERHEAD_BYTES
 
     def on_url(self, url: bytes) -> None:
         """Append to the request-target."""
@@ -104,26 +105,26 @@
             self._refuse(RefusalStatus.HEADERS_TOO_LARGE)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header and count its size; drop a trailer.
+        """Store the line of a head, or of trailers, and count its size.
 
         Both are bounded line by line, because one read has room for many
         lines, each of which takes several times its size once it is parsed.
         """
-        size = len(name) + len(value)
-        if self._is_head_complete:
-            self._trailer_bytes += size + LINE_BYTES
-            if self._trailer_bytes > self._head_limit:
-                self._refuse(RefusalStatus.HEADERS_TOO_LARGE)
-            return
-        self._headers.append((name, value))
-        self._header_bytes += size
-        lines_bytes = self._header_bytes + LINE_BYTES * len(self._headers)
-        if lines_bytes > self._head_limit:
+        self._lines.append((name, value))
+        self._lines_bytes += len(name) + len(value) + LINE_BYTES
+        if self._lines_bytes > self._head_limit:
             self._refuse(RefusalStatus.HEADERS_TOO_LARGE)
 
     def on_headers_complete(self) -> None:
-        """Check the head before the body is read."""
-        self._is_head_complete = True
+        """Check the head before the body is read.
+
+        Lines that follow are trailers, which are not passed on.
+        """
+        self._headers = tuple(self._lines)
+        self._head_memory = self._lines_memory
+        self._lines = []
+        self._header_bytes = self._lines_bytes - LINE_BYTES * len(self._headers)
+        self._lines_bytes = 0
         self._refusal_status = self._check_head()
         if self._refusal_status:
             raise RequestRefusedError(self._refusal_status.name)
@@ -139,10 +140,12 @@
 
     def on_message_complete(self) -> None:
         """Store the complete request."""
+        if not self._share.try_hold_head(self._head_memory):
+            self._refuse(RefusalStatus.NO_MEMORY)
         req = HttpRequest(
             self._parser.get_method().decode('ascii'),
             self._url.decode('latin-1'),
-            tuple(self._headers),
+            self._headers,
             bytes(self._body),
         )
         keep_alive = self._parser.should_keep_alive()
@@ -164,17 +167,13 @@
             completed.share.release()
         self._completed = []
         self._body = bytearray()
-        self._headers = []
+        self._lines = []
+        self._headers = ()
         self._url = b''
 
     @property
-    def _head_limit(self) -> int:
-        return self.limits.header_bytes + HEAD_OVERHEAD_BYTES
-
-    @property
-    def _head_memory(self) -> int:
-        lines_bytes = LINE_MEMORY_BYTES * len(self._headers)
-        return self._header_bytes + lines_bytes + len(self._url)
+    def _lines_memory(self) -> int:
+        return self._lines_bytes + LINE_MEMORY_BYTES * len(self._lines)
 
     def _check_partial(self) -> RefusalStatus | None:
         """Return why an incomplete request is not read on.
@@ -190,9 +189,8 @@
         if framing > MAX_FRAMING_BYTES + MAX_FRAMING_FACTOR * size:
             return RefusalStatus.BAD_REQUEST
         self._share.wait_for_more(self.partial_bytes)
-        if not self._is_head_complete and not self._share.try_hold_head(
-            self._head_memory
-        ):
+        held = self._head_memory + self._lines_memory + len(self._url)
+        if not self._share.try_hold_head(held):
             return RefusalStatus.NO_MEMORY
         return None
 
@@ -201,10 +199,7 @@
         raise RequestRefusedError(status.name)
 
     def _check_head(self) -> RefusalStatus | None:
-        lowercase_headers = [
-            (name.lower(), value) for name, value in self._headers
-        ]
-        names = [name for name, _value in lowercase_headers]
+        names = [name.lower() for name, _value in self._headers]
         framing_headers = names.count(b'content-length')
         framing_headers += names.count(b'transfer-encoding')
         if framing_headers > 1 or names.count(b'host') != 1:
@@ -213,17 +208,17 @@
             return RefusalStatus.BAD_REQUEST
         if self._header_bytes > self.limits.header_bytes:
             return RefusalStatus.HEADERS_TOO_LARGE
-        return self._check_framing(dict(lowercase_headers))
-
-    def _check_framing(
-        self, headers: dict[bytes, bytes]
-    ) -> RefusalStatus | None:
-        length = headers.get(b'content-length', b'0')
-        transfer_coding = headers.get(b'transfer-encoding', b'chunked')
-        if not length.isdigit() or transfer_coding.lower() != b'chunked':
+        return self._check_framing(names) if framing_headers else None
+
+    def _check_framing(self, names: list[bytes]) -> RefusalStatus | None:
+        """Check the only header that frames the body."""
+        if b'transfer-encoding' in names:
+            coding = self._headers[names.index(b'transfer-encoding')][1]
+            is_chunked = coding.lower() == b'chunked'
+            return None if is_chunked else RefusalStatus.BAD_REQUEST
+        length = self._headers[names.index(b'content-length')][1]
+        if not length.isdigit():
             return RefusalStatus.BAD_REQUEST
         if int(length) > self.limits.body_bytes:
             return RefusalStatus.BODY_TOO_LARGE
-        if not self._share.try_hold_head(self._head_memory):
-            return RefusalStatus.NO_MEMORY
         return None
--- a/packages/lovagemast-node/src/lovagemast_node/http/_server.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_server.py
@@ -171,7 +171,8 @@
         limits = self._server.limits
         if self._is_idle():
             self._start_timer(limits.header_timeout_s)
-        self._reader.limits = ReaderLimits(*limits[:2])
+        if self._reader.limits != limits[:2]:
+            self._reader.limits = ReaderLimits(*limits[:2])
         outcome = self._reader.feed(data)
         if isinstance(outcome, RefusalStatus):
             self._refuse(outcome)
