--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 SECONDS ?= 20
 FROM ?=
 
-.PHONY: install run test check format measure fuzz soak bench capacity docs lock clean
+.PHONY: install run test check format measure fuzz soak bench processor capacity docs lock clean
 
 install: $(VENV)/.installed
 
@@ -66,6 +66,10 @@
 bench: install
 	@$(BIN)/python -m bench
 
+processor: install
+	@$(BIN)/python -m bench.processor --seed $(SEED) >/dev/null
+	@$(BIN)/python -m bench.processor --entry >/dev/null
+
 capacity: install
 	@$(BIN)/python -m bench.capacity
 
