--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -48,7 +48,7 @@
 from ._controlapi import ControlApi
 from ._dutyhost import PATH as DUTIES_PATH
 from ._dutyhost import DutyHost
-from ._engines import EngineClient
+from ._engines import EngineClient, log_unsent_order
 from ._jsonlog import JsonLog
 from ._leaderwatch import watch_leader
 from ._limitlog import log_limits
@@ -56,11 +56,7 @@
 from ._limitsapi import describe_limits
 from ._logwriter import LogWriter
 from ._metrics import ControlMetrics, MetricsPage
-from ._peers import (
-    PeerLinks,
-    PeerService,
-    serve_peers,
-)
+from ._peers import PeerLinks, PeerService, serve_peers
 from ._quarantinelog import log_subject_changes, set_part_metrics
 from ._relayhost import RelayHost
 from ._settings import ControlSettings
@@ -273,7 +269,9 @@
             HoldersNoticed: lambda effect: self._log.write(
                 'agree', 'holder set changed', **effect._asdict()
             ),
-            RelayFailed: self._log_relay_failed,
+            RelayFailed: lambda effect: log_unsent_order(
+                self._log, self._metrics, effect.outcome
+            ),
             CallInfrastructure: self._duties.call,
             DutiesChanged: self._duties.on_changed,
             CountsDecided: self._duties.on_decided,
@@ -299,19 +297,6 @@
         if self._node.is_ready_leader():
             log_subject_changes(self._log, effect.before, effect.after)
 
-    def _log_relay_failed(self, effect: RelayFailed) -> None:
-        outcome = effect.outcome
-        self._metrics.record_order(outcome.result.value)
-        self._log.write(
-            'order',
-            'not sent',
-            target=outcome.order.target,
-            label=str(outcome.order.label),
-            fence=outcome.order.fence,
-            result=outcome.result.value,
-            detail=outcome.detail,
-        )
-
     def _schedule_tick(self) -> None:
         if self._timer:
             self._timer.cancel()
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_engines.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_engines.py
@@ -25,6 +25,7 @@
 )
 from ._codec import ControlCodec
 from ._jsonlog import JsonLog
+from ._metrics import ControlMetrics
 
 # Engines answer at once. One without an answer gets no other order for this
 # time, so that 30 lost answers a second would keep half of 56 engines idle
@@ -122,6 +123,22 @@
         return response
 
 
+def log_unsent_order(
+    log: JsonLog, metrics: ControlMetrics, outcome: OrderOutcome
+) -> None:
+    """Log an order that the holder of its engine did not send."""
+    metrics.record_order(outcome.result.value)
+    log.write(
+        'order',
+        'not sent',
+        target=outcome.order.target,
+        label=str(outcome.order.label),
+        fence=outcome.order.fence,
+        result=outcome.result.value,
+        detail=outcome.detail,
+    )
+
+
 async def _read_response(
     conn: TargetConnection, bodies: BodyBudget | None = None
 ) -> EngineResponse | ResponseFailed:
--- a/packages/lovagemast-node/src/lovagemast_node/http/__init__.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/__init__.py
@@ -9,7 +9,6 @@
     ResponseFailed,
     ResponseHead,
     TargetConnection,
-    TargetPool,
 )
 from ._connectiontable import ClosingRank, ConnectionTable
 from ._message import (
@@ -21,13 +20,11 @@
 )
 from ._reader import RefusalStatus
 from ._resourcelimits import READ_ONLY_LIMITS, ServerLimits, VmLimits
+from ._responder import AlreadyStartedError, Responder
 from ._responsesize import MAX_BODY_BYTES, MAX_EVENT_BYTES, check_size
-from ._server import (
-    AlreadyStartedError,
-    HttpServer,
-    Responder,
-)
+from ._server import HttpServer
 from ._sockets import ACCEPT_BATCH, extend_backlog, split_address
+from ._targetpool import TargetPool
 
 __all__ = [
     'ACCEPT_BATCH',
--- a/packages/lovagemast-node/src/lovagemast_node/http/_server.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_server.py
@@ -8,7 +8,7 @@
 from .._clock import now_s
 from ._bodybudget import BodyBudget, BodyShare
 from ._connectiontable import ClosingRank, ConnectionTable
-from ._message import Headers, HttpRequest, encode_head, status_line
+from ._message import HttpRequest, encode_head, status_line
 from ._reader import (
     CompletedRequest,
     ReaderLimits,
@@ -16,10 +16,10 @@
     RequestReader,
 )
 from ._resourcelimits import ServerLimits
+from ._responder import WRITE_BUFFER_LIMIT_BYTES, Responder
 from ._sockets import ACCEPT_BATCH, enable_keepalive, extend_backlog
 
 MAX_PIPELINED_REQUESTS: Final = 16
-WRITE_BUFFER_LIMIT_BYTES: Final = 65_536
 # For a connection that was accepted just before or during a drain.
 FIRST_REQUEST_WAIT_S: Final = 1.0
 LINGER_S: Final = 1.0  # for a caller to read a refusal
@@ -30,104 +30,6 @@
     """Do nothing about a request that is refused unread."""
 
 
-class AlreadyStartedError(RuntimeError):
-    """A second head for a response that has begun."""
-
-
-class Responder:
-    """Writes the response to one request.
-
-    A response has one head. An attempt to write another ends it, visibly
-    truncated, since the caller would read the head as a part of the body.
-    """
-
-    def __init__(self, conn: 'ServerConnection', *, head_only: bool) -> None:
-        self._conn = conn
-        self._head_only = head_only
-        self._chunked = False
-        self._head = b''  # not written yet
-        self.started = False
-        self.ended = False
-
-    async def send(
-        self,
-        status: int,
-        headers: Headers = (),
-        body: bytes = b'',
-    ) -> None:
-        """Write a complete response."""
-        self.start(status, headers, len(body))
-        await self.write(body)
-        self.end()
-
-    def start(
-        self,
-        status: int,
-        headers: Headers,
-        length: int | None,
-    ) -> None:
-        """Set the head, which is written with what follows it at once.
-
-        Without a length the body is chunked. Head and body together take one
-        system call less.
-
-        Raises :exc:`AlreadyStartedError` if the response has begun.
-        """
-        if self.started:
-            self.abort()
-            raise AlreadyStartedError(f'a second head, with status {status}')
-        framing: list[tuple[bytes, bytes]] = []
-        if length is None:
-            self._chunked = True
-            framing.append((b'Transfer-Encoding', b'chunked'))
-        else:
-            framing.append((b'Content-Length', str(length).encode()))
-        if self._conn.closes_after_response():
-            framing.append((b'Connection', b'close'))
-        self.started = True
-        self._head = encode_head(status_line(status), (*headers, *framing))
-
-    async def write(self, chunk: bytes) -> None:
-        """Write a chunk of the body in slices, with back-pressure."""
-        if not chunk or self._head_only:
-            return
-        if self._chunked:
-            chunk = b'%x\r\n%b\r\n' % (len(chunk), chunk)
-        chunk = self._take_head() + chunk
-        if len(chunk) <= WRITE_BUFFER_LIMIT_BYTES:
-            self._conn.write(chunk)
-            await self._conn.drain()
-            return
-        unwritten = memoryview(chunk)
-        while unwritten:
-            self._conn.write(unwritten[:WRITE_BUFFER_LIMIT_BYTES])
-            unwritten = unwritten[WRITE_BUFFER_LIMIT_BYTES:]
-            self._conn.unwritten_bytes = len(unwritten)
-            await self._conn.drain()
-
-    def end(self) -> None:
-        """Finish the response."""
-        rest = self._take_head()
-        if self._chunked and not self._head_only:
-            rest += b'0\r\n\r\n'
-        if rest:
-            self._conn.write(rest)
-        self.ended = True
-
-    def abort(self) -> None:
-        """Abort the connection, so that the response is visibly truncated."""
-        self.ended = True
-        head = self._take_head()
-        if head:
-            self._conn.write(head)
-        self._conn.abort()
-
-    def _take_head(self) -> bytes:
-        head = self._head
-        self._head = b''
-        return head
-
-
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
 
--- a/soak/cutentry.py
+++ b/soak/cutentry.py
@@ -12,7 +12,7 @@
 from typing import Final
 
 from lovagemast_node.fleet import EntryServer, _entrystate
-from lovagemast_node.http import ConnectFailed, _client
+from lovagemast_node.http import ConnectFailed, _client, _targetpool
 from lovagemast_platform._entry import PlatformEntryCodec
 from lovagemast_platform._settings import SettingsFile
 
@@ -83,7 +83,7 @@
             self.close()
 
 
-class CutPool(_client.TargetPool):
+class CutPool(_targetpool.TargetPool):
     """A pool of connections that opens none while the paths are cut."""
 
     async def acquire(
@@ -112,7 +112,7 @@
 
 def main() -> None:
     """Start the entry server with connections that may be cut."""
-    _client.TargetConnection = CutConnection  # type: ignore[misc]
+    _targetpool.TargetConnection = CutConnection  # type: ignore[attr-defined]
     _entrystate.TargetPool = CutPool  # type: ignore[attr-defined]
     settings = SettingsFile.read(Path(os.environ['LOVAGEMAST_SETTINGS']))
     asyncio.run(serve(settings))
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -20,12 +20,12 @@
     TargetConnection,
     TargetPool,
 )
-from lovagemast_node.http._client import MAX_IDLE_PER_ADDRESS
 from lovagemast_node.http._reader import (
     ReaderLimits,
     RefusalStatus,
     RequestReader,
 )
+from lovagemast_node.http._targetpool import MAX_IDLE_PER_ADDRESS
 
 HOST = '127.0.0.1'
 NO_LINGER = struct.pack('ii', 1, 0)  # closing resets the connection
