--- a/packages/lovagemast-core/src/lovagemast_core/_messages.py
+++ b/packages/lovagemast-core/src/lovagemast_core/_messages.py
@@ -11,7 +11,7 @@
 from ._types import AccountName, AttemptId, Priority, Reason, TargetName, VmName
 from .adapters._orders import Order, OrderOutcome
 from .agreement._roster import RosterEntry
-from .duties._records import CallDone, HandedCall
+from .duties._records import DutyMessage
 from .streams._records import StreamAnswer, StreamCopies, StreamQuery
 
 
@@ -395,6 +395,5 @@
     | StreamCopies
     | StreamQuery
     | StreamAnswer
-    | HandedCall
-    | CallDone
+    | DutyMessage
 )
--- a/packages/lovagemast-core/src/lovagemast_core/duties/_counter.py
+++ b/packages/lovagemast-core/src/lovagemast_core/duties/_counter.py
@@ -47,7 +47,7 @@
 
     def reports(self, ask: int, now: float) -> tuple[VmUsage, ...]:
         """Return what to report with the sync request of this number."""
-        if not self._advance(now):
+        if not self.exchange.is_due(now) or not self._advance(now):
             return ()
         windows = tuple(
             WindowUsage(window, tuple(counts), tuple(counts.values()))
--- a/packages/lovagemast-core/src/lovagemast_core/duties/_exchange.py
+++ b/packages/lovagemast-core/src/lovagemast_core/duties/_exchange.py
@@ -48,10 +48,14 @@
         self._sent: tuple[int, int] | None = None  # number and stamp
         self._sent_at = float('-inf')
 
+    def is_due(self, now: float) -> bool:
+        """Return whether the last report was sent long enough ago."""
+        return now - self._sent_at >= REPORT_INTERVAL_S
+
     def reports(self, ask: int, now: float) -> tuple[VmUsage, ...]:
         """Return what to report with the sync request of this number."""
         has_reports = self._arrived_stamp < self.ledger.stamp
-        if not has_reports or now - self._sent_at < REPORT_INTERVAL_S:
+        if not has_reports or not self.is_due(now):
             return ()
         self._sent_at = now
         self._sent = (ask, self.ledger.stamp)
--- a/packages/lovagemast-core/src/lovagemast_core/duties/_records.py
+++ b/packages/lovagemast-core/src/lovagemast_core/duties/_records.py
@@ -104,3 +104,6 @@
     term: int
     result: CallResult
     detail: str
+
+
+DutyMessage: TypeAlias = HandedCall | CallDone  # between control VMs
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -16,12 +16,10 @@
 )
 from lovagemast_core.adapters import Order
 from lovagemast_core.control import (
-    CallInfrastructure,
     CommandDone,
     ControlConfig,
     ControlEffect,
     ControlNode,
-    DutiesChanged,
     FormatsNoticed,
     HoldersNoticed,
     LeaderChanged,
@@ -263,8 +261,7 @@
                 'agree', 'holder set changed', **effect._asdict()
             ),
             RelayFailed: self._log_relay_failed,
-            CallInfrastructure: self._duties.call,
-            DutiesChanged: self._duties.on_changed,
+            **self._duties.effect_handlers(),
             QuarantineChanged: self._on_quarantine,
             LimitsChanged: lambda effect: log_limits(
                 self._log, effect.reports, 'relay'
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_dutyhost.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_dutyhost.py
@@ -46,29 +46,12 @@
         if cfg.cloud:
             self._client = InfrastructureClient(cfg.cloud, cfg.name, codec, log)
 
-    def call(self, effect: CallInfrastructure) -> None:
-        """Send a call; its outcome goes to the control node."""
-        if self._client:
-            self._spawn(self._call(self._client, effect))
-
-    def on_changed(self, effect: DutiesChanged) -> None:
-        """Log and count what was committed."""
-        before, after = effect
-        self._state = after
-        self._metrics.set_duties(after, holds=after.holder == self._cfg.vm)
-        if after.epoch != before.epoch:
-            self._log.write(
-                'duty',
-                'holder changed',
-                holder=after.holder,
-                former=before.holder,
-                token=after.epoch,
-            )
-        if after.last_window != before.last_window:
-            self._log_usage(after)
-        for known in after.desired:
-            if known not in before.desired:
-                self._log.write('duty', 'desired count', **known._asdict())
+    def effect_handlers(self) -> dict[type, Callable[[Any], None]]:
+        """Return what performs each kind of effect."""
+        return {
+            CallInfrastructure: self._start_call,
+            DutiesChanged: self._on_changed,
+        }
 
     def describe(self) -> dict[str, Any]:
         """Return the document that shows the duties to operators."""
@@ -95,6 +78,29 @@
             ],
         }
 
+    def _start_call(self, effect: CallInfrastructure) -> None:
+        """Send a call; its outcome goes to the control node."""
+        if self._client:
+            self._spawn(self._call(self._client, effect))
+
+    def _on_changed(self, effect: DutiesChanged) -> None:
+        before, after = effect
+        self._state = after
+        self._metrics.set_duties(after, holds=after.holder == self._cfg.vm)
+        if after.epoch != before.epoch:
+            self._log.write(
+                'duty',
+                'holder changed',
+                holder=after.holder,
+                former=before.holder,
+                token=after.epoch,
+            )
+        if after.last_window != before.last_window:
+            self._log_usage(after)
+        for known in after.desired:
+            if known not in before.desired:
+                self._log.write('duty', 'desired count', **known._asdict())
+
     async def _call(
         self, client: InfrastructureClient, effect: CallInfrastructure
     ) -> None:
--- a/tests/dutyfleet.py
+++ b/tests/dutyfleet.py
@@ -172,6 +172,14 @@
             super().run(TICK_S)
             self._deliver_calls()
 
+    def run_until_led(self) -> None:
+        """Run until some VM leads."""
+        for _tick in range(400):
+            if any(node.is_ready_leader() for node in self.nodes.values()):
+                return
+            self.run(TICK_S)
+        raise AssertionError('no leader')
+
     def report_of(self, window: int) -> UsageReport:
         """Return what the infrastructure has accepted for a window."""
         call = self.cloud.accepted[window].handed.call
@@ -296,6 +304,7 @@
 
 def pick_fault(fleet: DutyFleet, rng: random.Random) -> None:
     """Cause one failure and end it after some time."""
+    fleet.run_until_led()
     vm = rng.choice([fleet.leader(), fleet.holder or VMS[0], *VMS])
     seconds = rng.uniform(0.4, 6)
     match rng.randrange(5):
--- a/tests/test_dutyfleet.py
+++ b/tests/test_dutyfleet.py
@@ -106,6 +106,28 @@
         fleet.run(15.0)
         check(fleet)
 
+    def test_two_lost_in_turn(self, fleet: DutyFleet) -> None:
+        """A holder that comes back soon does not act within the lease."""
+        fleet.run(5.0)
+        first = fleet.holder
+        leader = fleet.leader()
+        assert leader != first
+        other = next(vm for vm in VMS if vm not in {first, leader})
+        for tick in range(240):
+            seconds = tick * TICK_S
+            set_desired(fleet, (ORDERS[0]._replace(desired=tick),))
+            if seconds == pytest.approx(1.0):
+                fleet.frozen.add(first)
+            elif seconds == pytest.approx(1.9):
+                fleet.frozen = {other}
+            elif seconds == pytest.approx(3.5):
+                fleet.frozen = set()
+            fleet.run(TICK_S)
+        assert fleet.holder == first
+        epochs = {one.handed.token for one in fleet.cloud.calls}
+        assert len(epochs) > 1
+        check(fleet)
+
     def test_cut_from_the_infrastructure(self, fleet: DutyFleet) -> None:
         """A VM that cannot connect is replaced by one that can."""
         former = fleet.holder
@@ -180,6 +202,17 @@
         }
         assert len(states) == 1
 
+    def test_replaced_at_other_addresses(self, fleet: DutyFleet) -> None:
+        """VMs that are lost for good leave the duties to empty ones."""
+        for lost, new in ((fleet.holder, 'c4'), (fleet.leader(), 'c5')):
+            fleet.stop(lost)
+            fleet.wipe_disk(new)
+            fleet.start(new)
+            fleet.run(15.0)
+            assert new in fleet.nodes[fleet.leader()].replica.voter_vms
+        fleet.run(10.0)
+        check(fleet)
+
 
 class TestInfrastructure:
     @pytest.mark.parametrize(
@@ -313,9 +346,11 @@
     fleet.run(12.0)
     for _fault in range(6):
         pick_fault(fleet, rng)
+        fleet.run_until_led()
         set_desired(fleet, (ORDERS[0]._replace(desired=rng.randrange(20)),))
         fleet.run(rng.uniform(0.4, 12))
     fleet.run(40.0)
+    fleet.run_until_led()
     fleet.cloud.check_rules()
     duties = fleet.nodes[fleet.leader()].replica.state_machine.duties
     due = duties.last_window - 1
