--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -16,13 +16,10 @@
 )
 from lovagemast_core.adapters import Order
 from lovagemast_core.control import (
-    CallInfrastructure,
     CommandDone,
     ControlConfig,
     ControlEffect,
     ControlNode,
-    CountsDecided,
-    DutiesChanged,
     FormatsNoticed,
     HoldersNoticed,
     LeaderChanged,
@@ -272,9 +269,7 @@
             RelayFailed: lambda effect: log_unsent_order(
                 self._log, self._metrics, effect.outcome
             ),
-            CallInfrastructure: self._duties.call,
-            DutiesChanged: self._duties.on_changed,
-            CountsDecided: self._duties.on_decided,
+            **self._duties.effect_handlers(),
             QuarantineChanged: self._on_quarantine,
             LimitsChanged: lambda effect: log_limits(
                 self._log, effect.reports, 'relay'
