--- a/tests/test_connectionlimits.py
+++ b/tests/test_connectionlimits.py
@@ -231,6 +231,12 @@
     await responder.send(200, (), str(len(req.body)).encode())
 
 
+async def send_large(req: HttpRequest, responder: Responder) -> None:
+    """Respond with 16 MiB at one path, with a byte at others."""
+    size = 16 * MIB if req.path == '/big' else 1
+    await responder.send(200, (), b'x' * size)
+
+
 async def answer_to(port: int, data: bytes, step: int = 65_536) -> bytes:
     """Send a request in steps; return the response up to the close."""
     reader, writer = await asyncio.open_connection(HOST, port)
@@ -356,10 +362,6 @@
     def test_unread_pages_of_operators(self) -> None:
         """Operators' pages are kept whole until they are written."""
 
-        async def flood(req: HttpRequest, responder: Responder) -> None:
-            size = 16 * MIB if req.path == '/big' else 1
-            await responder.send(200, (), b'x' * size)
-
         async def use(server: HttpServer, port: int) -> None:
             server.counts_responses = True
             conns = []
@@ -375,15 +377,11 @@
             for _reader, writer in conns:
                 writer.transport.abort()
 
-        serve(use, flood, BodyBudget(20 * MIB))
+        serve(use, send_large, BodyBudget(20 * MIB))
 
     def test_many_unread_responses_end_for_others(self) -> None:
         """The memory of responses that nobody reads is limited together."""
 
-        async def flood(req: HttpRequest, responder: Responder) -> None:
-            size = 16 * MIB if req.path == '/big' else 1
-            await responder.send(200, (), b'x' * size)
-
         async def use(server: HttpServer, port: int) -> None:
             conns = []
             for _conn in range(8):
@@ -398,4 +396,4 @@
             for _reader, writer in conns:
                 writer.transport.abort()
 
-        serve(use, flood, BodyBudget(MIB, 4 * FREE_BYTES))
+        serve(use, send_large, BodyBudget(MIB, 4 * FREE_BYTES))
