Planner keeps the demand per holder until it changes

Each run summed the demand of all adapters at all engines. The test of planning compares it with what is computed anew.

--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_demand.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_demand.py
@@ -17,6 +17,8 @@
     def __init__(self) -> None:
         self._rates: dict[tuple[str, str], float] = {}
         self._decayed_at = 0.0
+        self._recorded: set[tuple[str, str]] = set()  # since the last decay
+        self._has_decayed = True  # since the changes were taken
 
     def record(
         self,
@@ -28,6 +30,18 @@
         self._decay(now)
         rate = self._rates.get(name, 0.0)
         self._rates[name] = rate + requests / RATE_TIME_CONSTANT_S
+        self._recorded.add(name)
+
+    def take_changes(self, now: float) -> set[tuple[str, str]] | None:
+        """Return the adapters whose rates have changed since the last call.
+
+        It is ``None`` if all have decayed.
+        """
+        self._decay(now)
+        changes = None if self._has_decayed else self._recorded
+        self._has_decayed = False
+        self._recorded = set()
+        return changes
 
     def rate(self, name: tuple[str, str], now: float) -> float:
         """Return the requests per second for an adapter."""
@@ -63,3 +77,5 @@
             if rate * factor > MIN_TRACKED_RATE
         }
         self._decayed_at = now
+        self._has_decayed = True
+        self._recorded.clear()
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_enginetable.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_enginetable.py
@@ -46,7 +46,7 @@
         self._limits: dict[TargetName, float] = {}  # requests/s
         self._exhausted: frozenset[TargetName] = frozenset()
         self._holders = HolderIndex()
-        # Of this planning run, since most are needed several times.
+        # Kept until the demand or the holders of an adapter change.
         self._demand_per_holder: dict[Name, float] = {}
         self._now = 0.0  # s, when the state was last refreshed
 
@@ -86,8 +86,8 @@
     def refresh(self, now: float) -> None:
         """Update the holders before planning."""
         self._now = now
-        self._demand_per_holder.clear()
-        self._holders.update(self)
+        self._forget_demand(self._demand.take_changes(now))
+        self._forget_demand(self._holders.update(self))
 
     def set_limits(
         self,
@@ -96,8 +96,9 @@
     ) -> None:
         """Set the limits that engines name, and those that are used up."""
         self._limits = limits
+        if exhausted != self._exhausted:
+            self._demand_per_holder.clear()
         self._exhausted = exhausted
-        self._demand_per_holder.clear()
 
     def loads_in_flight(self, now: float) -> int:
         """Return how many adapters are loading over all engines."""
@@ -182,7 +183,7 @@
     def demand_per_holder(self, label: AdapterLabel, now: float) -> float:
         """Return the requests per second for an adapter at each holder.
 
-        It is computed once for each planning run, whose time is ``now``.
+        It is that of the last refresh, at ``now``.
         Holders that are sent all that their limits allow take no part.
         """
         name = label.name
@@ -242,6 +243,14 @@
                 known.running[name] = before + use.running
                 known.running_total += use.running
 
+    def _forget_demand(self, names: set[Name] | None) -> None:
+        """Forget the demand per holder of some adapters, or of all."""
+        if names is None:
+            self._demand_per_holder.clear()
+            return
+        for name in names:
+            self._demand_per_holder.pop(name, None)
+
 
 def _slot_usage(engine: EngineState) -> float:
     """Return the fraction of an engine's slots that entry VMs use."""
--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_holderindex.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_holderindex.py
@@ -35,18 +35,26 @@
         """Return the engines that hold any version of an adapter."""
         return self._holders.get(name, [])
 
-    def update(self, engines: Iterable[EngineState]) -> None:
-        """Take over what engines hold now."""
+    def update(self, engines: Iterable[EngineState]) -> set[Name] | None:
+        """Take over what engines hold now.
+
+        Return the adapters whose holders have changed, ``None`` if any may
+        have.
+        """
         present = list(engines)
         labels = [tuple(engine.ready_at) for engine in present]
+        former = self._labels
+        self._labels = labels
         if present != self._engines:
             self._rebuild(present, labels)
-        elif labels != self._labels:
-            held = zip(present, self._labels, labels, strict=True)
+            return None
+        changed: set[Name] = set()
+        if labels != former:
+            held = zip(present, former, labels, strict=True)
             for engine, before, after in held:
                 if before != after:
-                    self._update_engine(engine, before, after)
-        self._labels = labels
+                    changed |= self._update_engine(engine, before, after)
+        return changed
 
     def _rebuild(
         self, engines: list[EngineState], labels: list[_Labels]
@@ -62,7 +70,7 @@
 
     def _update_engine(
         self, engine: EngineState, before: _Labels, after: _Labels
-    ) -> None:
+    ) -> set[Name]:
         changed = set(before) ^ set(after)
         names = {label.name for label in changed}
         for name in names:
@@ -73,6 +81,7 @@
                 self._holders[name] = holders
             else:
                 self._holders.pop(name, None)
+        return names
 
     def _position(self, engine: EngineState) -> int:
         return self._positions[engine.target]
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -161,9 +161,13 @@
 
     @given(st.lists(steps, max_size=60))
     def test_same_holders(self, sequence: list[tuple[Any, ...]]) -> None:
-        """The index lists each holder once for each version, in order."""
+        """The index lists each holder once for each version, in order.
+
+        Demand that is kept although it has changed would evict wrongly.
+        """
         fast = Planner(EngineTable)
         table = fast.planner.engines
+        demand = fast.planner.demand
         for step in (*starts, *sequence):
             fast.apply(step)
             table.refresh(fast.now)
@@ -176,3 +180,8 @@
                     if label.name == name
                 ]
                 assert table.holders(name) == held
+                copies = sum(not table.is_exhausted(one) for one in held)
+                label = AdapterLabel('m', adapter)
+                found = table.demand_per_holder(label, fast.now)
+                expected = demand.rate(name, fast.now) / max(1, copies)
+                assert found == expected
