--- a/bench/processor.py
+++ b/bench/processor.py
@@ -13,7 +13,8 @@
 from lovagemast_node.fleet._collector import tune_collector
 
 from .entryload import EntryShape, run_entry
-from .syncload import LoadShape, SyncLoad
+from .syncload import SyncLoad
+from .syncparts import LoadShape
 from .synctransport import TransportLoad
 
 TRANSPORT_S: Final = 3.0
