Reset connections of orders and duty calls that got no answer

Cause: an order that a zone cut held up was given up after 0.4 s, but its connection was closed without a reset.

Change: TargetConnection.reset sets SO_LINGER to 0 s before it closes, which drops the send buffer. Orders and calls to the infrastructure without an answer use it. Requests of callers are closed as before: one that was sent and not answered isn't sent again. ResponseFailed tells whether malformed bytes arrived, where the client for the infrastructure compared words of the detail.

Ruled out: the shorter response timeout, which changes when the socket is closed and not how.

--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_engines.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_engines.py
@@ -28,8 +28,7 @@
 from ._metrics import ControlMetrics
 
 # Engines answer at once. One without an answer gets no other order for this
-# time, so that 30 lost answers a second would keep half of 56 engines idle
-# after 1.5 s each. A late order does no harm: its precondition no longer holds.
+# time, so a longer timeout keeps engines idle where answers are often lost.
 RESPONSE_TIMEOUT_S: Final = 0.4
 ENGINE_CONNECT_TIMEOUT_S: Final = 0.5
 OK: Final = 200
@@ -119,7 +118,7 @@
         if isinstance(response, EngineResponse):
             self._pool.release(conn, now_s())
         else:
-            conn.close()
+            conn.reset()  # an order that is still on its way must not arrive
         return response
 
 
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_infrastructure.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_infrastructure.py
@@ -26,11 +26,9 @@
 CONNECT_TIMEOUT_S: Final = 0.5
 MAX_RESPONSE_BYTES: Final = 65_536
 MAX_DETAIL: Final = 200  # characters of a log field
-# First words of a failure that some response caused.
-NOT_HTTP: Final = ('not an answer', 'bytes without end')
 
 
-class _Ending(NamedTuple):
+class _CallOutcome(NamedTuple):
     result: CallResult
     detail: str
 
@@ -55,41 +53,42 @@
         """Send a call and return its outcome; not after ``send_by``, in s."""
         started_at = now_s()
         try:
-            ending = await self._call(handed, send_by)
+            outcome = await self._call(handed, send_by)
         except Exception as exc:  # the leader must learn of the outcome
-            ending = _Ending(CallResult.REJECTED, repr(exc))
-        detail = ending.detail[:MAX_DETAIL]
+            outcome = _CallOutcome(CallResult.REJECTED, repr(exc))
+        detail = outcome.detail[:MAX_DETAIL]
         self._log.write(
             'duty',
             'call',
             call=handed.call,
             token=handed.token,
-            result=ending.result.value,
+            result=outcome.result.value,
             detail=detail,
             took_s=round(now_s() - started_at, 4),
         )
-        return CallDone(handed.number, handed.term, ending.result, detail)
+        return CallDone(handed.number, handed.term, outcome.result, detail)
 
-    async def _call(self, handed: HandedCall, send_by: float) -> _Ending:
+    async def _call(self, handed: HandedCall, send_by: float) -> _CallOutcome:
         address = self._cloud.address
         request = self._codec.encode_duty_call(handed, self._holder, address)
         conn = await self._pool.acquire(
             address, fresh=True, timeout_s=CONNECT_TIMEOUT_S, now=now_s()
         )
         if isinstance(conn, ConnectFailed):
-            return _Ending(CallResult.UNREACHABLE, conn.detail)
+            return _CallOutcome(CallResult.UNREACHABLE, conn.detail)
         try:
             if now_s() > send_by:  # as after a freeze
-                return _Ending(CallResult.NOT_SENT, 'too late to be sent')
+                return _CallOutcome(CallResult.NOT_SENT, 'too late to be sent')
             conn.send(request, b'', b'')
             async with asyncio.timeout(handed.timeout_s):
                 return await self._read(conn)
         except TimeoutError:
-            return _Ending(CallResult.SILENT, 'no answer in time')
+            conn.reset()  # a call that is still on its way must not arrive
+            return _CallOutcome(CallResult.SILENT, 'no answer in time')
         finally:
             conn.close()
 
-    async def _read(self, conn: TargetConnection) -> _Ending:
+    async def _read(self, conn: TargetConnection) -> _CallOutcome:
         status = 0
         size = 0
         while size <= MAX_RESPONSE_BYTES:
@@ -102,11 +101,10 @@
                 return _failed(event)
             else:
                 result = self._codec.decode_duty_status(status)
-                return _Ending(result, str(status))
-        return _Ending(CallResult.REJECTED, 'the response is too long')
+                return _CallOutcome(result, str(status))
+        return _CallOutcome(CallResult.REJECTED, 'the response is too long')
 
 
-def _failed(event: ResponseFailed) -> _Ending:
-    is_odd = event.detail.startswith(NOT_HTTP)
-    result = CallResult.REJECTED if is_odd else CallResult.SILENT
-    return _Ending(result, event.detail)
+def _failed(event: ResponseFailed) -> _CallOutcome:
+    result = CallResult.REJECTED if event.is_malformed else CallResult.SILENT
+    return _CallOutcome(result, event.detail)
--- a/packages/lovagemast-node/src/lovagemast_node/http/_client.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_client.py
@@ -12,7 +12,7 @@
 from ._eventqueue import EventQueue
 from ._message import Headers
 from ._responsesize import MAX_OVERHEAD_BYTES, ResponseSize
-from ._sockets import enable_keepalive
+from ._sockets import discard_on_close, enable_keepalive
 
 IDLE_TIMEOUT_MARGIN_S: Final = (
     0.5  # before the target closes an idle connection
@@ -51,6 +51,7 @@
     """The connection closed early or sent an invalid response."""
 
     detail: str
+    is_malformed: bool = False  # bytes arrived that are no HTTP response
 
 
 class ConnectFailed(NamedTuple):
@@ -118,7 +119,7 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             if self._is_busy:
-                self._fail(f'not an answer: {exc}')
+                self._fail(f'not an answer: {exc}', is_malformed=True)
             self.is_reusable = False
             self.close()
         self._check_size()
@@ -241,7 +242,7 @@
                 self._transport.resume_reading()
         return event
 
-    def rest(self) -> None:
+    def stop_timer(self) -> None:
         """Stop the timer of the last response."""
         self._events.close()
 
@@ -258,6 +259,16 @@
         if self._transport:
             self._transport.abort()
 
+    def reset(self) -> None:
+        """Close the connection, and drop what its socket has not delivered.
+
+        After an ordinary close the kernel goes on sending what it holds, so
+        that a request may arrive long after its sender has given it up.
+        """
+        if self._transport and not self.is_closed:
+            discard_on_close(self._transport)
+        self.close()
+
     def _start_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._size = ResponseSize()
@@ -276,7 +287,9 @@
 
     def _check_size(self) -> None:
         if self._is_busy and self._size.is_excessive():
-            self._fail('bytes without end that are no answer')
+            self._fail(
+                'bytes without end that are no answer', is_malformed=True
+            )
             self.close()
 
     def _write_unsent(self) -> None:
@@ -291,7 +304,7 @@
             self.is_reusable = False
         self._events.put(ResponseEnd())
 
-    def _fail(self, detail: str) -> None:
+    def _fail(self, detail: str, *, is_malformed: bool = False) -> None:
         self._is_busy = False
         self.is_reusable = False
-        self._events.put(ResponseFailed(detail))
+        self._events.put(ResponseFailed(detail, is_malformed))
--- a/packages/lovagemast-node/src/lovagemast_node/http/_targetpool.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_targetpool.py
@@ -92,7 +92,7 @@
             conn.close()
             return
         conn.idle_since = now
-        conn.rest()
+        conn.stop_timer()
         idle = self._idle.setdefault(conn.address, deque())
         idle.append(conn)
         if len(idle) > MAX_IDLE_PER_ADDRESS:
