Read-through: usual names, no tuning notes, no unused fields

DutyConfig loses three settings without a reader. No decision changes.

Ruled out: renaming what stands on the wire.

--- a/packages/lovagemast-core/src/lovagemast_core/adapters/_holderindex.py
+++ b/packages/lovagemast-core/src/lovagemast_core/adapters/_holderindex.py
@@ -1,8 +1,8 @@
 """Finds the engines that hold an adapter.
 
 The leader plans tens of times per second, and few engines gain or lose an
-adapter in between. Visiting the adapters of all engines for each plan took a
-third of its processor time under load.
+adapter in between. Visiting the adapters of all engines for each plan would
+take a third of its processor time under load.
 """
 
 from collections.abc import Iterable
--- a/packages/lovagemast-core/src/lovagemast_core/control/_effects.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_effects.py
@@ -9,7 +9,7 @@
 from ..adapters import Order, OrderOutcome
 from ..duties import DutyState, HandedCall
 from ..quarantine import QuarantineState
-from ..scaling import DesiredCount
+from ..scaling import CountDecision
 from ..streams import PoolSoftware
 from ..targets import LimitReport
 
@@ -91,7 +91,7 @@
     Targets that have appeared or gone since change ``present`` only.
     """
 
-    counts: tuple[DesiredCount, ...]
+    counts: tuple[CountDecision, ...]
 
 
 class RelayFailed(NamedTuple):
--- a/packages/lovagemast-core/src/lovagemast_core/control/_scaling.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_scaling.py
@@ -5,7 +5,7 @@
 
 from ..duties import DutyController, ScaleOrder
 from ..scaling import (
-    DesiredCount,
+    CountDecision,
     LoadSources,
     ScalingController,
     ScalingObservations,
@@ -38,7 +38,7 @@
         self._fleet = fleet
         self._emit = emit
         self._controller = ScalingController()
-        self._decided: tuple[DesiredCount, ...] = ()
+        self._decided: tuple[CountDecision, ...] = ()
         self._due_at = 0.0  # s
 
     def step(self, duties: DutyController, now: float) -> None:
@@ -53,8 +53,10 @@
         observations = observe_scaling(self._fleet, now)
         counts = self._controller.decide(observations, committed, now)
         if counts:
-            orders = (ScaleOrder(*count[:3]) for count in counts)
-            duties.set_desired(tuple(orders), now)
+            orders = (
+                ScaleOrder(one.pool, one.zone, one.desired) for one in counts
+            )
+            duties.set_desired(tuple(orders))
         if counts != self._decided:
             self._decided = counts
             self._emit(CountsDecided(counts))
--- a/packages/lovagemast-core/src/lovagemast_core/duties/_committer.py
+++ b/packages/lovagemast-core/src/lovagemast_core/duties/_committer.py
@@ -14,9 +14,9 @@
 
 # A new leader hears of all counts within the interval of reports, twice: on
 # the way to the relays and from there.
-LEARN_S: Final = 2.0
+LEARNING_S: Final = 2.0
 # It knows all entry VMs by then, so that it may commit before the deadline.
-LEARN_VMS_S: Final = 3.0
+LEARNING_VMS_S: Final = 3.0
 SEND_MARGIN_S: Final = 2.0  # to detect the loss of the holder, and to send
 MIN_WAIT_S: Final = 1.0  # for reports after the end of a window
 
@@ -26,8 +26,8 @@
 
     def __init__(self, cfg: DutyConfig) -> None:
         self._windows = cfg.windows
-        patience_s = cfg.windows.due_s - cfg.lease_s - SEND_MARGIN_S
-        self._patience_s = max(MIN_WAIT_S, patience_s)
+        max_delay_s = cfg.windows.due_s - cfg.lease_s - SEND_MARGIN_S
+        self._max_delay_s = max(MIN_WAIT_S, max_delay_s)
 
     def next_report(
         self, ledger: UsageLedger, last_window: int, utc_s: float, led_s: float
@@ -37,7 +37,7 @@
         ``led_s`` is how long this VM has led. Without a committed window, the
         first one is the oldest that has counts.
         """
-        if led_s < LEARN_S:
+        if led_s < LEARNING_S:
             return None
         window = last_window + 1
         if not last_window:
@@ -50,7 +50,7 @@
         late_s = utc_s - self._windows.end_of(window)
         if late_s < 0:
             return None
-        may_close = led_s >= LEARN_VMS_S and not ledger.unclosed_vms(window)
-        if may_close or late_s >= self._patience_s:
+        may_close = led_s >= LEARNING_VMS_S and not ledger.unclosed_vms(window)
+        if may_close or late_s >= self._max_delay_s:
             return ledger.report(window)
         return None
--- a/packages/lovagemast-core/src/lovagemast_core/duties/_config.py
+++ b/packages/lovagemast-core/src/lovagemast_core/duties/_config.py
@@ -26,8 +26,3 @@
     calls_per_s: float = 50.0  # accepted from all VMs together
     windows: UsageWindows = UsageWindows()
     lease_s: float = 3.0  # no calls of a new holder for this time
-    # What the platform allows; nothing depends on it, as calls keep to the
-    # rules for infrastructures that do not check them.
-    tolerance: float = 0.05  # of reported counts
-    thaw_slack_s: float = 0.3
-    is_fenced: bool = False  # the infrastructure checks fencing tokens
--- a/packages/lovagemast-core/src/lovagemast_core/duties/_controller.py
+++ b/packages/lovagemast-core/src/lovagemast_core/duties/_controller.py
@@ -4,14 +4,12 @@
 report may be repeated by any leader and holder at any time.
 """
 
-from typing import Final
-
 from .._types import VmName
 from ._clock import FleetClock
 from ._committer import WindowCommitter
 from ._config import DutyConfig
 from ._dispatch import CallDispatcher
-from ._holder import DutyHolders
+from ._holder import PROPOSAL_INTERVAL_S, DutyHolders
 from ._ledger import UsageLedger
 from ._records import (
     CallDone,
@@ -29,8 +27,6 @@
     SetDesired,
 )
 
-PROPOSAL_INTERVAL_S: Final = 0.5  # until the same command is proposed again
-
 
 class DutyController:
     """Decides what to commit, and which calls to hand to the holder."""
@@ -72,7 +68,7 @@
         """Return whether numbers of targets are to be ordered."""
         return self._cfg.has_scaling
 
-    def set_desired(self, counts: tuple[ScaleOrder, ...], now: float) -> None:
+    def set_desired(self, counts: tuple[ScaleOrder, ...]) -> None:
         """Set the numbers of targets of all pools and availability zones.
 
         Those that differ from what is committed are committed, and then sent.
--- a/packages/lovagemast-core/src/lovagemast_core/duties/_holder.py
+++ b/packages/lovagemast-core/src/lovagemast_core/duties/_holder.py
@@ -13,7 +13,7 @@
 HOLDER_TIMEOUT_S: Final = 0.8  # without contact, until it is replaced
 # A call is handed over only to a VM whose last hello is that recent.
 HELLO_TTL_S: Final = 0.3
-PROPOSAL_INTERVAL_S: Final = 0.5
+PROPOSAL_INTERVAL_S: Final = 0.5  # until the same command is proposed again
 WAIT_MARGIN_S: Final = 0.2  # added to the lease time after a change
 MIN_FAILURES: Final = 3  # to connect, over at least MIN_FAILING_S
 MIN_FAILING_S: Final = 1.5
--- a/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/__init__.py
@@ -16,7 +16,7 @@
 from ._leadersearch import LeaderSearch
 from ._limits import ColdStartLimiter, EntryShare
 from ._loadestimate import FLEET_LAG_S, LoadEstimate
-from ._loadspread import MeanStay
+from ._loadspread import MeanServiceTime
 from ._pace import TargetPaces, WorkKind, WorkTime
 from ._paths import SAMPLE_TARGETS, PathMonitor
 from ._peers import PeerDirectory
@@ -61,7 +61,7 @@
     'KnownTarget',
     'LeaderSearch',
     'LoadEstimate',
-    'MeanStay',
+    'MeanServiceTime',
     'NoReadyTarget',
     'PathMonitor',
     'PeerDirectory',
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_loadspread.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_loadspread.py
@@ -13,7 +13,7 @@
 from collections.abc import Sequence
 from typing import Final, NamedTuple
 
-# To another availability zone and back, from 0.5 to 1.4 ms each way.
+# The round trip to another availability zone.
 CROSS_ZONE_S: Final = 0.002
 # Part of its own work by which a request prefers the faster of equally busy
 # targets. Without it, slow targets get work that they finish late; with all of
@@ -21,16 +21,16 @@
 OWN_WORK: Final = 0.5
 # Of the requests that arrive while figures age; the rest has left meanwhile.
 ARRIVED_PART: Final = 0.5
-MIN_STAY_S: Final = 0.01
-MAX_STAY_S: Final = 60.0
-STAY_WEIGHT: Final = 0.1  # of an answer in the mean stay
+MIN_SERVICE_S: Final = 0.01
+MAX_SERVICE_S: Final = 60.0
+SERVICE_TIME_WEIGHT: Final = 0.1  # of an answer in the mean service time
 
 
 class PacedTarget(NamedTuple):
     """A target that may be sent a request, as load and pace describe it.
 
     ``cost`` is the work ahead of a new request in time, as a multiple of the
-    time for which a request stays at a target of the usual pace. ``rate`` is
+    service time of a request at a target of the usual pace. ``rate`` is
     how many requests the target completes in such a time.
     """
 
@@ -38,11 +38,11 @@
     rate: float
 
 
-class MeanStay:
+class MeanServiceTime:
     """How long a request runs at a target, on average by pool."""
 
     def __init__(self) -> None:
-        self._stays: dict[str, float] = {}
+        self._times_s: dict[str, float] = {}
 
     def record(self, pool: str, took_s: float, queue: float) -> None:
         """Store how long an answer took.
@@ -50,30 +50,30 @@
         ``queue`` is how many requests wait at its target, as a multiple of
         the slots: this one has probably waited for about as many.
         """
-        stay_s = took_s / (1 + queue)
-        mean = self._stays.get(pool, stay_s)
-        mean += STAY_WEIGHT * (stay_s - mean)
-        self._stays[pool] = min(MAX_STAY_S, max(MIN_STAY_S, mean))
+        service_s = took_s / (1 + queue)
+        mean = self._times_s.get(pool, service_s)
+        mean += SERVICE_TIME_WEIGHT * (service_s - mean)
+        self._times_s[pool] = min(MAX_SERVICE_S, max(MIN_SERVICE_S, mean))
 
     def of(self, pool: str) -> float:
-        """Return the mean stay at a pool, 1 s until an answer has come."""
-        return self._stays.get(pool, 1.0)
+        """Return a pool's mean service time, 1 s before any answer."""
+        return self._times_s.get(pool, 1.0)
 
     def retain(self, pools: frozenset[str]) -> None:
         """Drop the pools that are not in ``pools``."""
-        for pool in self._stays.keys() - pools:
-            self._stays.pop(pool)
+        for pool in self._times_s.keys() - pools:
+            self._times_s.pop(pool)
 
 
 def arrivals_meanwhile(
-    running: float, stay_s: float, info_age_s: float
+    running: float, service_s: float, info_age_s: float
 ) -> float:
     """Return how many requests others have added since figures were taken.
 
     In a steady state, as many arrive as leave; of those ``running``, all have
-    left after ``stay_s``.
+    left after ``service_s``.
     """
-    return ARRIVED_PART * running * info_age_s / stay_s
+    return ARRIVED_PART * running * info_age_s / service_s
 
 
 def request_shares(
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_pace.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_pace.py
@@ -16,7 +16,7 @@
 from .._types import TargetName
 
 # A target that claims more counts as this fast: the share that it can draw by
-# a wrong claim stays bounded. The fastest machines known are at 0.59.
+# a wrong claim stays bounded.
 MIN_PACE: Final = 0.5
 MAX_PACE: Final = 10.0
 FADE_S: Final = 2.0  # time constant of a report's difference from the usual
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_selection.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_selection.py
@@ -69,12 +69,12 @@
 class SpreadTerms(NamedTuple):
     """What a choice by expected finish time is based on.
 
-    ``stay_s`` is how long a request of the pool runs on average, ``draw`` a
+    ``service_s`` is how long a request of the pool runs on average, ``draw`` a
     random number from 0 to 1.
     """
 
     pace_of: Callable[[KnownTarget], float]  # 1.0 as usual
-    stay_s: float
+    service_s: float
     info_age_s: float  # of the load that other entry VMs cause
     draw: float
 
@@ -193,7 +193,7 @@
         load = criteria.load_of(one.known)
         running += min(1.0, load) * max(1, one.known.record.slots)
         targets.append(_to_paced(one, load, criteria, terms, now))
-    arrivals = arrivals_meanwhile(running, terms.stay_s, terms.info_age_s)
+    arrivals = arrivals_meanwhile(running, terms.service_s, terms.info_age_s)
     shares = request_shares(targets, 1 + arrivals)
     return ready[draw_target(shares, terms.draw)]
 
@@ -209,7 +209,7 @@
     pace = terms.pace_of(candidate.known)
     cost = (_work_cost(candidate, load, criteria, now) + OWN_WORK) * pace
     if candidate.known.record.zone != criteria.zone:
-        cost += CROSS_ZONE_S / terms.stay_s
+        cost += CROSS_ZONE_S / terms.service_s
     return PacedTarget(cost, max(1, candidate.known.record.slots) / pace)
 
 
--- a/packages/lovagemast-core/src/lovagemast_core/scaling/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/scaling/__init__.py
@@ -1,6 +1,6 @@
 """How many targets each pool is to have in each availability zone."""
 
-from ._controller import DesiredCount, ScalingController
+from ._controller import CountDecision, ScalingController
 from ._counts import NeededCount, Reason, ZoneNeed, needed_counts
 from ._demand import DemandWindow
 from ._observations import (
@@ -14,9 +14,9 @@
 from ._steps import CountState, next_count
 
 __all__ = [
+    'CountDecision',
     'CountState',
     'DemandWindow',
-    'DesiredCount',
     'LoadSources',
     'NeededCount',
     'PoolObservation',
--- a/packages/lovagemast-core/src/lovagemast_core/scaling/_controller.py
+++ b/packages/lovagemast-core/src/lovagemast_core/scaling/_controller.py
@@ -34,7 +34,7 @@
 Place = tuple[str, ZoneName]
 
 
-class DesiredCount(NamedTuple):
+class CountDecision(NamedTuple):
     """The targets that a pool is to have in an availability zone."""
 
     pool: str
@@ -61,7 +61,7 @@
         observations: ScalingObservations,
         committed: Mapping[Place, int],
         now: float,
-    ) -> tuple[DesiredCount, ...]:
+    ) -> tuple[CountDecision, ...]:
         """Return the desired counts of all pools with ``scaling``.
 
         ``committed`` holds the counts in the replicated state. A pool's zone
@@ -76,7 +76,7 @@
         for name in set(self._pools) - set(pools):
             self._pools.pop(name)
         obstacle = self._find_obstacle(observations)
-        decided: list[DesiredCount] = []
+        decided: list[CountDecision] = []
         for _name, pool in sorted(pools.items()):
             counts = _of_pool(committed, pool.pool)
             if obstacle:
@@ -112,14 +112,14 @@
         pool: PoolObservation,
         committed: dict[ZoneName, int],
         reason: Reason,
-    ) -> Iterator[DesiredCount]:
+    ) -> Iterator[CountDecision]:
         """Yield the counts as they are, within the limits."""
         state = self._pools.get(pool.pool)
         counts = {**committed, **(state.counts() if state else {})}
         present = {zone.zone: zone.present for zone in pool.zones}
         for zone, count in sorted(counts.items()):
             kept = limited(count, pool.spec)
-            yield DesiredCount(
+            yield CountDecision(
                 pool.pool,
                 zone,
                 kept,
@@ -174,7 +174,7 @@
 
     def decide(
         self, spec: ScalingSpec, is_complete: bool, now: float
-    ) -> Iterator[DesiredCount]:
+    ) -> Iterator[CountDecision]:
         """Yield the counts of all zones."""
         live = self._live()
         needed = needed_counts(
@@ -193,7 +193,7 @@
             may_begin = name in needed and self._may_begin(state, found, now)
             if state.is_ordered or may_begin:
                 state.set_count(found.targets, now)
-                yield DesiredCount(self._pool, name, *found, zone.present)
+                yield CountDecision(self._pool, name, *found, zone.present)
 
     def _keep(self, zone: ZoneObservation, spec: ScalingSpec) -> NeededCount:
         """Return the count of a zone whose load tells nothing."""
--- a/packages/lovagemast-core/src/lovagemast_core/scaling/_demand.py
+++ b/packages/lovagemast-core/src/lovagemast_core/scaling/_demand.py
@@ -1,9 +1,9 @@
 """Demand over time: its recent peak, and how it grows.
 
-Load that it handles: waves with a period of about 11 s and a swing of 0.27,
-bursts of a few seconds, steps and ramps. A wave must not look like growth: the
-slope of its rising half, projected over a boot time of 8 s, would order more
-than twice the targets that are needed.
+Load that it handles: waves with periods up to 12 s, bursts of a few seconds,
+steps and ramps. A wave must not look like growth: the slope of its rising half,
+projected over a boot time of the same order, would order twice the targets that
+are needed.
 """
 
 import math
@@ -13,7 +13,7 @@
 # Demand is averaged over this time, in s: counts of the sync arrive in steps
 # some tenths of a second apart.
 SMOOTHING_S: Final = 1.0
-# Two waves of 11 s, so that the peak does not depend on their phase.
+# Two waves, so that the peak does not depend on their phase.
 MIN_HOLD_S: Final = 24.0
 # A decrease waits for this many boot times of low demand: undoing it takes one.
 HOLD_BOOTS: Final = 3.0
@@ -96,11 +96,6 @@
         self._hold.record(self._smoothed, now)
         self._trend.record(self._smoothed, now)
 
-    @property
-    def current(self) -> float:
-        """Return the demand of the last second."""
-        return self._smoothed
-
     def may_decrease(self, now: float) -> bool:
         """Return whether demand is known for long enough and not rising."""
         if self._since is None or now - self._since < self.hold_s:
--- a/packages/lovagemast-core/src/lovagemast_core/scaling/_observations.py
+++ b/packages/lovagemast-core/src/lovagemast_core/scaling/_observations.py
@@ -15,7 +15,7 @@
 from ..deployment import PoolSpec, ScalingSpec
 from ..targets import AdapterWish, RegisteredTarget, SyncAsk
 
-RELAY_TIMEOUT_S: Final = 2.0  # without a sync, until a relay's report is old
+REPORT_TTL_S: Final = 2.0  # without a sync, until a relay's report is old
 NEVER: Final = float('-inf')
 
 
@@ -107,7 +107,7 @@
         self._reports = {
             vm: report
             for vm, report in self._reports.items()
-            if now - report.asked_at < RELAY_TIMEOUT_S
+            if now - report.asked_at < REPORT_TTL_S
         }
         return list(self._reports.values())
 
--- a/packages/lovagemast-core/src/lovagemast_core/scaling/_steps.py
+++ b/packages/lovagemast-core/src/lovagemast_core/scaling/_steps.py
@@ -13,9 +13,8 @@
 # Targets kept above the need. A decrease to the need itself would be undone by
 # the next wave that is slightly higher than the last two.
 MARGIN: Final = 0.1
-# A count that is at least this part of the need is not raised: use is then 0.62
-# at the peak. Together with the margin, the noise of 100 requests at a time
-# moves a count every few minutes, and not back within two boot times.
+# A count that is at least this part of the need is not raised, so that random
+# variation of demand does not move a count back and forth.
 ENOUGH: Final = 0.94
 STEP: Final = 0.1  # of a count, for one decrease
 MIN_STEP_INTERVAL_S: Final = 4.0  # load moves to the other targets meanwhile
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_answertimes.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_answertimes.py
@@ -44,7 +44,7 @@
         if not paces.known.reports_paces(pool):
             return
         queue = (self._waiting or 0) / max(1, self._record.slots)
-        paces.stays.record(pool, now - self._sent_at, queue)
+        paces.service_times.record(pool, now - self._sent_at, queue)
         if self._waiting == 0:
             for work in self._measure(relay, now):
                 paces.known.record_answer(pool, target, work, now)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_dutyhost.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_dutyhost.py
@@ -10,7 +10,7 @@
     DutiesChanged,
 )
 from lovagemast_core.duties import DutyState
-from lovagemast_core.scaling import DesiredCount
+from lovagemast_core.scaling import CountDecision
 
 from .._clock import now_s
 from ._codec import ControlCodec
@@ -45,7 +45,7 @@
         self._metrics = metrics
         self._state = DutyState()
         # Decided by this VM as the leader, by pool and availability zone.
-        self._decided: dict[tuple[str, str], DesiredCount] = {}
+        self._decided: dict[tuple[str, str], CountDecision] = {}
         self._client: InfrastructureClient | None = None
         if cfg.cloud:
             self._client = InfrastructureClient(cfg.cloud, cfg.name, codec, log)
@@ -90,7 +90,7 @@
         self._decided = {(one.pool, one.zone): one for one in effect.counts}
         for place, count in self._decided.items():
             known = before.get(place)
-            if known is None or known[:4] != count[:4]:
+            if known is None or known._replace(present=count.present) != count:
                 self._log.write('scaling', 'count', **count._asdict())
 
     def _describe_decision(self, pool: str, zone: str) -> dict[str, Any]:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_orderedwait.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_orderedwait.py
@@ -12,7 +12,7 @@
 from .._clock import now_s
 from ._admitted import RESUMPTION_PRIORITY, AdmittedRequest
 from ._entrystate import EntryState
-from ._poolqueue import Look, PoolQueue, Readiness
+from ._poolqueue import CheckResult, PoolQueue, Readiness
 from ._refusal import HttpRefusal
 from ._waitconditions import SearchTerms, WaitConditions
 
@@ -42,7 +42,7 @@
         self._pool = admitted.pool.name
         self._rank: WaitingRequest | None = None  # since the first search
         self._is_counted = False  # as sent, in its account's share
-        self._found: Found | None = None  # by the last look
+        self._found: Found | None = None  # by the last check
         self._waited_s = 0.0
 
     @property
@@ -70,14 +70,14 @@
         self, queue: PoolQueue, rank: WaitingRequest, terms: SearchTerms
     ) -> Found:
         joined_at = now_s()
-        ticket = queue.join(rank, lambda now: self._look(terms, now))
+        ticket = queue.join(rank, lambda now: self._check(terms, now))
         try:
             while True:
                 await ticket.wait()
                 now = now_s()
                 # Others may have run since the pass, and changed the target.
                 if isinstance(self._found, Candidate):
-                    self._look(terms, now)
+                    self._check(terms, now)
                 if isinstance(self._found, Candidate):
                     return self._count_send(queue, self._found, now)
                 if self._found is not None:
@@ -87,24 +87,26 @@
             queue.leave(ticket)
             self._record_wait(now_s() - joined_at)
 
-    def _look(self, terms: SearchTerms, now: float) -> Look:
+    def _check(self, terms: SearchTerms, now: float) -> CheckResult:
         """Look for a target, or for a reason to wait no longer."""
         self._found = None
         if self._state.paths.is_lost(self._pool):
             self._found = PathsLost()
-            return Look(Readiness.ENDS)
+            return CheckResult(Readiness.ENDS)
         choice = self._conditions.chooser.choose(terms.tried, now)
         if isinstance(choice, Choice):
             self._found = choice.candidate
-            return Look(Readiness.CAN_SEND, target=choice.candidate.target)
+            return CheckResult(
+                Readiness.CAN_SEND, target=choice.candidate.target
+            )
         self._found = self._conditions.keep_waiting(choice, terms, now)
         if self._found is not None:
-            return Look(Readiness.ENDS)
+            return CheckResult(Readiness.ENDS)
         moments = (choice.ready_at, choice.paused_until, terms.give_up_at)
-        return Look(
+        return CheckResult(
             Readiness.WAITS,
             is_held=self._conditions.is_held(choice),
-            look_at=min(one for one in moments if one is not None),
+            check_at=min(one for one in moments if one is not None),
             holders=self._conditions.holders(choice, now),
         )
 
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
@@ -237,8 +237,11 @@
         await stream.send_message(Closed())
 
 
-class EncodedCodec(ProtoCodec):
-    """Takes encoded messages, too, whose parts several streams share."""
+class PreencodedCodec(ProtoCodec):
+    """Sends messages that are already encoded as they are.
+
+    Their parts are encoded once for several streams.
+    """
 
     def encode(self, message: Any, message_type: Any) -> bytes:
         """Return the bytes of a message."""
@@ -256,7 +259,7 @@
 ) -> Server:
     """Start the gRPC server for control and entry VMs."""
     config = ping_config(SERVER_PING_INTERVAL_S, SERVER_PING_TIMEOUT_S)
-    codec = EncodedCodec()
+    codec = PreencodedCodec()
     if limits is None:
         server = Server(services, codec=codec, config=config)
         await server.start(host, port, reuse_address=True)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_peerserver.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_peerserver.py
@@ -58,7 +58,7 @@
                 if not part:
                     break
                 data += part
-                share.wait_for_more(len(data))
+                share.mark_incomplete(len(data))
                 if not share.try_grow(len(data)):
                     raise self._refuse()
         finally:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_poolqueue.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_poolqueue.py
@@ -2,7 +2,7 @@
 
 The load: tens of requests wait while each reply of the sync and each request
 that ends may free a slot. Only requests that can be sent are woken, one after
-the other; the others are looked at where they are, without a task switch.
+the other; the others are checked where they are, without a task switch.
 """
 
 import asyncio
@@ -27,18 +27,18 @@
     CAN_SEND = enum.auto()
 
 
-class Look(NamedTuple):
+class CheckResult(NamedTuple):
     """What a pass finds of one waiting request.
 
-    ``is_held`` tells that it waits for more than a free slot. ``look_at`` is
-    when to look again at the latest, in s. ``target`` is the one that it can
+    ``is_held`` tells that it waits for more than a free slot. ``check_at`` is
+    when to check again at the latest, in s. ``target`` is the one that it can
     be sent to. ``holders`` are the targets that could serve it if they had
     room.
     """
 
     readiness: Readiness
     is_held: bool = False
-    look_at: float = float('inf')
+    check_at: float = float('inf')
     target: str = ''
     holders: frozenset[str] = frozenset()
 
@@ -59,11 +59,11 @@
         self,
         request: WaitingRequest,
         number: int,
-        look: Callable[[float], Look],
+        check: Callable[[float], CheckResult],
     ) -> None:
         self.request = request
         self.number = number
-        self.look = look
+        self.check = check
         self.error: Exception | None = None
         self._wake: asyncio.Future[None]
         self.reset()
@@ -108,15 +108,15 @@
         return len(self._tickets)
 
     def join(
-        self, request: WaitingRequest, look: Callable[[float], Look]
+        self, request: WaitingRequest, check: Callable[[float], CheckResult]
     ) -> Ticket:
         """Add a request and start a pass.
 
-        ``look`` tells at any time whether the request could be sent. It is
+        ``check`` tells at any time whether the request could be sent. It is
         called while the request's task is suspended.
         """
         number = self.order.join(request, now_s())
-        ticket = Ticket(request, number, look)
+        ticket = Ticket(request, number, check)
         self._tickets[number] = ticket
         self._report(request.priority)
         self.notify()
@@ -161,35 +161,37 @@
             ticket = self._tickets[number]
             if ticket.is_woken:
                 break
-            look = self._look(ticket, now)
-            next_at = min(next_at, look.look_at)
-            if look.can_go(reserved):
+            found = self._check(ticket, now)
+            next_at = min(next_at, found.check_at)
+            if found.can_go(reserved):
                 ticket.wake()
-            if look.takes_slot(reserved):
+            if found.takes_slot(reserved):
                 break
-            reserved = reserved or self._reserve(number, look, now)
+            reserved = reserved or self._reserve(number, found, now)
         self._restart_timer(max(MIN_PASS_INTERVAL_S, next_at - now))
 
-    def _reserve(self, number: int, look: Look, now: float) -> frozenset[str]:
+    def _reserve(
+        self, number: int, found: CheckResult, now: float
+    ) -> frozenset[str]:
         """Return the targets that are kept free for a request.
 
         One that needs more room than others, as its prompt is long, would find
         none while others take each bit of it. It may keep them from others
         once it is overdue, one request of a pool at a time.
         """
-        if look.holders and self.order.is_overdue(number, now):
-            return look.holders
+        if found.holders and self.order.is_overdue(number, now):
+            return found.holders
         return frozenset()
 
-    def _look(self, ticket: Ticket, now: float) -> Look:
-        """Look at a request; an error ends its wait, not the pass."""
+    def _check(self, ticket: Ticket, now: float) -> CheckResult:
+        """Check a request; an error ends its wait, not the pass."""
         try:
-            look = ticket.look(now)
+            found = ticket.check(now)
         except Exception as exc:
             ticket.error = exc
-            return Look(Readiness.ENDS)
-        self.order.set_held(ticket.number, is_held=look.is_held)
-        return look
+            return CheckResult(Readiness.ENDS)
+        self.order.set_held(ticket.number, is_held=found.is_held)
+        return found
 
     def _restart_timer(self, delay_s: float) -> None:
         self._stop_timer()
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_poolqueues.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_poolqueues.py
@@ -1,7 +1,7 @@
 """The waiting requests of all pools of an entry VM, and what ranks them.
 
 Pools whose targets report their pace are served in order; in the others each
-waiting request polls, as before.
+waiting request polls.
 """
 
 import random
@@ -25,7 +25,7 @@
 from ._poolqueue import PoolQueue
 
 # A token of the output holds a slot for a step of the whole batch, one of the
-# prompt is processed along with others. The ratio is assumed, not measured.
+# prompt is processed along with others.
 OUTPUT_TOKEN_WORK: Final = 8.0
 # Callers state the tokens; more than any model takes would only distort sums.
 MAX_WORK: Final = 1e7
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_targetpaces.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_targetpaces.py
@@ -7,7 +7,7 @@
 from lovagemast_core.entry import (
     FLEET_LAG_S,
     KnownTarget,
-    MeanStay,
+    MeanServiceTime,
     SpreadTerms,
     TargetPaces,
 )
@@ -25,7 +25,7 @@
 
     def __init__(self, log: JsonLog, metrics: EntryMetrics) -> None:
         self.known = TargetPaces()
-        self.stays = MeanStay()
+        self.service_times = MeanServiceTime()
         self._log = log
         self._metrics = metrics
         self._rng = random.Random(secrets.randbits(64))
@@ -55,7 +55,7 @@
             return None
         return SpreadTerms(
             lambda known: self.known.pace(known.record.target, now),
-            self.stays.of(pool),
+            self.service_times.of(pool),
             FLEET_LAG_S,
             self._rng.random(),
         )
@@ -63,7 +63,7 @@
     def retain_pools(self, pools: frozenset[str]) -> None:
         """Drop what is known of pools that are not in ``pools``."""
         self.known.retain_pools(pools)
-        self.stays.retain(pools)
+        self.service_times.retain(pools)
 
     def _write_lines(self, now: float) -> None:
         names = self.known.known_targets()
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_waitconditions.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_waitconditions.py
@@ -10,6 +10,7 @@
 
 from ._admitted import AdmittedRequest
 from ._entrystate import EntryState
+from ._poolqueues import MAX_RETRY_AFTER_S
 from ._quarantinecheck import QuarantineCheck
 from ._refusal import HttpRefusal
 from ._streamcontinuity import StreamContinuity
@@ -19,7 +20,6 @@
 # The wait for a token of a limited target, as a multiple of the objective.
 TOKEN_WAIT_OBJECTIVES: Final = 0.75
 NOT_RUN_RETRY_AFTER_S: Final = 0.2
-MAX_RETRY_AFTER_S: Final = 4.0
 # First words of the refusal's reason, which callers may rely on.
 PAUSED_CODE: Final = 'targets-paused'
 EXPECTED_ADAPTER_WAIT_S: Final = 0.4  # a load and the leader's round trip
--- a/packages/lovagemast-node/src/lovagemast_node/http/_bodybudget.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_bodybudget.py
@@ -169,7 +169,7 @@
             self._head = size
         return True
 
-    def wait_for_more(self, received: int) -> None:
+    def mark_incomplete(self, received: int) -> None:
         """Note that a message is incomplete, and how much of it has come."""
         if self._evict is None:
             return
@@ -178,7 +178,7 @@
             self._budget.add_incomplete(self)
         self._progress.received = received
 
-    def complete(self) -> None:
+    def mark_complete(self) -> None:
         """Note that a message is complete, and is not given up any more."""
         if self._progress:
             self._progress = None
@@ -187,7 +187,7 @@
     def release(self) -> None:
         """Return all that was reserved."""
         if self._progress:
-            self.complete()
+            self.mark_complete()
         self._budget.remove(self._counted, self._small + self._head)
         self._counted = 0
         self._small = 0
@@ -201,6 +201,6 @@
 
     def evict(self) -> None:
         """Give up the message."""
-        self.complete()
+        self.mark_complete()
         if self._evict:
             self._evict()
--- a/packages/lovagemast-node/src/lovagemast_node/http/_eventqueue.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_eventqueue.py
@@ -1,8 +1,8 @@
 """A queue for one reader that waits for a limited time.
 
-A stream has tens of events per second, and each of them used to start and
-cancel a timer. One timer now covers many waits: it looks at the deadline of
-the current one when it runs out.
+A stream has tens of events per second, and a timer for each would mostly be
+cancelled. One timer covers many waits: when it runs out, it checks the deadline
+of the current one.
 """
 
 import asyncio
--- a/packages/lovagemast-node/src/lovagemast_node/http/_reader.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_reader.py
@@ -149,7 +149,7 @@
             bytes(self._body),
         )
         keep_alive = self._parser.should_keep_alive()
-        self._share.complete()
+        self._share.mark_complete()
         self._completed.append(CompletedRequest(req, keep_alive, self._share))
         self._share = BodyShare(self._bodies, self._evict)
         self._body = bytearray()
@@ -188,7 +188,7 @@
         framing = self.partial_bytes - size
         if framing > MAX_FRAMING_BYTES + MAX_FRAMING_FACTOR * size:
             return RefusalStatus.BAD_REQUEST
-        self._share.wait_for_more(self.partial_bytes)
+        self._share.mark_incomplete(self.partial_bytes)
         held = self._head_memory + self._lines_memory + len(self._url)
         if not self._share.try_hold_head(held):
             return RefusalStatus.NO_MEMORY
--- a/packages/lovagemast-node/src/lovagemast_node/http/_server.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_server.py
@@ -109,7 +109,7 @@
         timeout_s = self._server.limits.idle_timeout_s
         self._stall_timer = loop.call_later(timeout_s, self.abort)
         self._paused_bytes += WRITE_BUFFER_LIMIT_BYTES
-        self._unread.wait_for_more(self._paused_bytes)
+        self._unread.mark_incomplete(self._paused_bytes)
         held = WRITE_BUFFER_LIMIT_BYTES
         if self._server.counts_responses:
             held += self.unwritten_bytes
--- a/tests/dutyfleet.py
+++ b/tests/dutyfleet.py
@@ -37,7 +37,7 @@
 ENTRY_SYNC_S = 0.2
 RELAY_SYNC_S = 0.1
 CONNECT_TIMEOUT_S = 0.5
-ACCOUNTS = ('hule930', 'fida11', 'small')
+ACCOUNTS = ('globex', 'acme', 'small')
 TOLERANCE = 0.05
 
 
--- a/tests/loadmodel.py
+++ b/tests/loadmodel.py
@@ -17,7 +17,7 @@
     Choice,
     KnownTarget,
     LoadEstimate,
-    MeanStay,
+    MeanServiceTime,
     SelectionCriteria,
     SpreadTerms,
     TargetHealth,
@@ -122,7 +122,7 @@
         self.zone = f'z{zone}'
         self.health = TargetHealth()
         self.paces = TargetPaces()
-        self.stays = MeanStay()
+        self.service_times = MeanServiceTime()
         self.loads = {one.candidate.target: LoadEstimate() for one in targets}
 
     def terms(self, draw: float, now: float) -> SpreadTerms | None:
@@ -130,7 +130,7 @@
             return None
         return SpreadTerms(
             lambda known: self.paces.pace(known.record.target, now),
-            self.stays.of(POOL),
+            self.service_times.of(POOL),
             FLEET_LAG_S,
             draw,
         )
@@ -298,7 +298,7 @@
         if self.way == 'spread':
             entry.paces.record_report(POOL, name, pace, now)
             queue = waiting / self.scenario.slots
-            entry.stays.record(POOL, now - sent.sent_at, queue)
+            entry.service_times.record(POOL, now - sent.sent_at, queue)
             if not waiting:
                 work = WorkTime(KIND, now - sent.sent_at)
                 entry.paces.record_answer(POOL, name, work, now)
--- a/tests/scalingmodel.py
+++ b/tests/scalingmodel.py
@@ -9,7 +9,7 @@
 
 from lovagemast_core.deployment import ScalingSpec
 from lovagemast_core.scaling import (
-    DesiredCount,
+    CountDecision,
     PoolObservation,
     ScalingController,
     ScalingObservations,
@@ -90,7 +90,7 @@
         self.history: dict[str, list[tuple[float, int]]] = {
             zone: [(0.0, ready)] for zone in zones
         }
-        self.decided: tuple[DesiredCount, ...] = ()
+        self.decided: tuple[CountDecision, ...] = ()
         self.target_seconds = 0.0
 
     @property
--- a/tests/test_connectionlimits.py
+++ b/tests/test_connectionlimits.py
@@ -43,7 +43,7 @@
     def receive(self, count: int) -> bool:
         """Receive some bytes; return whether there was room."""
         self.size += count
-        self.share.wait_for_more(self.size)
+        self.share.mark_incomplete(self.size)
         return self.share.try_grow(self.size)
 
     def _evict(self) -> None:
@@ -90,7 +90,7 @@
         budget = BodyBudget(2 * MIB)
         complete, own = Upload(budget), Upload(budget)
         assert complete.receive(2 * MIB)
-        complete.share.complete()
+        complete.share.mark_complete()
         assert not own.receive(MIB)
         assert not complete.is_evicted
         complete.share.release()
@@ -103,7 +103,7 @@
         assert all(one.receive(FREE_BYTES) for one in held)
         assert budget.used_bytes == 0
         for one in held[1:]:
-            one.share.complete()
+            one.share.mark_complete()
         assert Upload(budget).receive(100)
         assert held[0].is_evicted
         for one in held:
--- a/tests/test_dutyfleet.py
+++ b/tests/test_dutyfleet.py
@@ -35,7 +35,7 @@
     """Give the leader the wanted numbers of targets."""
     controller = fleet.nodes[fleet.leader()].infrastructure.controller
     assert controller
-    controller.set_desired(orders, fleet.now)
+    controller.set_desired(orders)
 
 
 def run_until_call(fleet: DutyFleet, *, sent: bool) -> None:
--- a/tests/test_infrastructure.py
+++ b/tests/test_infrastructure.py
@@ -24,13 +24,11 @@
 from tests.conftest import free_port
 
 REPORT = UsageReport(
-    353_445_120, (AccountCount('fida11', 412), AccountCount('hule930', 412))
+    353_445_120, (AccountCount('acme', 412), AccountCount('globex', 412))
 )
 USAGE = HandedCall(1, 12, 3, 0.0, 0.3, usage=REPORT)
-SCALE = HandedCall(
-    2, 12, 3, 0.0, 0.3, scale=ScaleOrder('huvo11a', 'hirtshals-a', 6)
-)
-NAME = 'core-hirtshals-a-1'
+SCALE = HandedCall(2, 12, 3, 0.0, 0.3, scale=ScaleOrder('chat', 'zone-a', 6))
+NAME = 'core-zone-a-1'
 MAX_MEMORY_BYTES = 8 * 1_048_576
 
 
@@ -63,12 +61,12 @@
     assert (first.path, first.holder, first.token) == ('/usage', NAME, 12)
     assert first.document == {
         'window': 353_445_120,
-        'counts': {'fida11': 412, 'hule930': 412},
+        'counts': {'acme': 412, 'globex': 412},
     }
     assert second.path == '/scale'
     assert second.document == {
-        'service': 'huvo11a',
-        'zone': 'hirtshals-a',
+        'service': 'chat',
+        'zone': 'zone-a',
         'desiredCount': 6,
     }
     assert repeated.document == first.document
--- a/tests/test_loadspread.py
+++ b/tests/test_loadspread.py
@@ -245,7 +245,7 @@
     zones: dict[str, str],
     paces: dict[str, float] | None = None,
     tried: frozenset[str] = frozenset(),
-    stay_s: float = 0.09,
+    service_s: float = 0.09,
 ) -> Counter[str]:
     """Return how often each target is chosen, of a thousand times."""
     health = TargetHealth()
@@ -260,7 +260,7 @@
             'e1',
             SpreadTerms(
                 lambda known: (paces or {}).get(known.record.target, 1.0),
-                stay_s,
+                service_s,
                 0.3,
                 number / 1_000,
             ),
@@ -282,8 +282,8 @@
         """It matters for short work, and hardly for long work."""
         zones = {'t1': 'z1', 't2': 'z2'}
         loads = {'t1': 0.2, 't2': 0.2}
-        far_short = draws(loads, zones, stay_s=0.01)['t2']
-        far_long = draws(loads, zones, stay_s=2.0)['t2']
+        far_short = draws(loads, zones, service_s=0.01)['t2']
+        far_long = draws(loads, zones, service_s=2.0)['t2']
         assert far_short < far_long <= 500
 
     def test_tried_target_comes_last(self) -> None:
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -9,7 +9,7 @@
 from lovagemast_core.deployment import CallKind
 from lovagemast_core.entry import (
     KnownTarget,
-    MeanStay,
+    MeanServiceTime,
     TargetPaces,
     WorkKind,
     WorkTime,
@@ -165,14 +165,14 @@
         answer_in(paces, {'t1': 0.3, 't2': 0.09})
         assert not paces.known_targets()
 
-    def test_mean_stay_is_bounded(self) -> None:
+    def test_mean_service_time_is_bounded(self) -> None:
         """It divides; an answer in no time must not make it 0."""
-        stays = MeanStay()
+        times = MeanServiceTime()
         for _answer in range(100):
-            stays.record(POOL, 0.0, 0.0)
-        assert stays.of(POOL) > 0
-        stays.retain(frozenset())
-        assert stays.of(POOL) == 1.0
+            times.record(POOL, 0.0, 0.0)
+        assert times.of(POOL) > 0
+        times.retain(frozenset())
+        assert times.of(POOL) == 1.0
 
 
 class TestEntryVm:
@@ -189,7 +189,7 @@
         paces = states[0].load.paces
         assert paces.terms(POOL, now_s()) is not None
         assert paces.known.known_targets() == ('t0',)
-        assert paces.stays.of(POOL) < 1.0
+        assert paces.service_times.of(POOL) < 1.0
 
     @pytest.mark.parametrize('load', [b'1,0,8', b'1,0,8,x', b'1,0,8,-5'])
     def test_without_a_pace_nothing_changes(self, load: bytes) -> None:
--- a/tests/test_poolqueue.py
+++ b/tests/test_poolqueue.py
@@ -17,7 +17,7 @@
 from lovagemast_node.fleet import _poolqueue
 from lovagemast_node.fleet._poolqueue import (
     PASS_INTERVAL_S,
-    Look,
+    CheckResult,
     PoolQueue,
     Readiness,
     Ticket,
@@ -72,7 +72,7 @@
                 give_up_at,
                 1.0,
             ),
-            lambda now: self._look(call, give_up_at, now),
+            lambda now: self._check(call, give_up_at, now),
         )
         self.waiting[call.name] = call
         try:
@@ -101,14 +101,14 @@
                 return
             self.queue.wait_again(ticket)
 
-    def _look(self, call: Call, give_up_at: float, now: float) -> Look:
+    def _check(self, call: Call, give_up_at: float, now: float) -> CheckResult:
         self.looks += 1
         target = self.target_of(call)
         if target:
-            return Look(Readiness.CAN_SEND, target=target)
+            return CheckResult(Readiness.CAN_SEND, target=target)
         if now >= give_up_at:
-            return Look(Readiness.ENDS)
-        return Look(Readiness.WAITS, look_at=give_up_at)
+            return CheckResult(Readiness.ENDS)
+        return CheckResult(Readiness.WAITS, check_at=give_up_at)
 
 
 class Watch:
@@ -315,7 +315,7 @@
         tasks = await fill(pool, [Call('other')])
         request = WaitingRequest('a', 1.0, -1, 0.0, 0.0, 0.0, 1.0)
 
-        def fail(now: float) -> Look:
+        def fail(now: float) -> CheckResult:
             raise ValueError(now)
 
         ticket = pool.queue.join(request, fail)
@@ -343,7 +343,7 @@
             WaitingRequest(
                 'long', 1.0, 0, began_at, began_at + 9, began_at + 1, 9.0
             ),
-            lambda now: Look(
+            lambda now: CheckResult(
                 Readiness.CAN_SEND if pool.free['t0'] > 1 else Readiness.WAITS,
                 target='t0',
                 holders=frozenset(('t0',)),
