Entry VMs tell of long turns of their event loop

Only control VMs logged a stall, and none shorter than half a second could be seen anywhere, so that two hypotheses could not be told apart: (1) the buffer of an incomplete event takes longer with each chunk, (2) one connection takes whole turns with any bytes.

Change: the tick that control VMs had runs on entry VMs too, logs `entry: stalled`, and goes into the histogram lovagemast_loop_lateness_seconds of both.

--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -191,7 +191,12 @@
             self._log_writer.run(),
             self._push_updates(),
             self._relay.run(),
-            watch_stalls(self._stalls, self._log),
+            watch_stalls(
+                self._stalls,
+                self._log,
+                'control',
+                self._metrics.record_lateness,
+            ),
             watch_leader(self._node, self._log),
         ):
             self._spawn(task, is_essential=True)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -32,6 +32,7 @@
 from ._peers import serve_peers
 from ._requesthandler import RequestHandler
 from ._settings import EntrySettings
+from ._stalls import StallDetector, watch_stalls
 from ._sync import SyncClient
 
 # A VM whose view a quorum has not confirmed for this long reports not ready,
@@ -119,6 +120,14 @@
         return [
             asyncio.create_task(self._sync.run()),
             asyncio.create_task(self._state.prober.run()),
+            asyncio.create_task(
+                watch_stalls(
+                    StallDetector(now_s()),
+                    self._log,
+                    'entry',
+                    self._state.metrics.record_lateness,
+                )
+            ),
         ]
 
     async def _drain(self) -> None:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
@@ -34,10 +34,21 @@
     5.0,
     12.0,
 )
+LATENESS_BUCKETS_S: Final = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0)
 PACE_BUCKETS: Final = (0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0)
 OK: Final = 200
 
 
+def _make_lateness(registry: CollectorRegistry) -> Histogram:
+    """Return the histogram that shows how long turns of the loop take."""
+    return Histogram(
+        'lovagemast_loop_lateness_seconds',
+        'How late a tick of every 0.1 s runs, as other work holds it up',
+        buckets=LATENESS_BUCKETS_S,
+        registry=registry,
+    )
+
+
 class EntryMetrics:
     """Metrics of an entry VM."""
 
@@ -149,6 +160,11 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self._lateness_s = _make_lateness(self.registry)
+
+    def record_lateness(self, late_s: float) -> None:
+        """Record how late a tick of the event loop was."""
+        self._lateness_s.observe(late_s)
 
     def record_refusal(self, status: int) -> None:
         """Count a response that the entry VM generated itself."""
@@ -270,8 +286,13 @@
             'Prompt parts that are quarantined',
             registry=self.registry,
         )
+        self._lateness_s = _make_lateness(self.registry)
         self._add_duties()
 
+    def record_lateness(self, late_s: float) -> None:
+        """Record how late a tick of the event loop was."""
+        self._lateness_s.observe(late_s)
+
     def record_duty_call(self, result: str) -> None:
         """Count a call to the infrastructure by its result."""
         self._duty_calls.labels(result).inc()
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_stalls.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_stalls.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import Final
 
 from .._clock import now_s
@@ -28,12 +29,11 @@
         self._stalled_until = float('-inf')
 
     def tick(self, now: float) -> float:
-        """Record a tick; return how late it is, in s, 0 if it is on time."""
-        late_s = now - self._ticked_at - TICK_INTERVAL_S
+        """Record a tick; return how late it is, in s, at least 0."""
+        late_s = max(0.0, now - self._ticked_at - TICK_INTERVAL_S)
         self._ticked_at = now
-        if late_s < STALL_S:
-            return 0.0
-        self._stalled_until = now + RECOVERY_S
+        if late_s >= STALL_S:
+            self._stalled_until = now + RECOVERY_S
         return late_s
 
     def is_stalled(self, now: float) -> bool:
@@ -43,10 +43,16 @@
         return now - self._ticked_at - TICK_INTERVAL_S >= STALL_S
 
 
-async def watch_stalls(stalls: StallDetector, log: JsonLog) -> None:
-    """Tick until cancelled, and log each stall."""
+async def watch_stalls(
+    stalls: StallDetector,
+    log: JsonLog,
+    part: str,
+    record: Callable[[float], None],
+) -> None:
+    """Tick until cancelled; record how late each tick is, and log stalls."""
     while True:
         late_s = stalls.tick(now_s())
-        if late_s:
-            log.write('control', 'stalled', late_s=round(late_s, 3))
+        record(late_s)
+        if late_s >= STALL_S:
+            log.write(part, 'stalled', late_s=round(late_s, 3))
         await asyncio.sleep(TICK_INTERVAL_S)
