--- a/packages/lovagemast-core/src/lovagemast_core/entry/_eventstream.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_eventstream.py
@@ -4,15 +4,20 @@
 
 # A line ends with LF, CRLF or CR, and an event with an empty line.
 EVENT_ENDS: Final = (b'\n\n', b'\n\r\n', b'\r\r')
+# Of an end, in the bytes before a chunk that completes it.
+MAX_OVERLAP_BYTES: Final = max(map(len, EVENT_ENDS)) - 1
 ID_FIELD: Final = b'id:'
 
 
 class EventStreamBuffer:
-    """Buffers incomplete events and keeps the id of the last complete event."""
+    """Buffers incomplete events and keeps the id of the last complete event.
+
+    Each byte is appended and searched once, however small the chunks are.
+    """
 
     def __init__(self) -> None:
         self.last_id = ''
-        self._partial = b''
+        self._partial = bytearray()  # contains no end of an event
 
     @property
     def partial_bytes(self) -> int:
@@ -29,25 +34,29 @@
 
     def feed(self, chunk: bytes) -> bytes:
         """Take the next chunk and return the events that are now complete."""
-        buffered = self._partial + chunk if self._partial else chunk
-        end = _end_of_events(buffered)
+        if not self._partial and chunk.endswith(EVENT_ENDS):
+            self._update_last_id(chunk)  # as of most chunks
+            return chunk
+        # An end may have begun in the bytes before the chunk.
+        start = max(0, len(self._partial) - MAX_OVERLAP_BYTES)
+        self._partial += chunk
+        end = _end_of_events(self._partial, start)
         if not end:
-            self._partial = buffered
             return b''
-        self._partial = buffered[end:]
-        complete = buffered[:end]  # the same object if all are complete
+        complete = bytes(self._partial[:end])
+        self._partial = self._partial[end:]  # of the chunk only
         self._update_last_id(complete)
         return complete
 
     def flush(self) -> bytes:
         """Return the bytes after the last complete event, at a stream's end."""
-        partial = self._partial
-        self._partial = b''
+        partial = bytes(self._partial)
+        self._partial = bytearray()
         return partial
 
     def discard_partial(self) -> None:
         """Discard the incomplete event of a stream that broke off."""
-        self._partial = b''
+        self._partial = bytearray()
 
     def _update_last_id(self, complete: bytes) -> None:
         if ID_FIELD not in complete:
@@ -58,13 +67,14 @@
                 return
 
 
-def _end_of_events(buffered: bytes) -> int:
-    """Return the length of the complete events, 0 if there is none."""
-    if buffered.endswith(EVENT_ENDS):  # as most chunks do
-        return len(buffered)
+def _end_of_events(buffered: bytearray, start: int) -> int:
+    """Return the length of the complete events, 0 if there is none.
+
+    Only ends that begin at ``start`` or later are looked for.
+    """
     ends = (
-        buffered.rfind(mark) + len(mark)
+        found + len(mark)
         for mark in EVENT_ENDS
-        if mark in buffered
+        if (found := buffered.rfind(mark, start)) >= 0
     )
     return max(ends, default=0)
