--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_forwardservice.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_forwardservice.py
@@ -22,7 +22,13 @@
 )
 
 from .._clock import now_s
-from ..http import AlreadyStartedError, Headers, HttpRequest, header_value
+from ..http import (
+    AlreadyStartedError,
+    EventQueue,
+    Headers,
+    HttpRequest,
+    header_value,
+)
 from ._admitted import AdmittedRequest, subjects_of
 from ._delivery import SHUTDOWN_REASON, deliver
 from ._entrystate import EntryState
@@ -46,7 +52,7 @@
         self.started = False
         # Returns the software version of the target that responds.
         self.software_of: Callable[[], str] = str
-        self._events: asyncio.Queue[ForwardEvent | None] = asyncio.Queue()
+        self._events: EventQueue[ForwardEvent | None] = EventQueue()
         self._has_room = asyncio.Event()
         self._has_room.set()
 
@@ -65,28 +71,28 @@
         self.started = True
         fields = tuple(HeaderField(name, value) for name, value in headers)
         head = ForwardHead(status, fields, self.software_of())
-        self._events.put_nowait(ForwardEvent(head))
+        self._events.put(ForwardEvent(head))
 
     async def write(self, chunk: bytes) -> None:
         """Emit a part of the body, with back-pressure from the peer."""
         if not chunk:
             return
-        self._events.put_nowait(ForwardEvent(chunk=chunk))
-        if self._events.qsize() >= MAX_QUEUED_EVENTS:
+        self._events.put(ForwardEvent(chunk=chunk))
+        if len(self._events) >= MAX_QUEUED_EVENTS:
             self._has_room.clear()
         await self._has_room.wait()
 
     def end(self) -> None:
         """Emit the end of a complete response."""
-        self._events.put_nowait(ForwardEvent(is_end=True))
+        self._events.put(ForwardEvent(is_end=True))
 
     def refuse(self, refusal: ForwardRefusal) -> None:
         """Emit why there is no response."""
-        self._events.put_nowait(ForwardEvent(refusal=refusal))
+        self._events.put(ForwardEvent(refusal=refusal))
 
     def close(self) -> None:
         """End the events."""
-        self._events.put_nowait(None)
+        self._events.put(None)
 
     async def events(self) -> AsyncIterator[ForwardEvent]:
         """Yield the events until ``close``."""
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_peerattempt.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_peerattempt.py
@@ -23,7 +23,13 @@
 )
 
 from .._clock import now_s
-from ..http import MAX_BODY_BYTES, BodyShare, Headers, ResponseHead
+from ..http import (
+    MAX_BODY_BYTES,
+    BodyShare,
+    Headers,
+    ResponseHead,
+    TurnShare,
+)
 from ._admitted import AdmittedRequest
 from ._attemptresult import AttemptOutcome, AttemptResult
 from ._entrystate import EntryState
@@ -105,7 +111,9 @@
 
     async def _relay_events(self, stream: ForwardStream) -> AttemptResult:
         self._relay.begin_stream()
+        turn = TurnShare()
         async for message in stream:
+            await turn.take()
             event: ForwardEvent = from_wire(ForwardEvent, message)
             if event.refusal:
                 return self._on_refusal(event.refusal)
--- a/packages/lovagemast-node/src/lovagemast_node/http/__init__.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/__init__.py
@@ -1,6 +1,7 @@
 """An HTTP/1.1 server and client that check message framing strictly."""
 
 from ._bodybudget import FREE_BYTES, BodyBudget, BodyShare
+from ._boundedreads import BoundedReads
 from ._client import (
     ConnectFailed,
     ResponseData,
@@ -11,6 +12,7 @@
     TargetConnection,
 )
 from ._connectiontable import ClosingRank, ConnectionTable
+from ._eventqueue import EventQueue
 from ._message import (
     Headers,
     HttpRequest,
@@ -25,6 +27,7 @@
 from ._server import HttpServer
 from ._sockets import ACCEPT_BATCH, extend_backlog, split_address
 from ._targetpool import TargetPool
+from ._turnshare import TurnShare
 
 __all__ = [
     'ACCEPT_BATCH',
@@ -35,9 +38,11 @@
     'AlreadyStartedError',
     'BodyBudget',
     'BodyShare',
+    'BoundedReads',
     'ClosingRank',
     'ConnectFailed',
     'ConnectionTable',
+    'EventQueue',
     'Headers',
     'HttpRequest',
     'HttpServer',
@@ -51,6 +56,7 @@
     'ServerLimits',
     'TargetConnection',
     'TargetPool',
+    'TurnShare',
     'VmLimits',
     'check_size',
     'encode_head',
--- a/packages/lovagemast-node/src/lovagemast_node/http/_client.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_client.py
@@ -9,6 +9,7 @@
 
 import httptools
 
+from ._boundedreads import BoundedReads
 from ._eventqueue import EventQueue
 from ._message import Headers
 from ._responsesize import MAX_OVERHEAD_BYTES, ResponseSize
@@ -63,7 +64,7 @@
 ResponseEvent = ResponseHead | ResponseData | ResponseEnd | ResponseFailed
 
 
-class TargetConnection(asyncio.Protocol):
+class TargetConnection(BoundedReads):
     """A connection to a target that carries one request at a time."""
 
     def __init__(self, address: str) -> None:
@@ -108,7 +109,7 @@
         else:
             self._fail(repr(exc) if exc else 'closed before the end')
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, data: bytes | memoryview) -> None:
         """Parse received bytes; close if no request is in progress."""
         if not self._is_busy:
             self.is_reusable = False
@@ -122,6 +123,7 @@
                 self._fail(f'not an answer: {exc}', is_malformed=True)
             self.is_reusable = False
             self.close()
+        self._emit_body()
         self._check_size()
         is_full = (
             len(self._events) > MAX_BUFFERED_EVENTS
@@ -188,11 +190,10 @@
         )
 
     def on_body(self, body: bytes) -> None:
-        """Emit a chunk of the body."""
+        """Keep a chunk of the body until the whole read is parsed."""
         if self._is_busy and not self._is_skipping:
             self._size.add_body(len(body))
-            self._buffered_bytes += len(body)
-            self._events.put(ResponseData(body))
+            self._chunks.append(body)
 
     def on_message_complete(self) -> None:
         """Emit the end of the response."""
@@ -278,6 +279,17 @@
         self._is_chunked = False
         self._is_in_body = False
         self._is_skipping = False
+        self._chunks: list[bytes] = []  # of the body, not emitted yet
+
+    def _emit_body(self) -> None:
+        """Emit the chunks of one read as one event, however small they are."""
+        if not self._chunks:
+            return
+        chunks = self._chunks
+        self._chunks = []
+        body = chunks[0] if len(chunks) == 1 else b''.join(chunks)
+        self._buffered_bytes += len(body)
+        self._events.put(ResponseData(body))
 
     def _read_keep_alive(self, value: bytes) -> None:
         for part in value.split(b','):
@@ -300,6 +312,7 @@
 
     def _complete(self) -> None:
         self._is_busy = False
+        self._emit_body()
         if self._unsent:  # bytes of the next request would take their place
             self.is_reusable = False
         self._events.put(ResponseEnd())
@@ -307,4 +320,5 @@
     def _fail(self, detail: str, *, is_malformed: bool = False) -> None:
         self._is_busy = False
         self.is_reusable = False
+        self._emit_body()
         self._events.put(ResponseFailed(detail, is_malformed))
--- a/packages/lovagemast-node/src/lovagemast_node/http/_eventqueue.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_eventqueue.py
@@ -9,6 +9,8 @@
 from collections import deque
 from typing import Generic, TypeVar
 
+from ._turnshare import TurnShare
+
 Item = TypeVar('Item')
 
 
@@ -19,6 +21,7 @@
         self._items: deque[Item] = deque()
         self._waiter: asyncio.Future[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._turn = TurnShare()
         self._deadline = 0.0  # s, by the loop's clock, of the current wait
 
     def __len__(self) -> int:
@@ -34,10 +37,15 @@
     async def get(self, timeout_s: float | None = None) -> Item:
         """Wait for an item and remove it.
 
+        Items that are there already are taken a few in a turn of the loop.
+
         Raises :exc:`TimeoutError` if none comes in time.
         """
-        if not self._items:
+        if self._items:
+            await self._turn.take()
+        else:
             await self._wait(timeout_s)
+            self._turn.restart()
         return self._items.popleft()
 
     def close(self) -> None:
--- a/packages/lovagemast-node/src/lovagemast_node/http/_reader.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_reader.py
@@ -74,7 +74,9 @@
         self._refusal_status: RefusalStatus | None = None
         self.on_message_begin()
 
-    def feed(self, data: bytes) -> list[CompletedRequest] | RefusalStatus:
+    def feed(
+        self, data: bytes | memoryview
+    ) -> list[CompletedRequest] | RefusalStatus:
         """Parse bytes and return the requests that they complete."""
         self.partial_bytes += len(data)
         self._fed_since_body += len(data)
--- a/packages/lovagemast-node/src/lovagemast_node/http/_server.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_server.py
@@ -7,6 +7,7 @@
 
 from .._clock import now_s
 from ._bodybudget import BodyBudget, BodyShare
+from ._boundedreads import BoundedReads
 from ._connectiontable import ClosingRank, ConnectionTable
 from ._message import HttpRequest, encode_head, status_line
 from ._reader import (
@@ -33,7 +34,7 @@
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(BoundedReads):
     """A caller's connection, which handles its requests in order."""
 
     def __init__(self, server: 'HttpServer') -> None:
@@ -82,7 +83,7 @@
         if self._task:
             self._task.cancel()
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, data: bytes | memoryview) -> None:
         """Parse received bytes and start the next request."""
         if self._is_closing:
             return
--- a/soak/cutentry.py
+++ b/soak/cutentry.py
@@ -57,7 +57,7 @@
         super().connection_made(transport)
         SWITCH.connections.add(self)
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, data: bytes | memoryview) -> None:
         """Drop what arrives over a silent path."""
         if SWITCH.cut is not Cut.SILENT:
             super().data_received(data)
