--- a/packages/lovagemast-core/src/lovagemast_core/deployment/_index.py
+++ b/packages/lovagemast-core/src/lovagemast_core/deployment/_index.py
@@ -1,7 +1,8 @@
 """Lookups into one revision of a deployment's configuration."""
 
 import hashlib
-from collections import defaultdict
+from collections.abc import Iterable
+from itertools import groupby
 
 from .._types import AccountName
 from ._model import AccountSpec, Deployment, PoolSpec, RouteSpec
@@ -14,6 +15,35 @@
     return hashlib.sha256(key.encode()).digest()
 
 
+def _host_of(route: RouteSpec) -> str:
+    return route.host
+
+
+class _HostRoutes:
+    """The routes of a host, by prefix.
+
+    A lookup takes one step for each length that a prefix has, however long
+    the path is.
+    """
+
+    def __init__(self, routes: Iterable[RouteSpec]) -> None:
+        self._by_prefix = {
+            route.prefix: route
+            for route in routes
+            if route.prefix.endswith('/')
+        }
+        lengths = {len(prefix) for prefix in self._by_prefix}
+        self._lengths = sorted(lengths, reverse=True)
+
+    def longest_match(self, path: str) -> RouteSpec | None:
+        """Return the route with the longest prefix that begins a path."""
+        for length in self._lengths:
+            route = self._by_prefix.get(path[:length])
+            if route is not None:
+                return route
+        return None
+
+
 class DeploymentIndex:
     """A deployment's routes, pools and accounts, indexed for lookups."""
 
@@ -25,9 +55,12 @@
         self.accounts: dict[AccountName, AccountSpec] = {
             account.name: account for account in deployment.accounts
         }
-        self._by_host: dict[str, dict[str, RouteSpec]] = defaultdict(dict)
-        for route in deployment.routes:
-            self._by_host[route.host][route.prefix] = route
+        self._by_host = {
+            host: _HostRoutes(list(routes))
+            for host, routes in groupby(
+                sorted(deployment.routes, key=_host_of), key=_host_of
+            )
+        }
         self._by_key: dict[KeyDigest, AccountSpec] = {}
         for account in deployment.accounts:
             for key in account.keys:
@@ -41,19 +74,10 @@
     def route(self, host: str, path: str) -> RouteSpec | None:
         """Return the route of a host whose prefix is the longest match.
 
-        Prefixes end with a slash, so one lookup is needed for each slash in
-        the path. Case and port of ``host`` do not matter.
+        Case and port of ``host`` do not matter.
         """
-        prefixes = self._by_host.get(host.partition(':')[0].lower())
-        if prefixes is None:
-            return None
-        end = path.rfind('/') + 1
-        while end > 0:
-            route = prefixes.get(path[:end])
-            if route is not None:
-                return route
-            end = path.rfind('/', 0, end - 1) + 1
-        return None
+        routes = self._by_host.get(host.partition(':')[0].lower())
+        return routes.longest_match(path) if routes else None
 
     def account_of_key(self, key: str) -> AccountSpec | None:
         """Return the client account that a key belongs to."""
