--- a/packages/lovagemast-node/src/lovagemast_node/http/_reader.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_reader.py
@@ -14,7 +14,7 @@
 from ._bodybudget import BodyBudget, BodyShare
 from ._message import HttpRequest
 
-HEAD_OVERHEAD_BYTES: Final = 8_192  # for the request line and separators
+HEAD_OVERHEAD_BYTES: Final = 8_192  # for separators and what is not counted
 LINE_MEMORY_BYTES: Final = 160  # of a parsed line, beside its text
 LINE_BYTES: Final = 4  # of a header line beside its name and value
 # Of a chunked body beside its data. Chunks of one byte take five more each.
@@ -92,7 +92,7 @@
 
     def on_message_begin(self) -> None:
         """Start a new request."""
-        self._url = b''
+        self._url = bytearray()
         self._lines: list[tuple[bytes, bytes]] = []  # of a head, or trailers
         self._lines_bytes = 0
         self._head_memory = 0
@@ -171,7 +171,7 @@
         self._body = bytearray()
         self._lines = []
         self._headers = ()
-        self._url = b''
+        self._url = bytearray()
 
     @property
     def _lines_memory(self) -> int:
@@ -208,7 +208,8 @@
             return RefusalStatus.BAD_REQUEST
         if not self._url.startswith(b'/'):
             return RefusalStatus.BAD_REQUEST
-        if self._header_bytes > self.limits.header_bytes:
+        head_bytes = len(self._url) + self._header_bytes
+        if head_bytes > self.limits.header_bytes:
             return RefusalStatus.HEADERS_TOO_LARGE
         return self._check_framing(names) if framing_headers else None
 
