Connections between VMs take a bounded share of each turn too

Change: BoundedH2Protocol (_h2.py) puts BoundedReads under the gRPC library, with 2 KiB a turn, as a frame costs some tens of us however small it is; servers and channels of entry and control VMs and of lovagemastd use it. Messages are read in parts of 2 KiB.

tests/test_turns.py::TestPeerConnection: 3 of 3 failed before (128,000, 262,144 and 8,636 bytes in a turn, 2,048 allowed), pass now.

--- a/packages/lovagemast-node/src/lovagemast_node/_peers.py
+++ b/packages/lovagemast-node/src/lovagemast_node/_peers.py
@@ -3,7 +3,6 @@
 import asyncio
 from typing import Final
 
-from grpclib.client import Channel
 from grpclib.config import Configuration
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server, Stream
@@ -18,6 +17,7 @@
     encode_envelope,
 )
 
+from ._h2 import BoundedChannel, BoundedServer
 from ._logs import PartLogger
 from ._nodetask import Handler, NodeTask
 from ._settings import Listen
@@ -95,7 +95,7 @@
             _http2_min_sent_ping_interval_without_data=KEEPALIVE_INTERVAL_S,
         )
         async with (
-            Channel(host, int(port), config=config) as channel,
+            BoundedChannel(host, int(port), config=config) as channel,
             PeersStub(channel).Exchange.open() as stream,
         ):
             await asyncio.wait_for(stream.send_request(), CONNECT_TIMEOUT_S)
@@ -154,6 +154,6 @@
 
 async def serve_peers(listen: Listen, node_task: NodeTask) -> Server:
     """Listen for connections of other VMs."""
-    server = Server([PeerService(node_task)])
+    server = BoundedServer([PeerService(node_task)])
     await server.start(listen.host, listen.port)
     return server
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_peerchannels.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_peerchannels.py
@@ -6,6 +6,7 @@
 from lovagemast_core.entry import PeerDirectory
 from lovagemast_core.targets import EntryPeer
 
+from .._h2 import BoundedChannel
 from ._keepalive import PING_INTERVAL_S, PING_TIMEOUT_S, ping_config
 
 MAX_CHANNELS: Final = 16
@@ -24,7 +25,7 @@
         channel = self._channels.pop(peer.host, None)
         if channel is None:
             config = ping_config(PING_INTERVAL_S, PING_TIMEOUT_S)
-            channel = Channel(peer.host, self._port, config=config)
+            channel = BoundedChannel(peer.host, self._port, config=config)
         self._channels[peer.host] = channel  # the newest is the last one
         while len(self._channels) > MAX_CHANNELS:
             self._channels.pop(next(iter(self._channels))).close()
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
@@ -6,7 +6,6 @@
 from typing import Any, Final, TypeAlias
 
 from grpclib._typing import IServable
-from grpclib.client import Channel
 from grpclib.client import Stream as ClientStream
 from grpclib.encoding.proto import ProtoCodec
 from grpclib.exceptions import (
@@ -29,6 +28,7 @@
 )
 
 from .._clock import now_s
+from .._h2 import BoundedChannel
 from ._connectionlimits import ConnectionLimits
 from ._jsonlog import JsonLog
 from ._keepalive import (
@@ -102,7 +102,7 @@
     async def _send_all(self) -> None:
         config = ping_config(LINK_PING_INTERVAL_S, LINK_PING_TIMEOUT_S)
         async with (
-            Channel(self._vm, self._port, config=config) as channel,
+            BoundedChannel(self._vm, self._port, config=config) as channel,
             PeersStub(channel).Exchange.open() as stream,
         ):
             async with asyncio.timeout(PEER_CONNECT_TIMEOUT_S):
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_peerserver.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_peerserver.py
@@ -6,6 +6,7 @@
 
 from asyncio import BaseTransport, Transport
 from asyncio import Server as AsyncioServer
+from collections.abc import Callable
 from functools import partial
 from typing import Final
 
@@ -20,6 +21,7 @@
 from h2.events import RequestReceived
 
 from .._clock import now_s
+from .._h2 import H2_READ_BYTES, BoundedH2Protocol
 from ..http import (
     ACCEPT_BATCH,
     FREE_BYTES,
@@ -45,33 +47,48 @@
 
     async def read(self, size: int) -> bytes:
         """Return some bytes, fewer if the stream ends before."""
-        if size <= FREE_BYTES:
+        if size <= H2_READ_BYTES:
             return await super().read(size)
+        if size <= FREE_BYTES:
+            return await self._read_parts(size, lambda _received: None)
         limits = self._protocol.limits
         if limits.bodies.exceeds_limit(size):
             raise self._refuse()
         share = BodyShare(limits.bodies, self._protocol.close_for_room)
-        data = bytearray()
         try:
-            while len(data) < size:
-                part = await super().read(min(FREE_BYTES, size - len(data)))
-                if not part:
-                    break
-                data += part
-                share.mark_incomplete(len(data))
-                if not share.try_grow(len(data)):
-                    raise self._refuse()
+            return await self._read_parts(size, partial(self._grow, share))
         finally:
             share.release()
+
+    async def _read_parts(
+        self, size: int, on_part: Callable[[int], None]
+    ) -> bytes:
+        """Read in parts, so that no turn of the loop joins very many frames.
+
+        ``on_part`` gets the number of bytes that have come so far.
+        """
+        data = bytearray()
+        while len(data) < size:
+            count = min(H2_READ_BYTES, size - len(data))
+            part = await Buffer.read(self, count)
+            if not part:
+                break
+            data += part
+            on_part(len(data))
         return bytes(data)
 
+    def _grow(self, share: BodyShare, received: int) -> None:
+        share.mark_incomplete(received)
+        if not share.try_grow(received):
+            raise self._refuse()
+
     def _refuse(self) -> GRPCError:
         self._protocol.limits.record('MESSAGE', 1)
         self._protocol.close_for_room()
         return GRPCError(Status.RESOURCE_EXHAUSTED, 'no room for the message')
 
 
-class _LimitedProtocol(H2Protocol):
+class _LimitedProtocol(BoundedH2Protocol):
     """A connection of another VM, or of whoever reaches the port."""
 
     def __init__(
@@ -102,7 +119,7 @@
         self.limits.table.remove(self)
         super().connection_lost(exc)
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, data: bytes | memoryview) -> None:
         """Process frames, or close a connection that sends nothing else."""
         super().data_received(data)
         received = (
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_sync.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_sync.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from typing import Final, Protocol
 
-from grpclib.client import Channel
 from grpclib.client import Stream as ClientStream
 from lovagemast_core.syncrelay import SyncTiming
 from lovagemast_core.targets import SyncAsk, SyncReply
@@ -18,6 +17,7 @@
 )
 
 from .._clock import now_s
+from .._h2 import BoundedChannel
 from ._jsonlog import JsonLog
 from ._peers import PEER_CONNECT_TIMEOUT_S, STREAM_ERRORS
 
@@ -113,7 +113,7 @@
         self._answered.set()
         self.seen = 0
         async with (
-            Channel(vm, self._port) as channel,
+            BoundedChannel(vm, self._port) as channel,
             self._stub(channel).Sync.open() as stream,
         ):
             async with asyncio.timeout(PEER_CONNECT_TIMEOUT_S):
--- a/packages/lovagemast-node/src/lovagemast_node/http/__init__.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/__init__.py
@@ -1,7 +1,7 @@
 """An HTTP/1.1 server and client that check message framing strictly."""
 
 from ._bodybudget import FREE_BYTES, BodyBudget, BodyShare
-from ._boundedreads import BoundedReads
+from ._boundedreads import READ_BYTES, BoundedReads
 from ._client import (
     ConnectFailed,
     ResponseData,
@@ -34,6 +34,7 @@
     'FREE_BYTES',
     'MAX_BODY_BYTES',
     'MAX_EVENT_BYTES',
+    'READ_BYTES',
     'READ_ONLY_LIMITS',
     'AlreadyStartedError',
     'BodyBudget',
--- a/packages/lovagemast-node/src/lovagemast_node/http/_boundedreads.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_boundedreads.py
@@ -14,17 +14,18 @@
 
 
 class BoundedReads(asyncio.BufferedProtocol):
-    """A protocol that takes ``READ_BYTES`` at most in a turn of the loop.
+    """A protocol that takes ``read_bytes`` at most in a turn of the loop.
 
     What comes beyond stays in the socket until all others had their turn.
     """
 
+    read_bytes = READ_BYTES
     _read_buffer: bytearray
 
     def get_buffer(self, sizehint: int) -> bytearray:
         """Return the buffer for the next read, whatever size is hinted."""
         # Idle connections are many, and keep none.
-        self._read_buffer = bytearray(READ_BYTES)
+        self._read_buffer = bytearray(self.read_bytes)
         return self._read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -12,17 +12,21 @@
 from typing import Any, Final
 
 import pytest
+from grpclib.protocol import H2Protocol
 from lovagemast_core.deployment import CallKind
 from lovagemast_core.entry import (
     EventStreamBuffer,
     ForwardEvent,
     ForwardHead,
 )
+from lovagemast_node.fleet._connectionlimits import ConnectionLimits
 from lovagemast_node.fleet._forwardservice import (
     MAX_QUEUED_EVENTS,
     EventResponder,
 )
+from lovagemast_node.fleet._jsonlog import JsonLog
 from lovagemast_node.fleet._peerattempt import PeerAttempt
+from lovagemast_node.fleet._peers import serve_peers
 from lovagemast_node.http import (
     BodyBudget,
     HttpRequest,
@@ -33,16 +37,22 @@
     ResponseHead,
     ServerLimits,
     TargetConnection,
+    VmLimits,
 )
 from lovagemast_node.http._eventqueue import EventQueue
 from lovagemast_node.http._reader import RequestReader
 from lovagemast_wire import to_wire
+from prometheus_client import CollectorRegistry
 
+from tests.conftest import free_port
+from tests.h2floods import H2_FLOODS
 from tests.test_calls import HOST, ScriptedTarget, response_of
 from tests.test_endless import Endless
 
 # Chunks of one byte in so many bytes are parsed within some ms.
 MAX_TURN_BYTES: Final = 16_384
+# A frame of some bytes takes some tens of µs.
+MAX_TURN_FRAMES_BYTES: Final = 2_048
 # Of 16 KiB at most each.
 MAX_TURN_PARTS: Final = 16
 STREAM_HEAD: Final = (
@@ -305,3 +315,38 @@
 
         play(upload)
         assert 0 < turns.most <= MAX_TURN_BYTES
+
+
+class TestPeerConnection:
+    """Frames of other VMs, or of whoever reaches the port between them."""
+
+    @pytest.mark.parametrize('name', H2_FLOODS)
+    def test_bytes_of_a_turn(
+        self, monkeypatch: pytest.MonkeyPatch, name: str
+    ) -> None:
+        """No turn parses more than some hundred of the shortest frames."""
+        turns = TurnCounter()
+        turns.watch(monkeypatch, H2Protocol, 'data_received', len)
+        flood = H2_FLOODS[name]
+
+        async def send() -> None:
+            server = await serve_peers(
+                (),
+                HOST,
+                free_port(),
+                ConnectionLimits(
+                    VmLimits(), JsonLog('vm'), CollectorRegistry()
+                ),
+            )
+            assert isinstance(server._server, asyncio.Server)
+            port = server._server.sockets[0].getsockname()[1]
+            reader, writer = await asyncio.open_connection(HOST, port)
+            async with turns.counting():
+                writer.write(flood.first + flood.repeated * 500)
+                with contextlib.suppress(TimeoutError, ConnectionError):
+                    await asyncio.wait_for(reader.read(), 0.5)
+            writer.transport.abort()
+            server.close()
+
+        play(send)
+        assert 0 < turns.most <= MAX_TURN_FRAMES_BYTES
