lovagemastd's HTTP connections take a bounded share of each turn

Change: the daemon runs in an event loop whose transports read 16 KiB at most in a turn, since the library's protocols can't be exchanged.

The client's side is covered by the test only.

--- a/packages/lovagemast-node/src/lovagemast_node/_daemon.py
+++ b/packages/lovagemast-node/src/lovagemast_node/_daemon.py
@@ -20,6 +20,7 @@
 )
 
 from ._admin import AdminServer
+from ._boundedloop import BoundedReadsLoop
 from ._callers import CallerServer
 from ._logs import PartLogger, configure_logs
 from ._metrics import Metrics
@@ -196,7 +197,8 @@
     except DamagedLogError as exc:
         _log.critical('write-ahead log is corrupt: %s', exc)
         return EXIT_DAMAGED_LOG
-    return asyncio.run(_run(settings, store))
+    with asyncio.Runner(loop_factory=BoundedReadsLoop) as runner:
+        return runner.run(_run(settings, store))
 
 
 async def _run(settings: Settings, store: LogStore | None) -> int:
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -12,6 +12,7 @@
 from typing import Any, Final
 
 import pytest
+from aiohttp import ClientSession, client_proto, web, web_protocol
 from grpclib.protocol import H2Protocol
 from lovagemast_core.deployment import CallKind
 from lovagemast_core.entry import (
@@ -19,6 +20,7 @@
     ForwardEvent,
     ForwardHead,
 )
+from lovagemast_node._boundedloop import BoundedReadsLoop
 from lovagemast_node.fleet._connectionlimits import ConnectionLimits
 from lovagemast_node.fleet._forwardservice import (
     MAX_QUEUED_EVENTS,
@@ -350,3 +352,61 @@
 
         play(send)
         assert 0 < turns.most <= MAX_TURN_FRAMES_BYTES
+
+
+class TestLibraryConnections:
+    """Connections of libraries, in the event loop of ``lovagemastd``."""
+
+    def test_bytes_of_a_turn(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """A caller's chunks of one byte have a bounded share of each turn."""
+        turns = TurnCounter()
+        turns.watch(
+            monkeypatch, web_protocol.RequestHandler, 'data_received', len
+        )
+
+        async def upload() -> None:
+            async def answer(req: web.BaseRequest) -> web.Response:
+                await req.read()
+                return web.Response()
+
+            runner = web.ServerRunner(web.Server(answer))
+            await runner.setup()
+            await web.TCPSite(runner, HOST, 0).start()
+            host, port = runner.addresses[0]
+            reader, writer = await asyncio.open_connection(host, port)
+            async with turns.counting():
+                writer.write(
+                    b'POST / HTTP/1.1\r\nHost: h\r\n'
+                    b'Transfer-Encoding: chunked\r\n\r\n'
+                )
+                writer.write(chunked(b'x') * (BODY_BYTES // 6))
+                writer.write(b'0\r\n\r\n')
+                status = await reader.readline()
+            assert status.split()[1] == b'200'
+            writer.close()
+            await runner.cleanup()
+
+        with asyncio.Runner(loop_factory=BoundedReadsLoop) as runner:
+            runner.run(upload())
+        assert 0 < turns.most <= MAX_TURN_BYTES
+
+    def test_answers_of_targets(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """So has what a target sends without end."""
+        turns = TurnCounter()
+        turns.watch(
+            monkeypatch, client_proto.ResponseHandler, 'data_received', len
+        )
+
+        async def download() -> None:
+            target = ScriptedTarget(Endless(STREAM_HEAD, chunked(b'x')))
+            url = f'http://{HOST}:{await target.serve()}/'
+            async with (
+                turns.counting(),
+                ClientSession() as session,
+                session.get(url) as response,
+            ):
+                await response.content.readexactly(BODY_BYTES // 6)
+
+        with asyncio.Runner(loop_factory=BoundedReadsLoop) as runner:
+            runner.run(download())
+        assert 0 < turns.most <= MAX_TURN_BYTES
