--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 SECONDS ?= 20
 FROM ?=
 
-.PHONY: install run test check format measure fuzz soak bench processor capacity docs lock clean
+.PHONY: install run test check format measure fuzz soak bench processor doors capacity docs lock clean
 
 install: $(VENV)/.installed
 
@@ -70,6 +70,9 @@
 	@$(BIN)/python -m bench.processor --seed $(SEED) >/dev/null
 	@$(BIN)/python -m bench.processor --entry >/dev/null
 
+doors: install
+	@$(BIN)/python -m bench.doors
+
 capacity: install
 	@$(BIN)/python -m bench.capacity
 
