A claimed request keeps no more of its answer than may be stored

Seen by a test: lovagemastd kept the whole answer to a request that may run once, also when it was long past the 4,096 bytes that are stored; a target that sends without end filled the process.

Cause: ResponseWriter.send_chunk appended without a bound and only the end looked at the size. Change: one byte past the limit is kept at most, which tells at the end that the body is not stored.

tests/test_storedbodies.py: 3 of 7 failed before (262,144 bytes held), pass now.

--- a/packages/lovagemast-core/src/lovagemast_core/requests/_responses.py
+++ b/packages/lovagemast-core/src/lovagemast_core/requests/_responses.py
@@ -45,7 +45,9 @@
         if not ctx.head_sent:
             self._send_head(ctx, attempt)
         if ctx.claim:
-            ctx.stored_body += chunk
+            # One byte beyond the limit tells that it is not stored.
+            room = MAX_STORED_BODY_BYTES + 1 - len(ctx.stored_body)
+            ctx.stored_body += chunk[:room]
         if chunk and not ctx.detached:
             self._outbox.emit(SendResponseChunk(ctx.req.request, chunk))
 
