--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -164,6 +164,28 @@
         assert json.loads(read.document) == make_config()
         assert read.revision == 7
 
+    @pytest.mark.parametrize('name', ['t1', 'caf\xe9', 'a b'])
+    def test_names_for_headers(self, name: str) -> None:
+        """A name that headers can carry is accepted."""
+        config = make_config(tenants=[{'name': name, 'apiKeys': ['k']}])
+        assert isinstance(call('PUT', '/config', config), PutConfigCall)
+
+    @pytest.mark.parametrize('name', ['\u0142', 't\u20ac', '\u540d'])
+    def test_names_that_headers_cannot_carry(self, name: str) -> None:
+        """Such a name is refused with its place.
+
+        Guards against accounts whose requests all ended with a closed
+        connection.
+        """
+        tenants = [
+            {'name': 't1', 'apiKeys': ['k']},
+            {'name': name, 'apiKeys': ['l']},
+        ]
+        refused = call('PUT', '/config', make_config(tenants=tenants))
+        assert isinstance(refused, InvalidCall)
+        assert refused.status == 422
+        assert 'tenants[1].name' in refused.detail
+
     def test_version(self) -> None:
         """A version call has a model, an adapter and a version."""
         body = {'model': 'm', 'adapter': 'a3', 'version': 2}
