--- a/tests/test_entrycodec.py
+++ b/tests/test_entrycodec.py
@@ -30,6 +30,28 @@
     assert metadata.deadline_s is None
 
 
+@pytest.mark.parametrize(
+    ('text', 'is_refused'),
+    [
+        ('1e308,1e308', True),
+        ('1e13,1', True),
+        ('1,1e300', True),
+        ('100,20', False),
+        ('1e12,1e12', False),
+        ('0,0', False),
+    ],
+)
+def test_token_counts_without_end(text: str, *, is_refused: bool) -> None:
+    """Counts whose sums are not exact are refused with the request.
+
+    Guards against an account that got 429 until the VM restarted: its waiting
+    tokens had become infinite, and stayed so once the request was gone.
+    """
+    headers = ((b'X-Request-Id', b'r'), (b'X-Token-Count', text.encode()))
+    metadata = PlatformEntryCodec().decode_request(headers)
+    assert (metadata is None) == is_refused
+
+
 @pytest.mark.parametrize(
     ('text', 'parts'),
     [
