--- a/packages/lovagemast-core/src/lovagemast_core/entry/_eventstream.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_eventstream.py
@@ -34,8 +34,9 @@
 
     def feed(self, chunk: bytes) -> bytes:
         """Take the next chunk and return the events that are now complete."""
+        # Most chunks are whole events, and are not copied.
         if not self._partial and chunk.endswith(EVENT_ENDS):
-            self._update_last_id(chunk)  # as of most chunks
+            self._update_last_id(chunk)
             return chunk
         # An end may have begun in the bytes before the chunk.
         start = max(0, len(self._partial) - MAX_OVERLAP_BYTES)
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -1,150 +1,49 @@
-"""Tests that no connection holds up the others, whatever it sends.
-
-They count what is done for one connection in a turn of the event loop; how
-long that takes depends on the machine.
-"""
+"""Tests that no connection holds up the others, whatever it sends."""
 
 import asyncio
 import contextlib
-from collections import Counter
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from types import SimpleNamespace
-from typing import Any, Final
+from typing import Any
 
 import pytest
-from aiohttp import ClientSession, client_proto, web, web_protocol
-from grpclib.protocol import H2Protocol
 from lovagemast_core.deployment import CallKind
 from lovagemast_core.entry import (
     EventStreamBuffer,
     ForwardEvent,
     ForwardHead,
 )
-from lovagemast_node._boundedloop import BoundedReadsLoop
-from lovagemast_node.fleet._connectionlimits import ConnectionLimits
 from lovagemast_node.fleet._forwardservice import (
     MAX_QUEUED_EVENTS,
     EventResponder,
 )
-from lovagemast_node.fleet._jsonlog import JsonLog
 from lovagemast_node.fleet._peerattempt import PeerAttempt
-from lovagemast_node.fleet._peers import serve_peers
 from lovagemast_node.http import (
     BodyBudget,
     HttpRequest,
     HttpServer,
     Responder,
-    ResponseData,
-    ResponseFailed,
     ResponseHead,
     ServerLimits,
     TargetConnection,
-    VmLimits,
 )
 from lovagemast_node.http._eventqueue import EventQueue
 from lovagemast_node.http._reader import RequestReader
 from lovagemast_wire import to_wire
-from prometheus_client import CollectorRegistry
 
-from tests.conftest import free_port
-from tests.h2floods import H2_FLOODS
 from tests.test_calls import HOST, ScriptedTarget, response_of
 from tests.test_endless import Endless
-
-# Chunks of one byte in so many bytes are parsed within some ms.
-MAX_TURN_BYTES: Final = 16_384
-# A frame of some bytes takes some tens of µs.
-MAX_TURN_FRAMES_BYTES: Final = 2_048
-# Of 16 KiB at most each.
-MAX_TURN_PARTS: Final = 16
-STREAM_HEAD: Final = (
-    b'HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n'
-    b'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n'
+from tests.turncounter import (
+    BODY_BYTES,
+    MAX_TURN_BYTES,
+    MAX_TURN_PARTS,
+    PIECES,
+    STREAM_HEAD,
+    TurnCounter,
+    chunked,
+    play,
+    receive,
 )
-BODY_BYTES: Final = 200_000
-
-
-def chunked(piece: bytes) -> bytes:
-    """Return a piece as a chunk of a chunked body."""
-    return b'%x\r\n%b\r\n' % (len(piece), piece)
-
-
-PIECES: Final = {
-    'one byte': b'x',
-    'event of 60 bytes': b'x' * 60,
-    'comment': b':\n\n',
-    'whole event': b'data: x\n\n',
-    'line end': b'\r',
-    'large': b'x' * 65_536,
-}
-
-
-class TurnCounter:
-    """Sums what is done in each turn of the event loop."""
-
-    def __init__(self) -> None:
-        self.turn = 0
-        self.done: Counter[int] = Counter()
-
-    def add(self, count: int) -> None:
-        """Count work that is done in the current turn."""
-        self.done[self.turn] += count
-
-    @property
-    def most(self) -> int:
-        """Return the most that was done in one turn."""
-        return max(self.done.values(), default=0)
-
-    @contextlib.asynccontextmanager
-    async def counting(self) -> AsyncIterator[None]:
-        """Count the turns meanwhile."""
-        task = asyncio.create_task(self._count_turns())
-        try:
-            yield
-        finally:
-            task.cancel()
-
-    def watch(
-        self,
-        monkeypatch: pytest.MonkeyPatch,
-        owner: type,
-        method: str,
-        weigh: Callable[[Any], int],
-    ) -> None:
-        """Count the first argument of a method, as ``weigh`` says."""
-        original = getattr(owner, method)
-
-        def counted(instance: Any, data: Any, *args: Any) -> Any:
-            self.add(weigh(data))
-            return original(instance, data, *args)
-
-        monkeypatch.setattr(owner, method, counted)
-
-    async def _count_turns(self) -> None:
-        while True:
-            self.turn += 1
-            await asyncio.sleep(0)
-
-
-async def receive(conn: TargetConnection, size: int) -> None:
-    """Take a part of a body, or less if its framing is over a bound."""
-    received = 0
-    while received < size:
-        event = await conn.next_event(5.0)
-        if isinstance(event, ResponseFailed):
-            return
-        if isinstance(event, ResponseData):
-            received += len(event.chunk)
-
-
-def play(test: Callable[[], Awaitable[None]]) -> None:
-    """Run a test in an event loop, for some seconds at most."""
-
-    async def run() -> None:
-        async with asyncio.timeout(20.0):
-            await test()
-
-    asyncio.run(run())
 
 
 class TestTargetConnection:
@@ -317,96 +216,3 @@
 
         play(upload)
         assert 0 < turns.most <= MAX_TURN_BYTES
-
-
-class TestPeerConnection:
-    """Frames of other VMs, or of whoever reaches the port between them."""
-
-    @pytest.mark.parametrize('name', H2_FLOODS)
-    def test_bytes_of_a_turn(
-        self, monkeypatch: pytest.MonkeyPatch, name: str
-    ) -> None:
-        """No turn parses more than some hundred of the shortest frames."""
-        turns = TurnCounter()
-        turns.watch(monkeypatch, H2Protocol, 'data_received', len)
-        flood = H2_FLOODS[name]
-
-        async def send() -> None:
-            server = await serve_peers(
-                (),
-                HOST,
-                free_port(),
-                ConnectionLimits(
-                    VmLimits(), JsonLog('vm'), CollectorRegistry()
-                ),
-            )
-            assert isinstance(server._server, asyncio.Server)
-            port = server._server.sockets[0].getsockname()[1]
-            reader, writer = await asyncio.open_connection(HOST, port)
-            async with turns.counting():
-                writer.write(flood.first + flood.repeated * 500)
-                with contextlib.suppress(TimeoutError, ConnectionError):
-                    await asyncio.wait_for(reader.read(), 0.5)
-            writer.transport.abort()
-            server.close()
-
-        play(send)
-        assert 0 < turns.most <= MAX_TURN_FRAMES_BYTES
-
-
-class TestLibraryConnections:
-    """Connections of libraries, in the event loop of ``lovagemastd``."""
-
-    def test_bytes_of_a_turn(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        """A caller's chunks of one byte have a bounded share of each turn."""
-        turns = TurnCounter()
-        turns.watch(
-            monkeypatch, web_protocol.RequestHandler, 'data_received', len
-        )
-
-        async def upload() -> None:
-            async def answer(req: web.BaseRequest) -> web.Response:
-                await req.read()
-                return web.Response()
-
-            runner = web.ServerRunner(web.Server(answer))
-            await runner.setup()
-            await web.TCPSite(runner, HOST, 0).start()
-            host, port = runner.addresses[0]
-            reader, writer = await asyncio.open_connection(host, port)
-            async with turns.counting():
-                writer.write(
-                    b'POST / HTTP/1.1\r\nHost: h\r\n'
-                    b'Transfer-Encoding: chunked\r\n\r\n'
-                )
-                writer.write(chunked(b'x') * (BODY_BYTES // 6))
-                writer.write(b'0\r\n\r\n')
-                status = await reader.readline()
-            assert status.split()[1] == b'200'
-            writer.close()
-            await runner.cleanup()
-
-        with asyncio.Runner(loop_factory=BoundedReadsLoop) as runner:
-            runner.run(upload())
-        assert 0 < turns.most <= MAX_TURN_BYTES
-
-    def test_answers_of_targets(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        """So has what a target sends without end."""
-        turns = TurnCounter()
-        turns.watch(
-            monkeypatch, client_proto.ResponseHandler, 'data_received', len
-        )
-
-        async def download() -> None:
-            target = ScriptedTarget(Endless(STREAM_HEAD, chunked(b'x')))
-            url = f'http://{HOST}:{await target.serve()}/'
-            async with (
-                turns.counting(),
-                ClientSession() as session,
-                session.get(url) as response,
-            ):
-                await response.content.readexactly(BODY_BYTES // 6)
-
-        with asyncio.Runner(loop_factory=BoundedReadsLoop) as runner:
-            runner.run(download())
-        assert 0 < turns.most <= MAX_TURN_BYTES
