--- a/bench/entryload.py
+++ b/bench/entryload.py
@@ -142,7 +142,7 @@
     )
     pool = PoolSpec(POOL, '/health', 10, 0.0, 0.0, None)
     deployment = Deployment(1, pools=(pool,), routes=(route,))
-    state.view.set_index(DeploymentIndex(deployment))
+    state.view.index = DeploymentIndex(deployment)
     records = tuple(
         TargetRecord(f't{port}', POOL, f'{HOST}:{port}', 'z', 1, 12, False, 0.0)
         for port in ports
--- a/packages/lovagemast-core/src/lovagemast_core/agreement/_log.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_log.py
@@ -3,6 +3,7 @@
 from .._commands import SetVoters
 from .._effects import SavedSnapshot
 from .._messages import Entry
+from ._sizes import entries_bytes
 
 
 class ReplicatedLog:
@@ -38,6 +39,11 @@
         """Return whether the log holds neither entries nor a snapshot."""
         return self.last_index == 0
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes that the entries hold."""
+        return entries_bytes(self._entries)
+
     def term_at(self, index: int) -> int | None:
         """Return the term at an index, or ``None`` outside of the log."""
         if index == self.snapshot.last_index:
--- a/packages/lovagemast-core/src/lovagemast_core/control/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/__init__.py
@@ -2,6 +2,7 @@
 
 from .._commands import RecordDeparture
 from ..agreement._formats import FORMAT
+from ..agreement._sizes import message_bytes
 from ._config import ControlConfig
 from ._effects import (
     CallInfrastructure,
@@ -51,5 +52,6 @@
     'RequestReport',
     'SendOrder',
     'SoftwareChanged',
+    'message_bytes',
     'observe_scaling',
 ]
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
@@ -101,9 +101,13 @@
             self.relays = reply.relays
         return is_newer
 
-    def set_index(self, index: DeploymentIndex) -> None:
-        """Set the index of the configuration in force."""
-        self.index = index
+    @property
+    def revision(self) -> int:
+        """Return the revision of the configuration in force, 0 if none is.
+
+        It is older than the one received until the index is built.
+        """
+        return self.index.deployment.revision if self.index else 0
 
     @property
     def is_relay_behind(self) -> bool:
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/__init__.py
@@ -2,6 +2,7 @@
 
 from ._peeroffers import PeerOffers
 from ._relay import SyncRelay
+from ._rollout import Rollout
 from ._search import RelaySearch
 from ._timing import ENTRY_SYNC, RELAY_SYNC, SyncTiming
 from ._tokens import TokenSplitter
@@ -11,6 +12,7 @@
     'RELAY_SYNC',
     'PeerOffers',
     'RelaySearch',
+    'Rollout',
     'SyncRelay',
     'SyncTiming',
     'TokenSplitter',
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_entries.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_entries.py
@@ -183,6 +183,16 @@
             and not link.ask.draining
         )
 
+    def behind(self, revision: int) -> tuple[VmName, ...]:
+        """Return the entry VMs at which an older revision is in force."""
+        return tuple(
+            sorted(
+                vm
+                for vm, link in self.links.items()
+                if link.ask.revision < revision
+            )
+        )
+
     def want_peers(self) -> bool:
         """Return whether an entry VM reaches no target of some pool."""
         return any(link.ask.wants_peers for link in self.links.values())
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
@@ -22,6 +22,7 @@
 from ._loads import RelayedLoads
 from ._peeroffers import PeerOffers, peers_for, rotate
 from ._records import RelayedRecords
+from ._rollout import RolloutTracker
 from ._tokens import TokenSplitter
 
 # Changes that no request waits for are sent with the next reply, or pushed
@@ -57,6 +58,7 @@
         self._peers = PeerOffers()  # of other relays
         self._usage = UsageExchange()  # of entry VMs
         self._uses_sent_at = float('-inf')
+        self.rollouts = RolloutTracker(self.view, self._entries)
 
     def build_ask(self, number: int, now: float, utc_s: float = 0.0) -> SyncAsk:
         """Return the next sync request to the leader.
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
@@ -124,6 +124,7 @@
     tolerance_stamp: int = 0
     usage: tuple[VmUsage, ...] = ()  # changed since the last reply
     utc_s: float = 0.0  # a relay's steady clock, with duties
+    revision: int = 0  # of the configuration in force at an entry VM
 
 
 class RelayInfo(NamedTuple):
--- a/packages/lovagemast-node/src/lovagemast_node/_h2.py
+++ b/packages/lovagemast-node/src/lovagemast_node/_h2.py
@@ -29,6 +29,11 @@
 class BoundedChannel(Channel):
     """A channel to another VM whose reads are bounded."""
 
+    @property
+    def received_bytes(self) -> int:
+        """Return the bytes of messages received, whole or not."""
+        return self._protocol.connection.data_received if self._protocol else 0
+
     def _protocol_factory(self) -> H2Protocol:
         return BoundedH2Protocol(Handler(), self._config, self._h2_config)
 
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -138,6 +138,9 @@
             self._log,
         )
         metrics.observe_streams(lambda: self._relay.known_streams)
+        metrics.observe_rollout(self._relay.rollout)
+        metrics.observe_bytes('log', lambda: self._node.replica.log.held_bytes)
+        metrics.observe_bytes('links', lambda: self._links.queued_bytes)
         self._http = HttpServer(
             self._api.serve,
             CONTROL_LIMITS,
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -217,6 +217,7 @@
             tolerances=state.rejections.exchange.reports(ask, now_s()),
             tolerance_stamp=state.rejections.exchange.server_stamp,
             usage=self._usage_reports(ask),
+            revision=view.revision,
         )
 
     def _usage_reports(self, ask: int) -> tuple[VmUsage, ...]:
@@ -284,7 +285,7 @@
             'sync',
             'relay is behind' if view.is_relay_behind else 'relay caught up',
             age_s=round(view.age(now_s()), 3),
-            revision=view.published.revision,
+            revision=view.revision,
         )
 
     def _apply_answers(
@@ -324,7 +325,7 @@
             self._log.write('config', 'cannot be parsed', cause=parsed)
             return
         index = DeploymentIndex(parsed)
-        self._state.view.set_index(index)
+        self._state.view.index = index
         self._state.retries.retain(frozenset(index.pools))
         self._state.load.paces.retain_pools(frozenset(index.pools))
         self._state.queues.set_index(index)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from lovagemast_core.duties import DutyState
+from lovagemast_core.syncrelay import Rollout
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -287,6 +288,7 @@
             registry=self.registry,
         )
         self._lateness_s = _make_lateness(self.registry)
+        self._add_rollout()
         self._add_duties()
 
     def record_lateness(self, late_s: float) -> None:
@@ -322,6 +324,15 @@
         """Show the number of streams that are remembered when asked."""
         self._streams.set_function(count)
 
+    def observe_rollout(self, look: Callable[[], Rollout]) -> None:
+        """Show at how many entry VMs the newest revision is in force."""
+        self._entries.labels('in_force').set_function(lambda: look().in_force)
+        self._entries.labels('behind').set_function(lambda: len(look().behind))
+
+    def observe_bytes(self, kind: str, count: Callable[[], int]) -> None:
+        """Show the bytes that one kind of records holds when asked."""
+        self._bytes.labels(kind).set_function(count)
+
     def set_parts(self, suspected: int, quarantined: int) -> None:
         """Set the numbers of suspected and of quarantined prompt parts."""
         self._suspected_parts.set(suspected)
@@ -331,6 +342,21 @@
         """Count a leader change that this VM observed."""
         self._leaders.inc()
 
+    def _add_rollout(self) -> None:
+        self._entries = Gauge(
+            'lovagemast_entry_vms',
+            'Entry VMs of this relay, by whether the newest revision is in '
+            'force there',
+            ('state',),
+            registry=self.registry,
+        )
+        self._bytes = Gauge(
+            'lovagemast_control_bytes',
+            'Bytes of commands and states that this VM holds, by kind',
+            ('kind',),
+            registry=self.registry,
+        )
+
     def _add_duties(self) -> None:
         self._duty_calls = Counter(
             'lovagemast_duty_calls',
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
@@ -16,7 +16,7 @@
 from grpclib.server import Server, Stream
 from h2.exceptions import H2Error
 from lovagemast_core import PeerMessage, PeerReceived
-from lovagemast_core.control import FORMAT
+from lovagemast_core.control import FORMAT, message_bytes
 from lovagemast_wire import (
     Closed,
     Envelope,
@@ -80,11 +80,18 @@
         self._queue: asyncio.Queue[tuple[float, PeerMessage]] = asyncio.Queue(
             MAX_QUEUED_MESSAGES
         )
+        self._queued_bytes = 0
+
+    @property
+    def queued_bytes(self) -> int:
+        """Return the bytes of the messages that wait."""
+        return self._queued_bytes
 
     def send(self, message: PeerMessage) -> None:
         """Queue a message; drop the oldest one if the queue is full."""
         if self._queue.full():
-            self._queue.get_nowait()
+            self._release(self._queue.get_nowait()[1])
+        self._queued_bytes += message_bytes(message)
         self._queue.put_nowait((now_s(), message))
 
     async def run(self) -> None:
@@ -153,10 +160,14 @@
     def _log_problem(self, text: str, exc: Exception) -> None:
         self._log.write('peer', text, peer=self._vm, cause=repr(exc))
 
+    def _release(self, message: PeerMessage) -> None:
+        self._queued_bytes -= message_bytes(message)
+
     async def _next_message(self, opened_at: float) -> PeerMessage:
         """Return the next message; drop those queued before a reconnect."""
         while True:
             queued_at, message = await self._queue.get()
+            self._release(message)
             if queued_at >= opened_at - PEER_RECONNECT_DELAY_S:
                 return message
 
@@ -171,6 +182,11 @@
         self._links: dict[str, PeerLink] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
+    @property
+    def queued_bytes(self) -> int:
+        """Return the bytes of the messages that wait for any link."""
+        return sum(link.queued_bytes for link in self._links.values())
+
     def send(self, vm: str, message: PeerMessage) -> None:
         """Queue a message for a VM; it is delivered at most once."""
         link = self._links.get(vm)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_relayhost.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_relayhost.py
@@ -9,7 +9,7 @@
 from lovagemast_core.duties import SteadyClock
 from lovagemast_core.entry import LeaderSearch
 from lovagemast_core.streams import PoolSoftware, StreamMessage
-from lovagemast_core.syncrelay import RELAY_SYNC, SyncRelay
+from lovagemast_core.syncrelay import RELAY_SYNC, Rollout, SyncRelay
 from lovagemast_core.targets import (
     LimitReport,
     SyncAsk,
@@ -29,6 +29,8 @@
 MIN_PUSH_DELAY_S: Final = 0.004  # gathers changes that come together
 MAX_PUSH_DELAY_S: Final = 0.5
 STREAM_SHARE_DELAY_S: Final = 0.02  # gathers streams that begin together
+ROLLOUT_INTERVAL_S: Final = 0.1  # between looks at who has a revision
+MAX_LOGGED_VMS: Final = 20
 
 Spawn = Callable[[Coroutine[Any, Any, None]], None]
 
@@ -105,6 +107,7 @@
             self._client.run(),
             self._push_changes(),
             self._share_streams(),
+            self._report_rollouts(),
         )
 
     def on_software(
@@ -130,6 +133,10 @@
         known = self._relay.view.targets.values()
         return self._software.describe((one.record for one in known), now_s())
 
+    def rollout(self) -> Rollout:
+        """Return how far the newest revision has come."""
+        return self._relay.rollouts.look(now_s())
+
     @property
     def known_streams(self) -> int:
         """Return the number of streams that are remembered."""
@@ -167,6 +174,24 @@
         self._on_records(reply.targets)
         self._changed.set()
 
+    async def _report_rollouts(self) -> None:
+        while True:
+            await asyncio.sleep(ROLLOUT_INTERVAL_S)
+            rollout = self._relay.rollouts.report(now_s())
+            if rollout:
+                self._log_rollout(rollout)
+
+    def _log_rollout(self, rollout: Rollout) -> None:
+        self._log.write(
+            'config',
+            'not in force everywhere' if rollout.behind else 'rolled out',
+            revision=rollout.revision,
+            entries=rollout.entries,
+            behind=rollout.behind[:MAX_LOGGED_VMS],
+            behind_count=len(rollout.behind),
+            took_s=round(rollout.took_s, 3),
+        )
+
     async def _share_streams(self) -> None:
         while True:
             await self._has_stream_messages.wait()
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_sync.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_sync.py
@@ -77,6 +77,8 @@
         self._is_leaving = False
         self._is_synced = False
         self.seen = 0  # number of the newest reply on this stream
+        self._channel: BoundedChannel | None = None
+        self._whole_bytes = 0  # received when the last reply was whole
 
     def wake(self) -> None:
         """Send the next sync request as soon as the minimum interval allows."""
@@ -97,12 +99,24 @@
             except SYNC_ERRORS as exc:
                 self._search.record_failure(vm, now_s())
                 self._log_lost(vm, repr(exc))
+                self._log_cut_off(vm)
             except Exception as exc:  # without a stream, nothing is learned
                 self._search.record_failure(vm, now_s())
                 self._log.write('sync', 'failed', peer=vm, cause=repr(exc))
                 self._is_synced = False
             await asyncio.sleep(SYNC_RECONNECT_DELAY_S)
 
+    def _log_cut_off(self, vm: str) -> None:
+        """Log the bytes of a reply that had begun when its stream broke."""
+        received = self._channel.received_bytes if self._channel else 0
+        if received > self._whole_bytes:
+            self._log.write(
+                'sync',
+                'reply cut off',
+                peer=vm,
+                received_bytes=received - self._whole_bytes,
+            )
+
     def _log_lost(self, vm: str, cause: str) -> None:
         if self._is_synced:
             self._log.write('sync', 'connection lost', peer=vm, cause=cause)
@@ -112,10 +126,10 @@
         self._sent.clear()
         self._answered.set()
         self.seen = 0
-        async with (
-            BoundedChannel(vm, self._port) as channel,
-            self._stub(channel).Sync.open() as stream,
-        ):
+        self._whole_bytes = 0
+        channel = BoundedChannel(vm, self._port)
+        self._channel = channel
+        async with channel, self._stub(channel).Sync.open() as stream:
             async with asyncio.timeout(PEER_CONNECT_TIMEOUT_S):
                 await stream.send_request()
             sender = asyncio.create_task(self._send_asks(stream))
@@ -171,6 +185,8 @@
             if message is None:
                 self._log_lost(vm, 'stream ended')
                 return
+            if self._channel:
+                self._whole_bytes = self._channel.received_bytes
             reply = from_wire(SyncReply, message)
             self._apply(vm, reply)
             reason = self._search.check_reply(vm, reply, connected_at, now_s())
--- a/tests/orderedvm.py
+++ b/tests/orderedvm.py
@@ -116,7 +116,7 @@
         reply = SyncReply(1, True, 'c', 1, 0.0, PublishedState(1, 3))
         reply = reply._replace(targets=(record,))
         self.state.view.apply(reply, now_s(), now_s())
-        self.state.view.set_index(make_small_index())
+        self.state.view.index = make_small_index()
         self.state.queues.serve_in_order(POOL)
         server = HttpServer(self._handle, ServerLimits(), lambda: None)
         await server.listen(HOST, 0)
--- a/tests/test_bodymemory.py
+++ b/tests/test_bodymemory.py
@@ -108,7 +108,7 @@
         vm = EntryVm()
         vm.state.pool.bodies._limit_bytes = LIMIT_BYTES
         await vm.serve(ScriptedTarget(ENDLESS['body']))
-        vm.state.view.set_index(make_index(CallKind.UNSAFE))
+        vm.state.view.index = make_index(CallKind.UNSAFE)
         tracemalloc.start()
         calls = (vm.send(REQUEST % (one, 0)) for one in range(CALLERS))
         statuses = await asyncio.gather(*calls)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -191,7 +191,7 @@
     reply = SyncReply(1, True, 'c', 1, 0.0, PublishedState(1, 3))
     reply = reply._replace(targets=tuple(records))
     state.view.apply(reply, now_s() - age_s, now_s())
-    state.view.set_index(make_index(kind, resumable=resumable))
+    state.view.index = make_index(kind, resumable=resumable)
 
     async def handle(req: HttpRequest, responder: Responder) -> None:
         await RequestHandler(state, req, responder).run()
--- a/tests/test_deadlyrequests.py
+++ b/tests/test_deadlyrequests.py
@@ -69,7 +69,7 @@
     account = deployment.accounts[0]
     other = account._replace(name='other', keys=('k2',))
     deployment = deployment._replace(accounts=(account, other))
-    vm.state.view.set_index(DeploymentIndex(deployment))
+    vm.state.view.index = DeploymentIndex(deployment)
     return vm
 
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -139,7 +139,7 @@
         reply = SyncReply(1, True, 'c', 1, 0.0, PublishedState(1, 3))
         reply = reply._replace(targets=(record,))
         self.state.view.apply(reply, now_s(), now_s())
-        self.state.view.set_index(make_index(kind))
+        self.state.view.index = make_index(kind)
         self.server = await serve_peers(
             (self.service,), self._host, self.state.cfg.peer_port
         )
@@ -392,7 +392,7 @@
                 account = account._replace(rate=10.0, burst=10.0)
                 index.accounts['acme'] = account
                 index._by_key = dict.fromkeys(index._by_key, account)
-                vm.state.view.set_index(index)
+                vm.state.view.index = index
                 vm.state.tokens.add(TokenLot('acme', 5.0), now_s())
             status = await one.status()
             held = [
--- a/tests/test_leavingtargets.py
+++ b/tests/test_leavingtargets.py
@@ -254,7 +254,7 @@
             ends = asyncio.Event()
             targets = [EndingTarget(ends), EndingTarget(ends)]
             await vm.serve(*targets)  # type: ignore[arg-type]
-            vm.state.view.set_index(make_index(CallKind.SAFE))
+            vm.state.view.index = make_index(CallKind.SAFE)
             task = asyncio.create_task(vm.request('sys:9,own:1'))
             waits = [
                 asyncio.create_task(one.has_request.wait()) for one in targets
--- a/tests/test_promptcheck.py
+++ b/tests/test_promptcheck.py
@@ -66,7 +66,7 @@
         reply = SyncReply(1, True, 'c', 1, 0.0, PublishedState(1, 3))
         reply = reply._replace(targets=tuple(records))
         self.state.view.apply(reply, now_s(), now_s())
-        self.state.view.set_index(make_index(CallKind.STREAM))
+        self.state.view.index = make_index(CallKind.STREAM)
         server = HttpServer(self._handle, ServerLimits(), lambda: None)
         await server.listen(HOST, 0)
         assert server._listener
@@ -206,7 +206,7 @@
         index = make_index(CallKind.STREAM)
         account = index.accounts['acme']._replace(rate=1.0, burst=1.0)
         index.accounts['acme'] = account
-        vm.state.view.set_index(index)
+        vm.state.view.index = index
         vm.quarantine(QUARANTINED)
         return await vm.request('sys:9,d:1,own:1')
 
--- a/tests/test_streamcontinuity.py
+++ b/tests/test_streamcontinuity.py
@@ -63,7 +63,7 @@
     published = PublishedState(1, 1, software=software)
     reply = SyncReply(1, True, 'c', 1, 0.0, published, targets=records)
     state.view.apply(reply, now_s() - age_s, now_s())
-    state.view.set_index(DeploymentIndex(Deployment(1, (), POOLS, (ACCOUNT,))))
+    state.view.index = DeploymentIndex(Deployment(1, (), POOLS, (ACCOUNT,)))
     return state
 
 
