--- a/packages/lovagemast-core/src/lovagemast_core/agreement/_durability.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_durability.py
@@ -7,12 +7,21 @@
 from .._messages import Entry, PeerMessage
 from .._outbox import Outbox
 from .._types import VmName
+from ._sizes import command_bytes, message_bytes, snapshot_bytes
 
 
 class _Batch(NamedTuple):
     batch: int
     last_index: int
     messages: list[tuple[VmName, PeerMessage]]
+    write_bytes: int
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes of the writes and of the messages."""
+        return self.write_bytes + sum(
+            message_bytes(message) for _vm, message in self.messages
+        )
 
 
 class DurabilityBarrier:
@@ -33,6 +42,11 @@
         self._entries: list[Entry] = []
         self._hard_state: HardState | None = None
 
+    @property
+    def waiting_bytes(self) -> int:
+        """Return the bytes of writes and messages that wait for the disk."""
+        return sum(batch.held_bytes for batch in self._batches)
+
     def save_hard_state(self, hard_state: HardState) -> None:
         """Add the term and vote to the current batch."""
         self._hard_state = hard_state
@@ -108,9 +122,17 @@
                 self._hard_state,
             ),
         )
-        self._batches.append(_Batch(batch, last_index, self._messages))
+        self._batches.append(
+            _Batch(batch, last_index, self._messages, self._write_bytes())
+        )
         self._clear()
 
+    def _write_bytes(self) -> int:
+        size = sum(command_bytes(entry.command) for entry in self._entries)
+        if self._snapshot:
+            size += snapshot_bytes(self._snapshot.state)
+        return size
+
     def _clear(self) -> None:
         self._has_writes = False
         self._snapshot = None
--- a/packages/lovagemast-core/src/lovagemast_core/agreement/_log.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_log.py
@@ -3,7 +3,7 @@
 from .._commands import SetVoters
 from .._effects import SavedSnapshot
 from .._messages import Entry
-from ._sizes import entries_bytes
+from ._sizes import command_bytes, entries_bytes
 
 
 class ReplicatedLog:
@@ -20,6 +20,7 @@
     ) -> None:
         self.snapshot = snapshot
         self._entries = list(entries)
+        self.held_bytes = entries_bytes(entries)
         self._update_voters()
 
     @property
@@ -39,11 +40,6 @@
         """Return whether the log holds neither entries nor a snapshot."""
         return self.last_index == 0
 
-    @property
-    def held_bytes(self) -> int:
-        """Return the bytes that the entries hold."""
-        return entries_bytes(self._entries)
-
     def term_at(self, index: int) -> int | None:
         """Return the term at an index, or ``None`` outside of the log."""
         if index == self.snapshot.last_index:
@@ -65,6 +61,7 @@
     def append(self, entry: Entry) -> None:
         """Append an entry, whose index must follow the last one."""
         self._entries.append(entry)
+        self.held_bytes += command_bytes(entry.command)
         if isinstance(entry.command, SetVoters):
             self.voters = entry.command.voters
             self.voters_index = entry.log_index
@@ -72,6 +69,7 @@
     def truncate_from(self, index: int) -> None:
         """Remove the entry at an index and all later ones."""
         self._entries = self._entries[: index - self.snapshot.last_index - 1]
+        self.held_bytes = entries_bytes(self._entries)
         self._update_voters()
 
     def compact(self, snapshot: SavedSnapshot) -> None:
@@ -85,6 +83,7 @@
         else:
             self._entries = []
         self.snapshot = snapshot
+        self.held_bytes = entries_bytes(self._entries)
         self._update_voters()
 
     def contains_end_of(self, snapshot: SavedSnapshot) -> bool:
--- a/packages/lovagemast-core/src/lovagemast_core/agreement/_replicastate.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_replicastate.py
@@ -45,6 +45,8 @@
     voters: tuple[str, ...]
     applied_index: int
     formats: dict[str, int]  # of commands, which other replicas have named
+    log_bytes: int  # of the entries in memory
+    waiting_bytes: int  # of what waits for the disk
 
 
 OnApplied = Callable[[Entry, Outcome, float], None]
@@ -172,6 +174,8 @@
             self.voters,
             self.applied_index,
             formats,
+            self.log.held_bytes,
+            self.barrier.waiting_bytes,
         )
 
     def _save_snapshot(self, snapshot: SavedSnapshot) -> None:
--- a/packages/lovagemast-node/src/lovagemast_node/_h2.py
+++ b/packages/lovagemast-node/src/lovagemast_node/_h2.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from grpclib.client import Channel, Handler
+from grpclib.config import Configuration
 from grpclib.protocol import H2Protocol
 from grpclib.server import Server
 
@@ -29,13 +30,22 @@
 class BoundedChannel(Channel):
     """A channel to another VM whose reads are bounded."""
 
+    def __init__(
+        self, host: str, port: int, *, config: Configuration | None = None
+    ) -> None:
+        super().__init__(host, port, config=config)
+        self._opened: BoundedH2Protocol | None = None  # also once it is closed
+
     @property
     def received_bytes(self) -> int:
         """Return the bytes of messages received, whole or not."""
-        return self._protocol.connection.data_received if self._protocol else 0
+        return self._opened.connection.data_received if self._opened else 0
 
     def _protocol_factory(self) -> H2Protocol:
-        return BoundedH2Protocol(Handler(), self._config, self._h2_config)
+        self._opened = BoundedH2Protocol(
+            Handler(), self._config, self._h2_config
+        )
+        return self._opened
 
 
 class BoundedServer(Server):
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -139,7 +139,9 @@
         )
         metrics.observe_streams(lambda: self._relay.known_streams)
         metrics.observe_rollout(self._relay.rollout)
-        metrics.observe_bytes('log', lambda: self._node.replica.log.held_bytes)
+        status = self._node.replica.status
+        metrics.observe_bytes('log', lambda: status().log_bytes)
+        metrics.observe_bytes('disk', lambda: status().waiting_bytes)
         metrics.observe_bytes('links', lambda: self._links.queued_bytes)
         self._http = HttpServer(
             self._api.serve,
