Configurations reach entry VMs as changes, in parts that resume

What callers saw: CONFIG, for as long as a large configuration was the newest one.

Cause (hypothesis 1): a reply held the whole document, and was given up 0.5 s after it was asked for, though its bytes were coming; the next try began anew. The time that a message may take was a constant, its size was not.

Change: a published state goes without its document, which a receiver asks for by digest, and gets as an encoding against the document that it holds (Zstandard), at most 16 KiB a reply. Senders are stateless; transfers resume after a reconnect. A relay takes the document from its VM's replica. Silence is told by bytes. A reply no longer confirms a configuration whose document is on its way. Old builds get whole documents.

Ruled out: a longer time-out alone (the work would grow with the document, and each change would take the link from callers); one transfer per receiver only: test_transfer_goes_on_after_a_reset never ended with it, since relays encode against different bases; a receiver holds some beginnings now.

--- a/bench/synctransport.py
+++ b/bench/synctransport.py
@@ -66,6 +66,7 @@
                 _Server(),
                 self._ask,
                 self._on_reply,
+                lambda _vm: None,
                 self._log,
             )
             for _number in range(STREAMS)
--- a/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/_fleet.py
@@ -12,11 +12,12 @@
     TargetReport,
 )
 from ..deployment import DeploymentIndex, PoolSpec
+from ..documents import DocumentSender
 from ..quarantine import JudgeCrash, LastHeartbeat, QuarantineController
 from ..quota import ISSUE_LEASE_S, QuotaBounds, TokenIssuer
 from ..scaling import RelayLoads
 from ..streams import SetSoftware, SoftwareTracker, TargetSoftware, retention_s
-from ..syncrelay import PeerOffers
+from ..syncrelay import NOTHING, PeerOffers, describe_published
 from ..targetlimits import SendBounds, TargetLimits
 from ..targets import (
     RelayInfo,
@@ -73,6 +74,7 @@
         self._loads = SharedLoads()
         self._index: DeploymentIndex | None = None
         self._published = PublishedState()
+        self._documents = DocumentSender()
         self.quarantine = QuarantineController()
         self.relay_loads = RelayLoads()
         self._software = SoftwareTracker()
@@ -124,6 +126,7 @@
     ) -> None:
         """Apply a newer published state."""
         self._published = published
+        self._documents.put(published.revision, published.document)
         self._index = index
         self.planner.engines.newest_versions = {
             (named.model, named.adapter): named.version
@@ -183,6 +186,9 @@
             )
             self.registry.mark_changed(target)
         reply = self.updates_for(ask, quorum_age_s, now)
+        if ask.document:
+            part = self._documents.part_for(ask.document)
+            reply = reply._replace(document=part)
         if ask.has_uses:
             loads = self._loads.update(
                 self.registry.names(), self.planner.requests_at
@@ -228,14 +234,19 @@
         since = 0 if is_complete else known_stamp
         self._drop_silent_relays(now)
         ranked = sorted(self._relays)
-        published = self._published
+        sent = NOTHING
+        if self._published.version > ask.version:
+            sent = describe_published(
+                self._published, ask, self._documents.digest
+            )
         return SyncReply(
             ask.ask,
             serves=True,
             leader=self._vm,
             term=self._term,
             quorum_age_s=quorum_age_s,
-            published=published if published.version > ask.version else None,
+            published=sent.published,
+            digest=sent.digest,
             epoch=self._term,
             stamp=self.registry.stamp,
             targets=tuple(
--- a/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
+++ b/packages/lovagemast-core/src/lovagemast_core/entry/_view.py
@@ -7,6 +7,7 @@
 from .._types import SoftwareVersion, TargetName, ZoneName
 from ..adapters import AdapterLabel
 from ..deployment import DeploymentIndex
+from ..documents import DocumentReceiver, digest_document
 from ..quarantine import QuarantineState
 from ..targets import RelayInfo, SyncReply, TargetRecord
 from ._targetindex import TargetIndex
@@ -42,7 +43,8 @@
     """Applies the leader's replies and tracks how recent the state is."""
 
     def __init__(self) -> None:
-        self.published = PublishedState()
+        self.published = PublishedState()  # without the document
+        self.documents = DocumentReceiver()
         self.quarantine = QuarantineState()
         self.index: DeploymentIndex | None = None
         self.targets: dict[TargetName, KnownTarget] = {}
@@ -74,19 +76,23 @@
 
         ``asked_at`` is when the sync request that the reply names was sent: the
         configuration counts as confirmed at that time, less the quorum's
-        age. Committed state is applied whoever sends it, if its version is
-        newer. All else in replies of an earlier term is ignored: they come
-        from a leader that has not noticed yet that it was replaced. So it is
-        in those of another relay that knows less than this view, until it has
-        caught up: its records would undo newer ones.
+        age, if the newest one is in force. Committed state is applied whoever
+        sends it, if its version is newer. All else in replies of an earlier
+        term is ignored: they come from a leader that has not noticed yet that
+        it was replaced. So it is in those of another relay that knows less
+        than this view, until it has caught up: its records would undo newer
+        ones.
         """
         self._apply_quarantine(reply.quarantine)
-        is_newer = self._apply_published(reply.published, now)
+        revision = self.documents.revision
+        self._apply_published(reply, now)
+        is_newer = self.documents.revision > revision
         if self._is_outdated(reply, asked_at, now):
             return is_newer
         self._behind_since = None
         confirmed = asked_at - max(0.0, reply.quorum_age_s)
-        self.confirmed_at = max(self.confirmed_at, confirmed)
+        if self.documents.is_current:
+            self.confirmed_at = max(self.confirmed_at, confirmed)
         self.term = reply.term
         if reply.epoch != self.epoch:
             self.epoch = reply.epoch
@@ -101,14 +107,6 @@
             self.relays = reply.relays
         return is_newer
 
-    @property
-    def revision(self) -> int:
-        """Return the revision of the configuration in force, 0 if none is.
-
-        It is older than the one received until the index is built.
-        """
-        return self.index.deployment.revision if self.index else 0
-
     @property
     def is_relay_behind(self) -> bool:
         """Return whether replies are ignored until the relay catches up."""
@@ -244,14 +242,19 @@
         if state and state.version > self.quarantine.version:
             self.quarantine = state
 
-    def _apply_published(
-        self,
-        published: PublishedState | None,
-        now: float,
-    ) -> bool:
-        if published is None or published.version <= self.published.version:
-            return False
-        is_newer = published.revision > self.published.revision
+    def _apply_published(self, reply: SyncReply, now: float) -> None:
+        published = reply.published
+        if published and published.version > self.published.version:
+            self._apply_newer(published, now)
+            whole = published.document  # of an older build
+            digest = reply.digest or digest_document(whole)
+            self.documents.want(published.revision, digest)
+            if not reply.digest:
+                self.documents.offer(published.revision, whole)
+        if reply.document:
+            self.documents.add(reply.document)
+
+    def _apply_newer(self, published: PublishedState, now: float) -> None:
         for named in published.adapter_versions:
             name = (named.model, named.adapter)
             if named.version > self._newest.get(name, (0, 0.0))[0]:
@@ -260,8 +263,7 @@
         self._software = {
             one.pool: frozenset(one.versions) for one in published.software
         }
-        self.published = published
-        return is_newer
+        self.published = published._replace(document='')
 
     def _apply_targets(self, reply: SyncReply, now: float) -> None:
         for record in reply.targets:
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/__init__.py
@@ -1,6 +1,7 @@
 """Relays between entry VMs and the leader, one on each control VM."""
 
 from ._peeroffers import PeerOffers
+from ._published import NOTHING, describe_published
 from ._relay import SyncRelay
 from ._rollout import Rollout
 from ._search import RelaySearch
@@ -9,6 +10,7 @@
 
 __all__ = [
     'ENTRY_SYNC',
+    'NOTHING',
     'RELAY_SYNC',
     'PeerOffers',
     'RelaySearch',
@@ -16,4 +18,5 @@
     'SyncRelay',
     'SyncTiming',
     'TokenSplitter',
+    'describe_published',
 ]
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_entries.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_entries.py
@@ -59,6 +59,7 @@
         self.stamp = 0  # of the records that it was sent
         self.load_stamp = 0  # of the loads that it was sent
         self.published = SentVersion()
+        self.lacks_document = False  # that it asked for, and wasn't sent
         self.quarantine = SentVersion()
         self.limit_stamp = 0  # of the targets' limits that it was sent
         self.tolerance_stamp = 0  # the same, of rejections that they bear
@@ -82,6 +83,7 @@
             )
         self.published.record_held(ask.version, ask.seen)
         self.quarantine.record_held(ask.quarantine, ask.seen)
+        self.lacks_document = ask.document is not None
         self.ask = ask
         self.asked_at = now
 
--- a/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
+++ b/packages/lovagemast-core/src/lovagemast_core/syncrelay/_relay.py
@@ -21,6 +21,7 @@
 from ._entries import ConnectedEntries, EntryLink
 from ._loads import RelayedLoads
 from ._peeroffers import PeerOffers, peers_for, rotate
+from ._published import RelayedState
 from ._records import RelayedRecords
 from ._rollout import RolloutTracker
 from ._tokens import TokenSplitter
@@ -57,6 +58,7 @@
         self._trials: dict[TrialWish, None] = {}
         self._peers = PeerOffers()  # of other relays
         self._usage = UsageExchange()  # of entry VMs
+        self.state = RelayedState(self.view)
         self._uses_sent_at = float('-inf')
         self.rollouts = RolloutTracker(self.view, self._entries)
 
@@ -96,14 +98,16 @@
             peers=rotate(self._entries.peers(), number),
             usage=self._usage.reports(number, now),
             utc_s=utc_s,
+            revision=self.view.documents.revision,
+            reads_parts=True,
+            document=self.view.documents.wish(),
         )
 
     def on_reply(self, reply: SyncReply, asked_at: float, now: float) -> None:
         """Apply the leader's reply to the request sent at ``asked_at``."""
         self.view.apply(reply, asked_at, now)
-        self._reports.on_reply(reply.ask)
-        self._usage.on_reply(reply, asked_at, now)
-        self._apply_limits(reply, now)
+        self.state.update()
+        self._apply_reports(reply, asked_at, now)
         self._note_adapters(self._records.update(self.view.targets))
         self._loads.update(reply.loads)
         self._peers.add(reply.peers, now)
@@ -190,8 +194,7 @@
             return SyncReply(link.ask.ask, False, '', 0, NO_AGE_S)
         records = self._records
         is_complete = records.needs_all(link.stamp)
-        published = view.published
-        is_newer = published.version > link.published.version
+        sent = self.state.published_for(link)
         quarantine = view.quarantine
         has_quarantine = quarantine.version > link.quarantine.version
         link.replies += 1
@@ -201,7 +204,9 @@
             leader='',
             term=view.term,
             quorum_age_s=view.age(now),
-            published=published if is_newer else None,
+            published=sent.published,
+            digest=sent.digest,
+            document=self.state.part_for(link),
             epoch=self._epoch,
             stamp=records.stamp,
             targets=records.changed_since(link.stamp, now),
@@ -239,11 +244,17 @@
         link.replied_at = now
         link.stamp = records.stamp
         link.load_stamp = self._loads.stamp
-        link.published.record_sent(published.version, link.replies)
+        if sent.published:
+            link.published.record_sent(sent.published.version, link.replies)
         link.quarantine.record_sent(quarantine.version, link.replies)
         return reply
 
-    def _apply_limits(self, reply: SyncReply, now: float) -> None:
+    def _apply_reports(
+        self, reply: SyncReply, asked_at: float, now: float
+    ) -> None:
+        """Apply what the leader says of this relay's reports."""
+        self._reports.on_reply(reply.ask)
+        self._usage.on_reply(reply, asked_at, now)
         news = LimitNews(reply.limits, reply.limit_stamp)
         self._limits.on_reply(reply, news, now)
         news = LimitNews(reply.tolerances, reply.tolerance_stamp)
@@ -299,6 +310,8 @@
             link.has_adapter = link.has_adapter or link.waits_for(adapters)
 
     def _is_urgent(self, link: EntryLink) -> bool:
+        if self.state.has_part_for(link):
+            return True
         if link.published.version < self.view.published.version:
             return True
         if link.quarantine.version < self.view.quarantine.version:
--- a/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
+++ b/packages/lovagemast-core/src/lovagemast_core/targets/_sync.py
@@ -16,6 +16,7 @@
     VmName,
     ZoneName,
 )
+from ..documents import DocumentPart, DocumentWish
 from ..duties._records import VmUsage
 from ..quarantine._state import QuarantineState, TargetCrash, TrialWish
 from ..streams._records import FoundStream, StreamKey, StreamStart
@@ -125,6 +126,8 @@
     usage: tuple[VmUsage, ...] = ()  # changed since the last reply
     utc_s: float = 0.0  # a relay's steady clock, with duties
     revision: int = 0  # of the configuration in force at an entry VM
+    reads_parts: bool = False  # older builds read whole documents only
+    document: DocumentWish | None = None  # if the sender lacks the newest
 
 
 class RelayInfo(NamedTuple):
@@ -217,3 +220,5 @@
     tolerance_stamp: int = 0
     utc_s: float = 0.0  # the fleet's time, with duties
     usage_floor: int = 0  # windows of usage up to this one are committed
+    digest: str = ''  # of the document of ``published``, which is left out
+    document: DocumentPart | None = None
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -132,6 +132,7 @@
         self._relay = RelayHost(
             cfg,
             self._control_vms,
+            lambda: self._node.published,
             self._node.on_records,
             self._links.send,
             self._spawn,
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -34,6 +34,7 @@
 from ._settings import EntrySettings
 from ._stalls import StallDetector, watch_stalls
 from ._sync import SyncClient
+from ._transfers import DocumentTransfers
 
 # A VM whose view a quorum has not confirmed for this long reports not ready,
 # so that the load balancer prefers others.
@@ -59,6 +60,11 @@
         self._state = EntryState(
             cfg, codec, self._log, self._request_sync, now_s()
         )
+        documents = self._state.view.documents
+        documents.activate = self._put_in_force
+        self._transfers = DocumentTransfers(
+            documents, self._request_sync, self._log
+        )
         self._sync = SyncClient(
             EntriesStub,
             cfg.peer_port,
@@ -66,6 +72,7 @@
             RelaySearch(cfg.vm, cfg.zone, cfg.seeds),
             self._build_ask,
             self._on_reply,
+            self._transfers.on_lost,
             self._log,
         )
         limits = CallerLimits()
@@ -217,7 +224,9 @@
             tolerances=state.rejections.exchange.reports(ask, now_s()),
             tolerance_stamp=state.rejections.exchange.server_stamp,
             usage=self._usage_reports(ask),
-            revision=view.revision,
+            revision=view.documents.revision,
+            reads_parts=True,
+            document=view.documents.wish(),
         )
 
     def _usage_reports(self, ask: int) -> tuple[VmUsage, ...]:
@@ -246,6 +255,7 @@
         now = now_s()
         was_behind = state.view.is_relay_behind
         newer = state.view.apply(reply, asked_at, now)
+        self._transfers.on_reply(reply)
         if state.view.is_relay_behind != was_behind:
             self._log_behind()
         state.guard.reports.on_reply(reply.ask)
@@ -253,8 +263,6 @@
         self._apply_answers(reply, asked_at, now)
         if reply.quarantine:
             self._apply_quarantine(now)
-        if newer:
-            self._apply_config()
         self._apply_tokens_and_limits(reply, now)
         self._apply_loads(reply)
         if reply.removed or reply.is_complete:
@@ -285,7 +293,7 @@
             'sync',
             'relay is behind' if view.is_relay_behind else 'relay caught up',
             age_s=round(view.age(now_s()), 3),
-            revision=view.revision,
+            revision=view.documents.revision,
         )
 
     def _apply_answers(
@@ -318,12 +326,14 @@
         if guard.reports:
             self._request_sync()
 
-    def _apply_config(self) -> None:
-        published = self._state.view.published
-        parsed = self._codec.parse_deployment(published.document)
+    def _put_in_force(self, revision: int, document: str) -> bool:
+        """Put a configuration in force; return whether it is readable."""
+        parsed = self._codec.parse_deployment(document)
         if isinstance(parsed, str):
-            self._log.write('config', 'cannot be parsed', cause=parsed)
-            return
+            self._log.write(
+                'config', 'cannot be parsed', revision=revision, cause=parsed
+            )
+            return True
         index = DeploymentIndex(parsed)
         self._state.view.index = index
         self._state.retries.retain(frozenset(index.pools))
@@ -331,13 +341,14 @@
         self._state.queues.set_index(index)
         self._state.streams.retention_s = retention_s(index)
         self._front.limits = ServerLimits(*parsed.limits)
-        self._state.metrics.set_revision(published.revision)
+        self._state.metrics.set_revision(revision)
         self._log.write(
             'config',
             'in force',
-            revision=published.revision,
-            version=published.version,
+            revision=revision,
+            version=self._state.view.published.version,
         )
+        return True
 
 
 def _has_news(reply: SyncReply) -> bool:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_forwarder.py
@@ -162,7 +162,7 @@
             detail=result.detail,
             sends=self.sends,
             age_s=round(self._state.view.age(chosen_at), 3),
-            revision=self._state.view.revision,
+            revision=self._state.view.documents.revision,
             **self._timings(chosen_at),
         )
         if result.outcome is not AttemptOutcome.DONE:
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_relayhost.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_relayhost.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
-from lovagemast_core import PeerMessage
+from lovagemast_core import PeerMessage, PublishedState
 from lovagemast_core.duties import SteadyClock
 from lovagemast_core.entry import LeaderSearch
 from lovagemast_core.streams import PoolSoftware, StreamMessage
@@ -24,6 +24,7 @@
 from ._softwareapi import SoftwareHistory
 from ._sync import SYNC_ERRORS, SyncClient
 from ._syncservice import EntrySyncService, SyncHandler, SyncSession
+from ._transfers import DocumentTransfers
 
 EPOCH_BITS: Final = 62
 MIN_PUSH_DELAY_S: Final = 0.004  # gathers changes that come together
@@ -72,6 +73,7 @@
         self,
         cfg: ControlSettings,
         vms: Callable[[], tuple[str, ...]],
+        find_published: Callable[[], PublishedState],
         on_records: Callable[[tuple[TargetRecord, ...]], None],
         send_peer: Callable[[str, PeerMessage], None],
         spawn: Spawn,
@@ -82,6 +84,7 @@
         self._clock = SteadyClock(wall_s(), now_s()) if cfg.cloud else None
         self._vms = vms
         self._software = SoftwareHistory()
+        self._find_published = find_published
         self._on_records = on_records
         self._send_peer = send_peer
         self._spawn = spawn
@@ -89,6 +92,9 @@
         self._handler = SyncHandler(self._on_ask, self._on_close, log)
         self.service = EntrySyncService(self._handler)
         self._search = LeaderServerSearch(vms)
+        self._transfers = DocumentTransfers(
+            self._relay.view.documents, self._request_sync, log
+        )
         self._client = SyncClient(
             RelaysStub,
             cfg.peer_port,
@@ -96,6 +102,7 @@
             self._search,
             self._build_ask,
             self._on_reply,
+            self._transfers.on_lost,
             log,
         )
         self._changed = asyncio.Event()
@@ -152,8 +159,12 @@
             self._search.record_leader(leader, term)
             self._client.reconnect()
 
+    def _request_sync(self) -> None:
+        self._client.wake()
+
     def _build_ask(self, number: int) -> SyncAsk:
         now = now_s()
+        self._offer_document()
         utc_s = self._clock.read(wall_s(), now) if self._clock else 0.0
         return self._relay.build_ask(number, now, utc_s)
 
@@ -171,9 +182,20 @@
 
     def _on_reply(self, reply: SyncReply, asked_at: float) -> None:
         self._relay.on_reply(reply, asked_at, now_s())
+        self._offer_document()
+        self._transfers.on_reply(reply)
         self._on_records(reply.targets)
         self._changed.set()
 
+    def _offer_document(self) -> None:
+        """Take the newest document from the replica on this VM.
+
+        It has usually come with the log, and is sent only once then.
+        """
+        if not self._relay.view.documents.is_current:
+            published = self._find_published()
+            self._relay.state.offer(published.revision, published.document)
+
     async def _report_rollouts(self) -> None:
         while True:
             await asyncio.sleep(ROLLOUT_INTERVAL_S)
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_requesthandler.py
@@ -87,7 +87,7 @@
             target=self._forwarder.target if self._forwarder else '',
             started=self._responder.started,
             age_s=round(state.view.age(now_s()), 3),
-            revision=state.view.revision,
+            revision=state.view.documents.revision,
             received=state.view.published.revision,
             took_s=round(now_s() - self._arrived_at, 4),
         )
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_sync.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_sync.py
@@ -26,6 +26,7 @@
 
 BuildAsk = Callable[[int], SyncAsk]
 OnReply = Callable[[SyncReply, float], None]
+OnLost = Callable[[str], None]  # gets the VM whose stream broke
 Stub = type[EntriesStub] | type[RelaysStub]
 SyncStream = ClientStream[lovagemast_pb2.SyncAsk, lovagemast_pb2.SyncReply]
 
@@ -60,6 +61,7 @@
         search: ServerSearch,
         build_ask: BuildAsk,
         on_reply: OnReply,
+        on_lost: OnLost,
         log: JsonLog,
     ) -> None:
         self._stub = stub
@@ -68,6 +70,7 @@
         self._search = search
         self._build_ask = build_ask
         self._on_reply = on_reply
+        self._on_lost = on_lost
         self._log = log
         self._ask = 0
         self._sent: dict[int, float] = {}
@@ -100,6 +103,7 @@
                 self._search.record_failure(vm, now_s())
                 self._log_lost(vm, repr(exc))
                 self._log_cut_off(vm)
+                self._on_lost(vm)
             except Exception as exc:  # without a stream, nothing is learned
                 self._search.record_failure(vm, now_s())
                 self._log.write('sync', 'failed', peer=vm, cause=repr(exc))
@@ -133,7 +137,9 @@
             async with asyncio.timeout(PEER_CONNECT_TIMEOUT_S):
                 await stream.send_request()
             sender = asyncio.create_task(self._send_asks(stream))
-            self._reader = asyncio.create_task(self._read_replies(vm, stream))
+            self._reader = asyncio.create_task(
+                self._read_replies(vm, channel, stream)
+            )
             try:
                 await self._read_until_left(vm)
             finally:
@@ -178,15 +184,16 @@
         except TimeoutError:
             return  # the interval has passed
 
-    async def _read_replies(self, vm: str, stream: SyncStream) -> None:
+    async def _read_replies(
+        self, vm: str, channel: BoundedChannel, stream: SyncStream
+    ) -> None:
         connected_at = now_s()
         while True:
-            message = await self._receive(stream)
+            message = await self._receive(channel, stream)
             if message is None:
                 self._log_lost(vm, 'stream ended')
                 return
-            if self._channel:
-                self._whole_bytes = self._channel.received_bytes
+            self._whole_bytes = channel.received_bytes
             reply = from_wire(SyncReply, message)
             self._apply(vm, reply)
             reason = self._search.check_reply(vm, reply, connected_at, now_s())
@@ -195,11 +202,26 @@
                 return
 
     async def _receive(
-        self, stream: SyncStream
+        self, channel: BoundedChannel, stream: SyncStream
     ) -> lovagemast_pb2.SyncReply | None:
-        """Return the next reply, ``None`` if the stream is to be left."""
-        async with asyncio.timeout(self._timing.silence_timeout_s):
-            return await stream.recv_message()
+        """Return the next reply, ``None`` if the stream is to be left.
+
+        Silence is a time without any byte: a long reply takes a small link
+        longer than the time-out.
+        """
+        receiving = asyncio.ensure_future(stream.recv_message())
+        received = -1
+        try:
+            while not receiving.done():
+                if received == channel.received_bytes:
+                    raise TimeoutError
+                received = channel.received_bytes
+                await asyncio.wait(
+                    (receiving,), timeout=self._timing.silence_timeout_s
+                )
+        finally:
+            receiving.cancel()
+        return receiving.result()
 
     def _apply(self, vm: str, reply: SyncReply) -> None:
         if not reply.is_push:
--- a/tests/relayfleet.py
+++ b/tests/relayfleet.py
@@ -102,6 +102,9 @@
             wants_peers=self.is_cut_off,
             tolerances=self.rejections.exchange.reports(number, now),
             tolerance_stamp=self.rejections.exchange.server_stamp,
+            revision=self.view.documents.revision,
+            reads_parts=True,
+            document=self.view.documents.wish(),
         )
 
     def on_reply(self, reply: SyncReply, asked_at: float, now: float) -> None:
@@ -220,12 +223,20 @@
     def publish(self) -> int:
         """Publish a new version of the state and return it."""
         version = self.state.version + 1
-        self.state = self.state._replace(version=version, revision=version)
+        self.state = self.state._replace(
+            version=version,
+            revision=version,
+            document=self.make_document(version),
+        )
         self.published.append((self.now, version))
         self.leader.apply_published(self.state, self.index)
         self._push_from_leader()
         return version
 
+    def make_document(self, version: int) -> str:
+        """Return the document of a version."""
+        return f'{{"version": {version}}}'
+
     def send_heartbeats(self, *leaving: str) -> None:
         """Send the heartbeats of all targets to the leader."""
         for target in sorted(self.targets):
@@ -339,6 +350,9 @@
         if asked_at is not None and reply.serves:
             owner = self.relays.get(client) or self.entries[client]
             owner.on_reply(reply, asked_at, self.now)
+            has_news = reply.published or reply.document
+            if has_news and owner.view.documents.wish():
+                stream.next_at = min(stream.next_at, self.now)
         if client in self.entries:
             search = self.entries[client].search
             if search.check_reply(
@@ -369,6 +383,7 @@
                 view.published.version,
                 view.stamp_to_ask(self.now),
                 view.epoch,
+                reads_parts=True,
             )
             age_s = self.now - self.quorum_at
             reply = self.leader.updates_for(ask, age_s, self.now)
--- a/tests/test_relayfuzz.py
+++ b/tests/test_relayfuzz.py
@@ -130,6 +130,7 @@
                 version for at, version in fleet.published if at < confirmed_at
             ]
             assert entry.view.published.version >= max(due, default=0)
+            assert entry.view.documents.revision >= max(due, default=0)
 
     def teardown(self) -> None:
         """Heal all links; the entry VMs then agree with the leader."""
@@ -149,6 +150,7 @@
         for entry in fleet.entries.values():
             assert set(entry.view.targets) == fleet.targets
             assert entry.view.published.version == fleet.state.version
+            assert entry.view.documents.document == fleet.state.document
             assert entry.view.entries == ENTRIES
             assert entry.view.age(fleet.now) < 0.5
 
--- a/tests/test_syncrelay.py
+++ b/tests/test_syncrelay.py
@@ -71,7 +71,7 @@
         entries = fleet.entries.values()
         took_s = fleet.run_until(
             lambda: all(
-                one.view.published.version == version for one in entries
+                one.view.documents.revision == version for one in entries
             ),
             limit_s=1.0,
         )
--- a/tests/test_syncstreams.py
+++ b/tests/test_syncstreams.py
@@ -34,6 +34,10 @@
 LOG: Final = JsonLog('c1')
 
 
+def _ignore(_vm: str) -> None:
+    """Take no note of a lost stream."""
+
+
 def reply_to(ask: SyncAsk) -> SyncReply:
     """Return a reply without content."""
     return SyncReply(ask.ask, True, 'c1', 1, 0.0)
@@ -83,7 +87,7 @@
 
     search = RelaySearch('e1', 'z', (HOST,))
     client = SyncClient(
-        EntriesStub, port, ENTRY_SYNC, search, build, apply, LOG
+        EntriesStub, port, ENTRY_SYNC, search, build, apply, _ignore, LOG
     )
     task = asyncio.create_task(client.run())
     await wait_until(lambda: len(applied) > 1)
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -149,7 +149,8 @@
         older = PublishedState(version=6, revision=3, document='old')
         assert view.apply(make_reply(published=newer), 1.0, 1.0)
         assert not view.apply(make_reply(published=older), 2.0, 2.0)
-        assert view.published.document == 'new'
+        assert view.documents.document == 'new'
+        assert view.published.version == 7
 
     def test_ready_time_is_local(self) -> None:
         """An adapter that is loading is ready after the time in the record."""
