A configuration that cannot be read counts as neither in force nor confirmed

Cause: received counted as in force. A document that the entry VM cannot parse was logged and left, and counted as held.

--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -333,7 +333,7 @@
             self._log.write(
                 'config', 'cannot be parsed', revision=revision, cause=parsed
             )
-            return True
+            return False
         index = DeploymentIndex(parsed)
         self._state.view.index = index
         self._state.retries.retain(frozenset(index.pools))
--- a/tests/test_inforce.py
+++ b/tests/test_inforce.py
@@ -64,9 +64,10 @@
     server = EntryServer(CFG, PlatformEntryCodec())
     view = server._state.view
     server._on_reply(reply(published(OLD)), now_s() - 2 * DENIAL_AGE_S)
-    assert view.documents.revision == OLD
+    assert view.index and view.index.deployment.revision == OLD
     breaks(server)
     with contextlib.suppress(RuntimeError):  # the stream is opened anew
         server._on_reply(reply(published(NEW)), now_s())
     server._on_reply(reply(None), now_s())
-    assert view.documents.revision == NEW or view.age(now_s()) > DENIAL_AGE_S
+    is_in_force = view.index.deployment.revision == NEW
+    assert is_in_force or view.age(now_s()) > DENIAL_AGE_S
