The replicated log is compacted by bytes, not only by entries

What was seen: control VMs over their memory after some large changes, and again at each start (crash loop). Each entry holds a whole document; up to 256 of them stayed in memory and on disk, and a start read them all.

--- a/packages/lovagemast-core/src/lovagemast_core/agreement/_replicastate.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_replicastate.py
@@ -12,8 +12,10 @@
 from .._types import VmName
 from ._durability import DurabilityBarrier
 from ._log import ReplicatedLog
+from ._sizes import entries_bytes
 
-COMPACTION_THRESHOLD: Final = 256  # entries
+COMPACTION_ENTRIES: Final = 256
+COMPACTION_BYTES: Final = 4_194_304
 
 
 class Role(Enum):
@@ -139,10 +141,7 @@
             entry = self.log.entry_at(self.applied_index)
             outcome = self.state_machine.apply(entry.command)
             self._on_applied(entry, outcome, now)
-        if (
-            self.applied_index - self.log.snapshot.last_index
-            >= COMPACTION_THRESHOLD
-        ):
+        if self._should_compact():
             self.compact()
 
     def compact(self) -> None:
@@ -178,6 +177,23 @@
             self.barrier.waiting_bytes,
         )
 
+    def _should_compact(self) -> bool:
+        """Return whether the applied entries are many, or hold much.
+
+        A snapshot holds the newest document, so that one which is larger than
+        the bound is written once for each as many bytes of the log.
+        """
+        first = self.log.snapshot.last_index + 1
+        applied = self.applied_index + 1 - first
+        if applied >= COMPACTION_ENTRIES:
+            return True
+        bound = max(
+            COMPACTION_BYTES, len(self.state_machine.published.document)
+        )
+        if self.log.held_bytes < bound:
+            return False
+        return entries_bytes(self.log.entries_from(first, applied)) >= bound
+
     def _save_snapshot(self, snapshot: SavedSnapshot) -> None:
         self.barrier.save_snapshot(
             snapshot,
--- a/tests/test_fulldisks.py
+++ b/tests/test_fulldisks.py
@@ -127,7 +127,7 @@
     seed: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Once the last disk has room, each VM has changes acknowledged."""
-    monkeypatch.setattr(_replicastate, 'COMPACTION_THRESHOLD', 12)
+    monkeypatch.setattr(_replicastate, 'COMPACTION_ENTRIES', 12)
     rng = random.Random(seed)
     cluster = DiskCluster(tmp_path, seed)
     write_all = _storage._write_all
