Entries are sent in messages of bounded bytes, as far as they are answered

Change: a message holds at most 512 KiB of entries, or one entry; entries of 4 MiB at most are sent to a replica that has not answered them, then heartbeats only. A reply or a rejection opens the window again.

--- a/packages/lovagemast-core/src/lovagemast_core/agreement/_log.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_log.py
@@ -58,6 +58,10 @@
         start = max(0, index - self.snapshot.last_index - 1)
         return tuple(self._entries[start : start + limit])
 
+    def bytes_between(self, first: int, last: int) -> int:
+        """Return the bytes of the entries of two indexes and between them."""
+        return entries_bytes(self.entries_from(first, max(0, last + 1 - first)))
+
     def append(self, entry: Entry) -> None:
         """Append an entry, whose index must follow the last one."""
         self._entries.append(entry)
--- a/packages/lovagemast-core/src/lovagemast_core/agreement/_progress.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_progress.py
@@ -3,6 +3,10 @@
 from typing import Final
 
 MAX_ENTRIES_PER_MESSAGE: Final = 256
+# A longer entry has a message of its own.
+MAX_BYTES_PER_MESSAGE: Final = 524_288
+# Sent to a replica that has not answered it; then only heartbeats are sent.
+MAX_UNANSWERED_BYTES: Final = 4_194_304
 SNAPSHOT_INTERVAL_S: Final = 1.0  # between snapshots to one replica
 
 
--- a/packages/lovagemast-core/src/lovagemast_core/agreement/_replicator.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_replicator.py
@@ -11,12 +11,15 @@
 from ._election import Timing
 from ._formats import PeerFormats
 from ._progress import (
+    MAX_BYTES_PER_MESSAGE,
     MAX_ENTRIES_PER_MESSAGE,
+    MAX_UNANSWERED_BYTES,
     Progress,
     quorum_index,
     quorum_time,
 )
 from ._replicastate import ReplicaState, Role, vm_of
+from ._sizes import limit_bytes
 
 # A new identity replaces an older one of its VM only if its last contact is
 # this much later: more than the delay by which replies may be reordered.
@@ -198,11 +201,13 @@
         if prev_term is None:
             self._send_snapshot(identity, progress, now)
             return
-        entries = self._readable_entries(identity, progress.next_index)
-        if not entries and progress.next_index <= replica.applied_index:
-            replica.compact()  # the replica gets the state in their place
-            self._send_snapshot(identity, progress, now)
-            return
+        entries: tuple[Entry, ...] = ()
+        if not self._is_window_full(progress):
+            entries = self._readable_entries(identity, progress.next_index)
+            if not entries and progress.next_index <= replica.applied_index:
+                replica.compact()  # the replica gets the state in their place
+                self._send_snapshot(identity, progress, now)
+                return
         progress.next_index += len(entries)
         message = AppendEntries(
             replica.term,
@@ -222,12 +227,18 @@
         entries = self._replica.log.entries_from(
             first_index, MAX_ENTRIES_PER_MESSAGE
         )
-        return tuple(
-            itertools.takewhile(
-                lambda entry: self.formats.can_read(identity, entry.command),
-                entries,
-            )
+        readable = itertools.takewhile(
+            lambda entry: self.formats.can_read(identity, entry.command),
+            entries,
+        )
+        return limit_bytes(readable, MAX_BYTES_PER_MESSAGE)
+
+    def _is_window_full(self, progress: Progress) -> bool:
+        """Return whether a replica has to answer before it is sent more."""
+        unanswered = self._replica.log.bytes_between(
+            progress.match_index + 1, progress.next_index - 1
         )
+        return unanswered >= MAX_UNANSWERED_BYTES
 
     def _record_accepted(self, reply: AppendReply, match_index: int) -> None:
         """Record which commands a replica has accepted as entries."""
--- a/packages/lovagemast-core/src/lovagemast_core/agreement/_sizes.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_sizes.py
@@ -29,6 +29,18 @@
     return sum(command_bytes(entry.command) for entry in entries)
 
 
+def limit_bytes(entries: Iterable[Entry], limit: int) -> tuple[Entry, ...]:
+    """Return the first entries, at least one, that hold so many bytes."""
+    taken: list[Entry] = []
+    held = 0
+    for entry in entries:
+        held += command_bytes(entry.command)
+        if taken and held > limit:
+            break
+        taken.append(entry)
+    return tuple(taken)
+
+
 def snapshot_bytes(state: StateSnapshot) -> int:
     """Return the bytes that a snapshot of the state holds."""
     records = len(state.operations) + len(state.claims) + len(state.departures)
--- a/tests/test_inforce.py
+++ b/tests/test_inforce.py
@@ -64,7 +64,8 @@
     server = EntryServer(CFG, PlatformEntryCodec())
     view = server._state.view
     server._on_reply(reply(published(OLD)), now_s() - 2 * DENIAL_AGE_S)
-    assert view.index and view.index.deployment.revision == OLD
+    assert view.index
+    assert view.index.deployment.revision == OLD
     breaks(server)
     with contextlib.suppress(RuntimeError):  # the stream is opened anew
         server._on_reply(reply(published(NEW)), now_s())
