What waits for a disk that stands still is bounded in bytes

Measured: 160 changes of 4 MiB beside a stalled disk: 75.5 MB waited before, below 16 MiB now (test_snapshots_for_a_stalled_disk_are_bounded, failed before). test_stalled_leader_takes_few_changes passed before, by the bound on what is sent unanswered: a leader with a stalled disk is soon replaced.

--- a/packages/lovagemast-core/src/lovagemast_core/agreement/_durability.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_durability.py
@@ -1,7 +1,7 @@
 """Delays a replica's messages until the writes before them are durable."""
 
 from collections import deque
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from .._effects import HardState, PersistLog, SavedSnapshot
 from .._messages import Entry, PeerMessage
@@ -9,6 +9,10 @@
 from .._types import VmName
 from ._sizes import command_bytes, message_bytes, snapshot_bytes
 
+# What may wait for a disk that stands still. Then a replica takes no entries,
+# snapshots or proposals until it goes on.
+MAX_WAITING_BYTES: Final = 8_388_608
+
 
 class _Batch(NamedTuple):
     batch: int
@@ -47,6 +51,11 @@
         """Return the bytes of writes and messages that wait for the disk."""
         return sum(batch.held_bytes for batch in self._batches)
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether the disk has to go on before more is written."""
+        return self.waiting_bytes >= MAX_WAITING_BYTES
+
     def save_hard_state(self, hard_state: HardState) -> None:
         """Add the term and vote to the current batch."""
         self._hard_state = hard_state
--- a/packages/lovagemast-core/src/lovagemast_core/agreement/_follower.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_follower.py
@@ -24,6 +24,8 @@
         accepted = False
         match_index = replica.log.last_index
         if self._accept_leader(message.term, message.leader, now):
+            if message.entries and replica.barrier.is_full:
+                return  # the leader sends them again
             accepted = self._has_previous_entry(message)
             if accepted:
                 match_index = self._append_new_entries(message)
@@ -45,6 +47,8 @@
         replica = self._replica
         if not self._accept_leader(message.term, message.leader, now):
             return
+        if replica.barrier.is_full:
+            return  # the leader sends it again
         if message.last_index > replica.commit_index:
             snapshot = SavedSnapshot(
                 message.last_index,
--- a/packages/lovagemast-core/src/lovagemast_core/agreement/_proposals.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_proposals.py
@@ -12,6 +12,7 @@
 
 RESEND_INTERVAL_S: Final = 0.4  # of a command without an outcome
 OVERTAKEN: Final = Unavailable('a newer order on the same matter came first')
+FULL: Final = Unavailable('too much waits for the disk or for a quorum')
 UNREADABLE: Final = Unavailable('a control VM of another build cannot read it')
 OnOutcome = Callable[[Outcome, float], None]
 
@@ -90,6 +91,9 @@
         if not self._replica.may_append(ask.command, now):
             self._outbox.send(sender, ProposalDone(ask.proposal, UNREADABLE))
             return
+        if self._replica.status().is_full:
+            self._outbox.send(sender, ProposalDone(ask.proposal, FULL))
+            return
         log = self._replica.log
         if ask.basis is not None and is_overtaken(log, ask.command, ask.basis):
             self._outbox.send(sender, ProposalDone(ask.proposal, OVERTAKEN))
--- a/packages/lovagemast-core/src/lovagemast_core/agreement/_replicastate.py
+++ b/packages/lovagemast-core/src/lovagemast_core/agreement/_replicastate.py
@@ -16,6 +16,8 @@
 
 COMPACTION_ENTRIES: Final = 256
 COMPACTION_BYTES: Final = 4_194_304
+# With entries that are not committed; a leader then takes no more of them.
+MAX_LOG_BYTES: Final = 16_777_216
 
 
 class Role(Enum):
@@ -49,6 +51,7 @@
     formats: dict[str, int]  # of commands, which other replicas have named
     log_bytes: int  # of the entries in memory
     waiting_bytes: int  # of what waits for the disk
+    is_full: bool  # it takes no proposals until some are committed
 
 
 OnApplied = Callable[[Entry, Outcome, float], None]
@@ -175,6 +178,7 @@
             formats,
             self.log.held_bytes,
             self.barrier.waiting_bytes,
+            self.barrier.is_full or self.log.held_bytes >= MAX_LOG_BYTES,
         )
 
     def _should_compact(self) -> bool:
--- a/tests/test_logbytes.py
+++ b/tests/test_logbytes.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 import pytest
-from lovagemast_core import PutConfig
+from lovagemast_core import Applied, PutConfig
 from lovagemast_core._messages import AppendEntries, InstallSnapshot
 from lovagemast_core.agreement._sizes import entries_bytes
 from lovagemast_core.control import message_bytes
@@ -13,6 +13,7 @@
 KIB: Final = 1_024
 MIB: Final = 1_048_576
 DOCUMENT_BYTES: Final = 300 * KIB  # some 1,400 routes
+LARGEST_BYTES: Final = 4 * MIB
 CHANGES: Final = 120
 # Of 296 MB, four documents of 4 MiB, the largest that are expected, and a log
 # as long as two of them.
@@ -29,11 +30,11 @@
         self.sent_to: dict[str, int] = {}
         super().__init__(seed=seed)
 
-    def change(self, count: int = CHANGES) -> None:
+    def change(self, count: int = CHANGES, size: int = DOCUMENT_BYTES) -> None:
         """Commit many configurations, each of another document."""
         for _change in range(count):
             revision = self.nodes[self.leader()].published.revision + 1
-            text = f'{revision}'.ljust(DOCUMENT_BYTES)
+            text = f'{revision}'.ljust(size)
             self.propose(self.leader(), PutConfig(revision, text))
             self.run(SECONDS_A_CHANGE)
 
@@ -127,3 +128,32 @@
         assert (
             cluster.nodes[stalled].published.revision == node.published.revision
         )
+
+    def test_snapshots_for_a_stalled_disk_are_bounded(
+        self, cluster: WatchedCluster
+    ) -> None:
+        """Snapshots of the largest documents don't pile up at a disk."""
+        stalled = next(vm for vm in VMS if vm != cluster.leader())
+        cluster.stalled.add(stalled)
+        cluster.change(4 * CHANGES // 3, LARGEST_BYTES)
+        status = cluster.nodes[stalled].replica.status()
+        assert status.waiting_bytes <= WAITING_BOUND
+
+    def test_stalled_leader_takes_few_changes(
+        self, cluster: WatchedCluster
+    ) -> None:
+        """Changes are refused once many bytes wait for the leader's disk."""
+        leader = cluster.leader()
+        cluster.stalled.add(leader)
+        for number in range(CHANGES):
+            revision = 1_000 + number
+            text = f'{revision}'.ljust(DOCUMENT_BYTES)
+            cluster.propose(leader, PutConfig(revision, text))
+            cluster.run(SECONDS_A_CHANGE)
+        status = cluster.nodes[leader].replica.status()
+        assert status.waiting_bytes <= WAITING_BOUND
+        cluster.stalled.clear()
+        cluster.run(5.0)
+        call = cluster.propose(cluster.leader(), PutConfig(2_000, 'last'))
+        cluster.run(1.0)
+        assert isinstance(cluster.outcomes[call], Applied)
--- a/tests/test_lostchange.py
+++ b/tests/test_lostchange.py
@@ -41,7 +41,9 @@
         view = moved_view(relay)
         reply = relay.on_ask(1, ASK._replace(version=1), 10.08)
         assert view.apply(reply, 10.08, 10.09)
-        assert view.published == NEWER
+        assert view.published == NEWER._replace(document='')
+        held = view.documents
+        assert (held.revision, held.document) == (2, NEWER.document)
 
     def test_ignored_change_is_sent_again(self) -> None:
         """A relay believes what an entry VM holds, not what it was sent."""
@@ -76,5 +78,5 @@
     fleet.run(rng.random() * 0.2)
     version = fleet.publish()
     fleet.run(APPLY_S)
-    held = [one.view.published.version for one in fleet.entries.values()]
+    held = [one.view.documents.revision for one in fleet.entries.values()]
     assert held == [version] * len(held)
