--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
@@ -42,6 +42,7 @@
 
 PEER_RECONNECT_DELAY_S: Final = 0.2
 MAX_QUEUED_MESSAGES: Final = 512
+MAX_QUEUED_BYTES: Final = 8_388_608
 PEER_CONNECT_TIMEOUT_S: Final = 0.4
 # The leader sends several heartbeats within this time, each with a reply, so
 # a stream that accepts nothing for longer is dead.
@@ -88,10 +89,10 @@
         return self._queued_bytes
 
     def send(self, message: PeerMessage) -> None:
-        """Queue a message; drop the oldest one if the queue is full."""
-        if self._queue.full():
-            self._release(self._queue.get_nowait()[1])
+        """Queue a message; drop the oldest ones if the queue is full."""
         self._queued_bytes += message_bytes(message)
+        while self._is_over_bounds() and not self._queue.empty():
+            self._release(self._queue.get_nowait()[1])
         self._queue.put_nowait((now_s(), message))
 
     async def run(self) -> None:
@@ -160,6 +161,9 @@
     def _log_problem(self, text: str, exc: Exception) -> None:
         self._log.write('peer', text, peer=self._vm, cause=repr(exc))
 
+    def _is_over_bounds(self) -> bool:
+        return self._queue.full() or self._queued_bytes > MAX_QUEUED_BYTES
+
     def _release(self, message: PeerMessage) -> None:
         self._queued_bytes -= message_bytes(message)
 
--- a/tests/test_logbytes.py
+++ b/tests/test_logbytes.py
@@ -4,9 +4,15 @@
 
 import pytest
 from lovagemast_core import Applied, PutConfig
-from lovagemast_core._messages import AppendEntries, InstallSnapshot
+from lovagemast_core._messages import (
+    AppendEntries,
+    InstallSnapshot,
+    Propose,
+)
 from lovagemast_core.agreement._sizes import entries_bytes
 from lovagemast_core.control import message_bytes
+from lovagemast_node.fleet._jsonlog import JsonLog
+from lovagemast_node.fleet._peers import PeerLink
 
 from tests.controlcluster import VMS, Cluster
 
@@ -157,3 +163,12 @@
         call = cluster.propose(cluster.leader(), PutConfig(2_000, 'last'))
         cluster.run(1.0)
         assert isinstance(cluster.outcomes[call], Applied)
+
+
+def test_queue_of_a_link_is_bounded_in_bytes() -> None:
+    """Documents for a control VM that is cut off take little memory."""
+    link = PeerLink('c1', 'c2', 1, JsonLog('c1'))
+    for revision in range(CHANGES):
+        document = f'{revision}'.ljust(DOCUMENT_BYTES)
+        link.send(Propose('p', PutConfig(revision, document)))
+    assert 0 < link.queued_bytes <= WAITING_BOUND
