Operators' large changes are bounded in bytes while they are handled

What was seen: eight operators who send documents of 7.6 MB (8 MiB are allowed) at the same time took a control VM to 262,972 KiB; 227,328 allowed, three quarters of 296 MB. A document takes several times its size while it is parsed (38 MB), sent (30 MB) and encoded (42 MB), and bodies that wait held up to 64 MiB.

Change: calls over 64 KiB are handled within 8 MiB together, or one at a time; others get 503 with Retry-After at once, small ones never wait. The account of large bodies is 24 MiB at control VMs. Control VMs index no routes but the longest stream's (37 MB for this document): they use nothing else of them.

--- a/packages/lovagemast-core/src/lovagemast_core/deployment/_model.py
+++ b/packages/lovagemast-core/src/lovagemast_core/deployment/_model.py
@@ -143,3 +143,12 @@
     pools: tuple[PoolSpec, ...] = ()
     accounts: tuple[AccountSpec, ...] = ()
     limits: CallerLimits = CallerLimits()
+
+    def for_control(self) -> 'Deployment':
+        """Return what control VMs use: of the routes the longest stream's.
+
+        All the others would take several times the size of the document.
+        """
+        streams = [one for one in self.routes if one.kind is CallKind.STREAM]
+        streams.sort(key=lambda route: route.timeout_s)
+        return self._replace(routes=tuple(streams[-1:]))
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_connectionlimits.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_connectionlimits.py
@@ -7,7 +7,12 @@
 
 from .._clock import now_s
 from .._heap import limit_heap
-from ..http import BodyBudget, RefusalStatus, VmLimits
+from ..http import (
+    MAX_BODIES_BYTES,
+    BodyBudget,
+    RefusalStatus,
+    VmLimits,
+)
 from ._jsonlog import JsonLog
 
 # Between log lines about the same limit, whatever callers send.
@@ -18,10 +23,14 @@
     """What all connections of a process may hold, and what was refused."""
 
     def __init__(
-        self, limits: VmLimits, log: JsonLog, registry: CollectorRegistry
+        self,
+        limits: VmLimits,
+        log: JsonLog,
+        registry: CollectorRegistry,
+        max_bodies_bytes: int = MAX_BODIES_BYTES,
     ) -> None:
         limit_heap(limits.memory_mb)
-        self.bodies = limits.make_budget()
+        self.bodies = limits.make_budget(max_bodies_bytes)
         self.table = limits.make_connection_table()
         self._log = log
         self._counts: dict[str, int] = {}
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -66,6 +66,8 @@
 PUSH_INTERVAL_S: Final = 0.02  # between pushes to the same relay
 MIN_TICK_DELAY_S: Final = 0.001
 SHUTDOWN_DELAY_S: Final = 1.0  # for responses that are in progress
+# Three of the largest documents; the log and the states need the rest.
+CONTROL_BODIES_BYTES: Final = 25_165_824
 CONTROL_LIMITS: Final = ServerLimits(
     max_body_bytes=8_388_608,
     header_timeout_s=5.0,
@@ -86,7 +88,9 @@
         self._log = JsonLog(cfg.name)
         metrics = ControlMetrics()
         self._metrics = metrics
-        self._limits = ConnectionLimits(cfg.limits, self._log, metrics.registry)
+        self._limits = ConnectionLimits(
+            cfg.limits, self._log, metrics.registry, CONTROL_BODIES_BYTES
+        )
         self._store = LogStore.open(Path(cfg.data_dir), cfg.vm)
         self._node = ControlNode(
             ControlConfig(
@@ -143,6 +147,7 @@
         status = self._node.replica.status
         metrics.observe_bytes('log', lambda: status().log_bytes)
         metrics.observe_bytes('disk', lambda: status().waiting_bytes)
+        metrics.observe_bytes('calls', lambda: self._api.room.held_bytes)
         metrics.observe_bytes('links', lambda: self._links.queued_bytes)
         self._http = HttpServer(
             self._api.serve,
@@ -229,7 +234,7 @@
             self._log.write('config', 'cannot be parsed', cause=parsed)
             return None
         self._metrics.set_revision(parsed.revision)
-        return DeploymentIndex(parsed)
+        return DeploymentIndex(parsed.for_control())
 
     def _run_effects(self) -> None:
         for effect in self._node.take_effects():
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_controlapi.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_controlapi.py
@@ -18,6 +18,7 @@
 
 from .._clock import now_s, wall_ms
 from ..http import Headers, HttpRequest, Responder
+from ._changeroom import ChangeRoom
 from ._codec import (
     ControlCall,
     ControlCodec,
@@ -72,6 +73,7 @@
         self._metrics = metrics
         self._stalls = stalls
         self._pages = pages
+        self.room = ChangeRoom()
         self._cfg = cfg
         self._codec = codec
         self._node = node
@@ -92,6 +94,23 @@
     async def serve(self, req: HttpRequest, responder: Responder) -> None:
         """Serve one call; redirect it if only the leader can answer it."""
         page = self._pages.get(req.path)
+        if not self.room.has_room(len(req.body)):
+            self._log.write(
+                'admin',
+                'call refused, others hold the memory',
+                path=req.path,
+                status=UNAVAILABLE,
+                body_bytes=len(req.body),
+                held_bytes=self.room.held_bytes,
+            )
+            await responder.send(UNAVAILABLE, RETRY_HEADERS)
+            return
+        with self.room.hold(len(req.body)):
+            await self._serve_in_room(req, page, responder)
+
+    async def _serve_in_room(
+        self, req: HttpRequest, page: Page | None, responder: Responder
+    ) -> None:
         if page:
             await self._send_json(OK, page(), responder)
         elif req.path == QUARANTINE_PATH:
@@ -238,7 +257,8 @@
             took_s=round(now_s() - started_at, 4),
             **fields,
         )
-        await responder.send(status, JSON_HEADERS, EMPTY_JSON)
+        retry = RETRY_HEADERS if status == UNAVAILABLE else ()
+        await responder.send(status, (*JSON_HEADERS, *retry), EMPTY_JSON)
 
     async def _propose(
         self, command: Command | RecordDeparture | ClearSubjects
--- a/packages/lovagemast-node/src/lovagemast_node/http/__init__.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/__init__.py
@@ -1,6 +1,6 @@
 """An HTTP/1.1 server and client that check message framing strictly."""
 
-from ._bodybudget import FREE_BYTES, BodyBudget, BodyShare
+from ._bodybudget import FREE_BYTES, MAX_BODIES_BYTES, BodyBudget, BodyShare
 from ._boundedreads import READ_BYTES, BoundedReads
 from ._client import (
     ConnectFailed,
@@ -32,6 +32,7 @@
 __all__ = [
     'ACCEPT_BATCH',
     'FREE_BYTES',
+    'MAX_BODIES_BYTES',
     'MAX_BODY_BYTES',
     'MAX_EVENT_BYTES',
     'READ_BYTES',
--- a/packages/lovagemast-node/src/lovagemast_node/http/_resourcelimits.py
+++ b/packages/lovagemast-node/src/lovagemast_node/http/_resourcelimits.py
@@ -40,13 +40,14 @@
     memory_mb: float | None = None
     max_fds: float | None = None
 
-    def make_budget(self) -> BodyBudget:
-        """Return the memory that messages may use."""
+    def make_budget(self, max_bytes: int = MAX_BODIES_BYTES) -> BodyBudget:
+        """Return the memory that messages may use, and large ones at most."""
         if self.memory_mb is None:
-            return BodyBudget()
+            return BodyBudget(max_bytes)
         spare_mb = self.memory_mb - PROCESS_MEMORY_MB
         part = min(1.0, spare_mb / (FULL_MEMORY_MB - PROCESS_MEMORY_MB))
         bodies = max(MIN_BODIES_BYTES, int(MAX_BODIES_BYTES * part))
+        bodies = min(bodies, max_bytes)
         small = int(self.memory_mb * SMALL_FRACTION * MIB)
         return BodyBudget(bodies, small)
 
--- a/tests/test_controlmemory.py
+++ b/tests/test_controlmemory.py
@@ -1,5 +1,6 @@
 """Control VMs stay within their memory whatever configurations they get."""
 
+import threading
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Final
@@ -7,6 +8,7 @@
 import pytest
 
 from tests.outsidecallers import KIB, figures_of
+from tests.platformworker import put
 from tests.smalllinks import SmallLinkDeployment
 
 LINK_BITS_PER_S: Final = 1e9
@@ -15,6 +17,9 @@
 MEMORY_BOUND_KIB: Final = MEMORY_MB * KIB * 3 // 4
 ROUTES: Final = 4_200  # some 900 KB
 CHANGES: Final = 150
+LARGE_ROUTES: Final = 34_000  # some 7.6 MB, of 8 MiB at most
+OPERATORS: Final = 8
+PUTS: Final = 3  # of each operator
 
 
 class LimitedControl(SmallLinkDeployment):
@@ -71,9 +76,38 @@
         route = site.add_routes(version, 1)
     site.wait(lambda: site.is_routed(route))
     peaks = site.peak_kib()
+    print(peaks)
     assert max(peaks.values()) <= MEMORY_BOUND_KIB, peaks
     site.kill_control()
     route = site.add_routes(CHANGES, 1)
     site.wait(lambda: site.is_routed(route))
     peaks = site.peak_kib()
+    print(peaks)
     assert max(peaks.values()) <= MEMORY_BOUND_KIB, peaks
+
+
+def test_changes_at_a_time_exhaust_no_control_vm(
+    site: LimitedControl,
+) -> None:
+    """Operators who send large documents at the same time take no VM down."""
+    site.add_routes(2, LARGE_ROUTES)
+    document = site.config(3, ('k1',))
+    url = f'http://{site.control_vms[2]}:{site.ports.control}/config'
+
+    def put_many(first: int) -> None:
+        for version in range(first, first + PUTS):
+            put(url, {**document, 'version': version})
+
+    threads = [
+        threading.Thread(target=put_many, args=(3 + number * PUTS,))
+        for number in range(OPERATORS)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    peaks = site.peak_kib()
+    print(peaks)
+    assert max(peaks.values()) <= MEMORY_BOUND_KIB, peaks
+    route = site.add_routes(1_000, 1)
+    site.wait(lambda: site.is_routed(route))
