Messages between VMs may take as long as they make progress

A message to another control VM had 1.0 s, and the pings of its link, which wait behind it, 0.7 s; a reply of a relay 1.0 s, and pings of 2 s. Beyond what the buffers of sockets take, a large document or the records of many targets never arrived.

Change: a send is given up after 1.0 s in which nothing of it has moved. An update of the window shows that what was sent was read, as the answer to a ping does; streams between VMs have windows of 256 KiB, so that updates come often and a ping waits behind little. Other bytes of the peer don't count: on a link that is cut one way they still come.

--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_keepalive.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_keepalive.py
@@ -16,10 +16,17 @@
 # Incoming connections, of which a VM may have many.
 SERVER_PING_INTERVAL_S: Final = 2.0
 SERVER_PING_TIMEOUT_S: Final = 2.0
+# Of one stream, unread. It bounds how far a ping waits behind a message, and
+# how long a link is without an update of the window while one is on its way.
+STREAM_WINDOW_BYTES: Final = 262_144
 # The library sends no ping within this part of the interval after the last.
 MIN_SPACING: Final = 0.5
 
 
+# Of a connection that the other side pings.
+READ_CONFIG: Final = Configuration(http2_stream_window_size=STREAM_WINDOW_BYTES)
+
+
 def ping_config(interval_s: float, timeout_s: float) -> Configuration:
     """Return settings of a connection that is closed if pings fail.
 
@@ -32,4 +39,5 @@
         _keepalive_permit_without_calls=True,
         _http2_max_pings_without_data=0,
         _http2_min_sent_ping_interval_without_data=interval_s * MIN_SPACING,
+        http2_stream_window_size=STREAM_WINDOW_BYTES,
     )
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_peers.py
@@ -28,7 +28,7 @@
 )
 
 from .._clock import now_s
-from .._h2 import BoundedChannel
+from .._h2 import BoundedChannel, send_while_moving
 from ._connectionlimits import ConnectionLimits
 from ._jsonlog import JsonLog
 from ._keepalive import (
@@ -45,7 +45,7 @@
 MAX_QUEUED_BYTES: Final = 8_388_608
 PEER_CONNECT_TIMEOUT_S: Final = 0.4
 # The leader sends several heartbeats within this time, each with a reply, so
-# a stream that accepts nothing for longer is dead.
+# a stream of which nothing moves for longer is dead.
 SEND_TIMEOUT_S: Final = 1.0
 SKIPPED_LOG_INTERVAL_S: Final = 10.0
 STREAM_ERRORS: Final = (
@@ -140,8 +140,7 @@
             envelope = self._encode(message)
             if envelope is None:
                 continue
-            async with asyncio.timeout(SEND_TIMEOUT_S):
-                await stream.send_message(envelope)
+            await send_while_moving(stream, envelope, SEND_TIMEOUT_S)
 
     def _log_lost(self, exc: Exception) -> None:
         """Log the end of a stream, and the first attempt that failed."""
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_sync.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_sync.py
@@ -19,6 +19,7 @@
 from .._clock import now_s
 from .._h2 import BoundedChannel
 from ._jsonlog import JsonLog
+from ._keepalive import READ_CONFIG
 from ._peers import PEER_CONNECT_TIMEOUT_S, STREAM_ERRORS
 
 SYNC_RECONNECT_DELAY_S: Final = 0.05
@@ -131,7 +132,7 @@
         self._answered.set()
         self.seen = 0
         self._whole_bytes = 0
-        channel = BoundedChannel(vm, self._port)
+        channel = BoundedChannel(vm, self._port, config=READ_CONFIG)
         self._channel = channel
         async with channel, self._stub(channel).Sync.open() as stream:
             async with asyncio.timeout(PEER_CONNECT_TIMEOUT_S):
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_syncservice.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_syncservice.py
@@ -5,7 +5,7 @@
 import itertools
 from collections.abc import Callable
 from functools import partial
-from typing import Any, Final, cast
+from typing import Final
 
 from grpclib.server import Stream
 from lovagemast_core.targets import SyncAsk, SyncReply, TargetLoad, TargetRecord
@@ -18,6 +18,7 @@
     to_wire,
 )
 
+from .._h2 import send_while_moving
 from ._jsonlog import JsonLog
 from ._peers import SEND_TIMEOUT_S, STREAM_ERRORS
 from ._sync import SYNC_ERRORS
@@ -112,8 +113,7 @@
             message = self._encoder.encode(reply)
             self._record_sent(reply)
             try:
-                async with asyncio.timeout(SEND_TIMEOUT_S):
-                    await self._stream.send_message(cast(Any, message))
+                await send_while_moving(self._stream, message, SEND_TIMEOUT_S)
             except STREAM_ERRORS:
                 await self._break()
                 raise
--- a/tests/smalllinks.py
+++ b/tests/smalllinks.py
@@ -40,7 +40,14 @@
         self.cut_after: int | None = None  # bytes of a connection, then a reset
         self._free_at = 0.0
 
-    async def listen(self, host: str, port: int, target_port: int) -> None:
+    async def listen(
+        self,
+        host: str,
+        port: int,
+        target_port: int,
+        *,
+        both_ways: bool = False,
+    ) -> None:
         """Pass connections to a port on to another one of the same host."""
 
         async def serve(
@@ -52,7 +59,7 @@
                 writer.transport.abort()
                 return
             await asyncio.gather(
-                self._pump(reader, there[1], is_answer=False),
+                self._pump(reader, there[1], is_answer=both_ways),
                 self._pump(there[0], writer, is_answer=True),
             )
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -36,10 +36,10 @@
         return int(probe.getsockname()[1])
 
 
-async def wait_until(check: Callable[[], bool]) -> bool:
+async def wait_until(check: Callable[[], bool], wait_s: float = WAIT_S) -> bool:
     """Return whether a check holds in time."""
     with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(WAIT_S):
+        async with asyncio.timeout(wait_s):
             while not check():
                 await asyncio.sleep(POLL_S)
     return check()
