lovagemastd's links hold a bounded number of bytes, in smaller windows

The same cause elsewhere: 10,000 encoded messages waited for a VM that is cut off, each of which may hold the whole configuration. At most 16 MiB wait now, or one message. test_queue_of_a_daemons_link_is_bounded is new; that 120 states of 300 KiB held 37 MB before is read, not run.

--- a/packages/lovagemast-node/src/lovagemast_node/_peers.py
+++ b/packages/lovagemast-node/src/lovagemast_node/_peers.py
@@ -25,6 +25,8 @@
 _log = PartLogger.from_part('peers')
 RECONNECT_DELAY_S: Final = 0.3
 MAX_QUEUED_MESSAGES: Final = 10_000
+MAX_QUEUED_BYTES: Final = 16_777_216
+STREAM_WINDOW_BYTES: Final = 262_144  # of a stream, unread
 CONNECT_TIMEOUT_S: Final = 2.0
 KEEPALIVE_INTERVAL_S: Final = 1.0
 KEEPALIVE_TIMEOUT_S: Final = 1.5  # then the connection is replaced
@@ -68,12 +70,14 @@
         self._queue: asyncio.Queue[Envelope] = asyncio.Queue(
             MAX_QUEUED_MESSAGES
         )
+        self.queued_bytes = 0
 
     def send(self, effect: SendPeer) -> None:
-        """Queue a message, dropping the oldest one if the queue is full."""
-        if self._queue.full():
-            self._queue.get_nowait()
+        """Queue a message, dropping the oldest ones if the queue is full."""
         envelope = encode_envelope(self._own_vm, effect.message)
+        self.queued_bytes += envelope.ByteSize()
+        while self._is_over_bounds() and not self._queue.empty():
+            self._release(self._queue.get_nowait())
         self._queue.put_nowait(envelope)
 
     async def run(self) -> None:
@@ -102,11 +106,19 @@
             self._discard_queued()
             _log.info('connected to VM %s', self._vm)
             while True:
-                await stream.send_message(await self._queue.get())
+                envelope = await self._queue.get()
+                self._release(envelope)
+                await stream.send_message(envelope)
 
     def _discard_queued(self) -> None:
         while not self._queue.empty():
-            self._queue.get_nowait()
+            self._release(self._queue.get_nowait())
+
+    def _is_over_bounds(self) -> bool:
+        return self._queue.full() or self.queued_bytes > MAX_QUEUED_BYTES
+
+    def _release(self, envelope: Envelope) -> None:
+        self.queued_bytes -= envelope.ByteSize()
 
 
 class PeerLinks:
@@ -154,6 +166,7 @@
 
 async def serve_peers(listen: Listen, node_task: NodeTask) -> Server:
     """Listen for connections of other VMs."""
-    server = BoundedServer([PeerService(node_task)])
+    config = Configuration(http2_stream_window_size=STREAM_WINDOW_BYTES)
+    server = BoundedServer([PeerService(node_task)], config=config)
     await server.start(listen.host, listen.port)
     return server
--- a/tests/test_logbytes.py
+++ b/tests/test_logbytes.py
@@ -3,14 +3,16 @@
 from typing import Final
 
 import pytest
-from lovagemast_core import Applied, PutConfig
+from lovagemast_core import Applied, PublishedState, PutConfig, SendPeer
 from lovagemast_core._messages import (
     AppendEntries,
     InstallSnapshot,
     Propose,
+    Publish,
 )
 from lovagemast_core.agreement._sizes import entries_bytes
 from lovagemast_core.control import message_bytes
+from lovagemast_node._peers import PeerLink as DaemonLink
 from lovagemast_node.fleet._jsonlog import JsonLog
 from lovagemast_node.fleet._peers import PeerLink
 
@@ -172,3 +174,13 @@
         document = f'{revision}'.ljust(DOCUMENT_BYTES)
         link.send(Propose('p', PutConfig(revision, document)))
     assert 0 < link.queued_bytes <= WAITING_BOUND
+
+
+def test_queue_of_a_daemons_link_is_bounded() -> None:
+    """States for a VM of ``lovagemastd`` that is cut off are bounded too."""
+    link = DaemonLink('v1', 'v2', 'v2:1')
+    for revision in range(CHANGES):
+        document = f'{revision}'.ljust(DOCUMENT_BYTES)
+        state = PublishedState(revision, revision, document)
+        link.send(SendPeer('v2', Publish(state, 0.0)))
+    assert 0 < link.queued_bytes <= WAITING_BOUND
