lovagemastd reads callers' bodies within one account

What callers outside the limits did: many bodies of 4 MiB at a time, also such as stop short of their end, took the process to 363 MB with 64 callers, and without a bound with more.

Cause: each body was bounded, and requests were counted once their bodies had come; bodies on their way had no bound together. Change: the account of the other doors (BodyBudget, 64 MiB), with its order of giving up; 503 with Retry-After: 1, not run.

--- a/packages/lovagemast-node/src/lovagemast_node/_callers.py
+++ b/packages/lovagemast-node/src/lovagemast_node/_callers.py
@@ -22,6 +22,7 @@
     StartResponse,
 )
 
+from ._bodies import BodyReader
 from ._logs import PartLogger
 from ._metrics import Metrics
 from ._nodetask import Handler, NodeTask
@@ -34,6 +35,7 @@
     sha256_hex,
 )
 from ._settings import RequestLimits
+from .http import BodyBudget, BodyShare
 
 _log = PartLogger.from_part('callers')
 REQUEST_ID_BYTES: Final = 10
@@ -102,6 +104,7 @@
         self._limits = limits
         self._metrics = metrics
         self._pending: dict[str, PendingRequest] = {}
+        self._bodies = BodyBudget()
         self._runner: web.AppRunner | None = None
 
     def handlers(self) -> dict[type, Handler]:
@@ -197,7 +200,21 @@
                 retry_after_s=1,
             )
             return _refusal_response(refusal, request_id)
-        received = await self._read_request(http_req, request_id)
+        reader = BodyReader(self._limits.body_bytes)
+        share = BodyShare(self._bodies, reader.evict)
+        try:
+            return await self._serve_within(http_req, request_id, reader, share)
+        finally:
+            share.release()
+
+    async def _serve_within(
+        self,
+        http_req: web.Request,
+        request_id: str,
+        reader: BodyReader,
+        share: BodyShare,
+    ) -> web.StreamResponse:
+        received = await self._read_request(http_req, request_id, reader, share)
         if isinstance(received, Refusal):
             return _refusal_response(received, request_id)
         pending = PendingRequest(received)
@@ -215,6 +232,8 @@
         self,
         http_req: web.Request,
         request_id: str,
+        reader: BodyReader,
+        share: BodyShare,
     ) -> ReceivedRequest | Refusal:
         longest_field = max(
             map(len, (http_req.path_qs, *http_req.headers.values()))
@@ -223,9 +242,8 @@
             detail = f'the limit is {self._limits.header_bytes} bytes'
             return Refusal(Reason.HEADER_TOO_LARGE, detail)
         try:
-            body = await asyncio.wait_for(
-                http_req.read(),
-                self._limits.body_timeout_s,
+            body = await reader.read(
+                http_req, share, self._limits.body_timeout_s
             )
         except web.HTTPRequestEntityTooLarge:
             detail = f'the limit is {self._limits.body_bytes} bytes'
@@ -234,6 +252,8 @@
             return Refusal(Reason.BAD_REQUEST, 'the body did not come in time')
         except ValueError as exc:
             return Refusal(Reason.BAD_REQUEST, f'bad body: {exc}')
+        if isinstance(body, Refusal):
+            return body
         parts = RawRequest(
             request_id,
             http_req.method,
