--- a/packages/lovagemast-core/src/lovagemast_core/control/__init__.py
+++ b/packages/lovagemast-core/src/lovagemast_core/control/__init__.py
@@ -2,6 +2,7 @@
 
 from .._commands import RecordDeparture
 from ..agreement._formats import FORMAT
+from ..agreement._replicastate import ReplicaStatus
 from ..agreement._sizes import message_bytes
 from ._config import ControlConfig
 from ._effects import (
@@ -49,6 +50,7 @@
     'ReadDone',
     'RecordDeparture',
     'RelayFailed',
+    'ReplicaStatus',
     'RequestReport',
     'SendOrder',
     'SoftwareChanged',
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_control.py
@@ -52,7 +52,8 @@
 from ._limitsapi import PATH as LIMITS_PATH
 from ._limitsapi import describe_limits
 from ._logwriter import LogWriter
-from ._metrics import ControlMetrics, MetricsPage
+from ._metrics import ControlMetrics
+from ._metricspage import MetricsPage
 from ._peers import PeerLinks, PeerService, serve_peers
 from ._quarantinelog import log_subject_changes, set_part_metrics
 from ._relayhost import RelayHost
@@ -142,13 +143,8 @@
             self._spawn,
             self._log,
         )
-        metrics.observe_streams(lambda: self._relay.known_streams)
-        metrics.observe_rollout(self._relay.rollout)
-        status = self._node.replica.status
-        metrics.observe_bytes('log', lambda: status().log_bytes)
-        metrics.observe_bytes('disk', lambda: status().waiting_bytes)
-        metrics.observe_bytes('calls', lambda: self._api.room.held_bytes)
-        metrics.observe_bytes('links', lambda: self._links.queued_bytes)
+        metrics.observe_relay(self._relay)
+        metrics.observe_bytes(self._node.replica, self._api.room, self._links)
         self._http = HttpServer(
             self._api.serve,
             CONTROL_LIMITS,
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_entry.py
@@ -28,7 +28,7 @@
 from ._forwardservice import ForwardService
 from ._jsonlog import JsonLog
 from ._limitlog import log_limits, log_tolerances
-from ._metrics import MetricsPage
+from ._metricspage import MetricsPage
 from ._peers import serve_peers
 from ._requesthandler import RequestHandler
 from ._settings import EntrySettings
--- a/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
+++ b/packages/lovagemast-node/src/lovagemast_node/fleet/_metrics.py
@@ -1,8 +1,9 @@
-"""Prometheus metrics of entry and control VMs, and their endpoint."""
+"""Prometheus metrics of entry and control VMs."""
 
-from collections.abc import Callable, Mapping
-from typing import Final
+from collections.abc import Mapping
+from typing import Final, Protocol
 
+from lovagemast_core.control import ReplicaStatus
 from lovagemast_core.duties import DutyState
 from lovagemast_core.syncrelay import Rollout
 from prometheus_client import (
@@ -11,17 +12,6 @@
     Gauge,
     Histogram,
 )
-from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
-
-from ..http import (
-    READ_ONLY_LIMITS,
-    HttpRequest,
-    HttpServer,
-    Responder,
-    split_address,
-)
-from ._connectionlimits import ConnectionLimits
-from ._jsonlog import JsonLog
 
 LATENCY_BUCKETS_S: Final = (
     0.01,
@@ -37,7 +27,38 @@
 )
 LATENESS_BUCKETS_S: Final = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0)
 PACE_BUCKETS: Final = (0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0)
-OK: Final = 200
+
+
+class Relay(Protocol):
+    """What a relay shows of itself."""
+
+    @property
+    def known_streams(self) -> int:
+        """Return the number of streams that are remembered."""
+
+    def rollout(self) -> Rollout:
+        """Return how far the newest revision has come."""
+
+
+class Replica(Protocol):
+    """What a replica shows of itself."""
+
+    def status(self) -> ReplicaStatus:
+        """Return the replica's status."""
+
+
+class Held(Protocol):
+    """What holds the bodies of calls."""
+
+    held_bytes: int
+
+
+class Queued(Protocol):
+    """What queues messages."""
+
+    @property
+    def queued_bytes(self) -> int:
+        """Return the bytes that wait."""
 
 
 def _make_lateness(registry: CollectorRegistry) -> Histogram:
@@ -320,18 +341,25 @@
         """Set the revision of the configuration that this VM holds."""
         self._revision.set(revision)
 
-    def observe_streams(self, count: Callable[[], int]) -> None:
-        """Show the number of streams that are remembered when asked."""
-        self._streams.set_function(count)
-
-    def observe_rollout(self, look: Callable[[], Rollout]) -> None:
-        """Show at how many entry VMs the newest revision is in force."""
-        self._entries.labels('in_force').set_function(lambda: look().in_force)
-        self._entries.labels('behind').set_function(lambda: len(look().behind))
+    def observe_relay(self, relay: Relay) -> None:
+        """Show what a relay knows of streams and of its entry VMs."""
+        self._streams.set_function(lambda: relay.known_streams)
+        self._entries.labels('in_force').set_function(
+            lambda: relay.rollout().in_force
+        )
+        self._entries.labels('behind').set_function(
+            lambda: len(relay.rollout().behind)
+        )
 
-    def observe_bytes(self, kind: str, count: Callable[[], int]) -> None:
-        """Show the bytes that one kind of records holds when asked."""
-        self._bytes.labels(kind).set_function(count)
+    def observe_bytes(
+        self, replica: Replica, room: Held, links: Queued
+    ) -> None:
+        """Show the bytes that the parts of a control VM hold."""
+        held = self._bytes.labels
+        held('log').set_function(lambda: replica.status().log_bytes)
+        held('disk').set_function(lambda: replica.status().waiting_bytes)
+        held('calls').set_function(lambda: room.held_bytes)
+        held('links').set_function(lambda: links.queued_bytes)
 
     def set_parts(self, suspected: int, quarantined: int) -> None:
         """Set the numbers of suspected and of quarantined prompt parts."""
@@ -381,44 +409,3 @@
             ('duty',),
             registry=self.registry,
         )
-
-
-class MetricsPage:
-    """Serves a metrics registry in the Prometheus format, at any path."""
-
-    def __init__(
-        self,
-        registry: CollectorRegistry,
-        log: JsonLog,
-        limits: ConnectionLimits,
-    ) -> None:
-        self._registry = registry
-        self._log = log
-        self._server = HttpServer(
-            self._serve,
-            READ_ONLY_LIMITS,
-            self._on_error,
-            limits.bodies,
-            limits.table,
-        )
-        self._server.on_unread = limits.on_unread
-
-    async def listen(self, address: str) -> None:
-        """Listen on an address; an error is logged and not raised."""
-        if not address:
-            return
-        try:
-            await self._server.listen(*split_address(address))
-        except OSError as exc:
-            self._log.write(
-                'metrics',
-                'cannot listen on the metrics address',
-                cause=repr(exc),
-            )
-
-    async def _serve(self, req: HttpRequest, responder: Responder) -> None:
-        headers = ((b'Content-Type', CONTENT_TYPE_LATEST.encode()),)
-        await responder.send(OK, headers, generate_latest(self._registry))
-
-    def _on_error(self) -> None:
-        self._log.write('metrics', 'unhandled error in an HTTP handler')
