--- a/soak/_cluster.py
+++ b/soak/_cluster.py
@@ -22,6 +22,8 @@
 from ._plan import Components, Cut
 from ._proxy import Proxy
 
+SIZES: Final = 4  # of successive configurations
+ROUTES_STEP: Final = 450  # some 95 KB
 CONTROL: Final = ('127.0.0.11', '127.0.0.12', '127.0.0.13')
 ENTRIES: Final = ('127.0.0.21', '127.0.0.22')
 MODEL: Final = 'm'
@@ -262,12 +264,22 @@
             _route('/once/', 's-lm', resumable=False),
             _route('/plain/', 's-plain', resumable=False),
             {**_route('/list/', 's-plain', resumable=False), 'kind': 'safe'},
+            *_many_routes(version),
         ],
         'services': [{'name': 's-lm', 'engine': engine}, {'name': 's-plain'}],
         'tenants': [{'name': ACCOUNT, 'apiKeys': list(keys)}],
     }
 
 
+def _many_routes(version: int) -> list[dict[str, Any]]:
+    """Return routes by which successive configurations grow and shrink."""
+    series, size = divmod(version, SIZES)
+    return [
+        _route(f'/more-{series}-{number}/', 's-plain', resumable=False)
+        for number in range(size * ROUTES_STEP)
+    ]
+
+
 def _route(prefix: str, service: str, *, resumable: bool) -> dict[str, Any]:
     return {
         'name': prefix.strip('/'),
