--- a/tests/test_scalingproperties.py
+++ b/tests/test_scalingproperties.py
@@ -94,6 +94,16 @@
 
     Otherwise the count would go A, B, A with demand that was there before.
     """
+    check_returns(parts, swing)
+
+
+def test_no_return_with_demand_of_before() -> None:
+    """A decrease just after a load has ended is not undone by less than it."""
+    check_returns([(10, 0), (10, 0), (60, 0), (10, 57)], swing=0.27)
+
+
+def check_returns(parts: list[tuple[int, int]], swing: float) -> None:
+    """Check that no decrease is undone soon by demand that was known."""
     starts = list(itertools.accumulate((s for s, _ in parts), initial=0))
 
     def demand(_zone: str, now: float) -> float:
