Changes of documents are encoded with tables of a fixed size

At level 9 the encoder took up to 42 MB for a document of 7.6 MB, beside all else that a large change takes: 216,660 KiB of 227,328 allowed in one run of test_changes_at_a_time_exhaust_no_control_vm.

--- a/packages/lovagemast-core/src/lovagemast_core/documents/_codec.py
+++ b/packages/lovagemast-core/src/lovagemast_core/documents/_codec.py
@@ -6,6 +6,7 @@
 
 import hashlib
 from functools import partial
+from types import MappingProxyType
 from typing import Final
 
 import zstandard
@@ -13,9 +14,9 @@
 MAX_DOCUMENT_BYTES: Final = 8_388_608
 EMPTY_DOCUMENT: Final = '{}'  # before the first configuration
 MIN_WINDOW_LOG: Final = 10
-# Lower levels index only a part of a large dictionary.
-CHANGE_LEVEL: Final = 9
-WHOLE_LEVEL: Final = 3
+LEVEL: Final = 3
+# The tables of the level index only a part of a large dictionary.
+DICTIONARY_TABLES: Final = MappingProxyType({'hash_log': 20, 'chain_log': 20})
 
 _as_dictionary = partial(
     zstandard.ZstdCompressionDict, dict_type=zstandard.DICT_TYPE_RAWCONTENT
@@ -36,10 +37,11 @@
     base_bytes = base.encode()
     content = document.encode()
     params = zstandard.ZstdCompressionParameters.from_level(
-        CHANGE_LEVEL if base else WHOLE_LEVEL,
+        LEVEL,
         source_size=len(content),
         dict_size=len(base_bytes),
         window_log=_window_log(len(base_bytes) + len(content)),
+        **(DICTIONARY_TABLES if base else {}),
     )
     dictionary = _as_dictionary(base_bytes) if base else None
     compressor = zstandard.ZstdCompressor(
